--- /dev/null
+++ b/src/base/identifiers.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace geraniumlift::base {
+
+/// Number of language-model tokens.
+using Tokens = std::int64_t;
+
+/// Identifies a request across retries and processes. It is the caller's idempotency key scoped by
+/// the workspace, or a random identifier if the caller sent none.
+using RequestId = std::string;
+
+/// One life of a router process. The incarnation rises with every start of a process on the VM.
+struct HolderId {
+  std::string m_Vm;
+  std::uint64_t m_Incarnation = 0;
+
+  auto operator<=>(const HolderId &) const = default;
+};
+
+} // namespace geraniumlift::base
--- /dev/null
+++ b/src/claims/iclaimservice.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "claims/claimtypes.h"
+
+namespace geraniumlift::claims {
+
+/// Makes sure that a non-idempotent request runs at most once. Thread-safe; callbacks run exactly
+/// once on the service's scheduler thread and must not block.
+class IClaimService {
+public:
+  virtual ~IClaimService() = default;
+
+  /// Claims the request, or tells what became of an earlier attempt. A refusal that says
+  /// ClaimUnavailable is DidNotRun: no router sent the request under this claim.
+  virtual auto claim(ClaimRequest Request, ClaimCallback Done) -> void = 0;
+
+  /// Stores the answer in the claim. Calls back with true when it landed, false if the outcome
+  /// stays unknown until the deadline.
+  virtual auto complete(ClaimTicket Ticket, StoredAnswer Answer, base::SteadyTime Deadline,
+                        std::function<void(bool)> Done) -> void = 0;
+
+  /// Removes the claim of a request that provably did not run.
+  virtual auto abandon(ClaimTicket Ticket, std::function<void()> Done) -> void = 0;
+};
+
+} // namespace geraniumlift::claims
--- /dev/null
+++ b/src/configuration/configurationtypes.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "objects/objecttypes.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace geraniumlift::configuration {
+
+/// Rises by one with every accepted publication; 0 means that nothing was published yet.
+using Generation = std::uint64_t;
+
+/// One accepted publication. It never changes once built.
+struct Snapshot {
+  Generation m_Generation = 0;
+  std::string m_PublicationId;
+  objects::ObjectSet m_Objects;
+};
+
+using SnapshotPointer = std::shared_ptr<const Snapshot>;
+
+} // namespace geraniumlift::configuration
--- /dev/null
+++ b/src/objects/objecttypes.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "base/identifiers.h"
+#include "base/nametable.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace geraniumlift::objects {
+
+enum class TargetKind { Engine, Service };
+
+inline constexpr auto TargetKindNames = std::array{
+    base::NamedValue<TargetKind>{TargetKind::Engine, "engine"},
+    base::NamedValue<TargetKind>{TargetKind::Service, "service"},
+};
+
+/// A prepaid budget. Its balance is not part of the object: top-ups go to the budget's record.
+struct Budget {
+  std::string m_Name;
+
+  /// The most that one router may hold ungranted work for; bounds what a lost router strands.
+  std::optional<base::Tokens> m_MaxGrantTokens = std::nullopt;
+
+  auto operator==(const Budget &) const -> bool = default;
+};
+
+/// A priority class. A lower level is served first; the guaranteed share keeps it from starving.
+struct PriorityClass {
+  std::string m_Name;
+  std::int64_t m_Level = 0;
+
+  /// Part of a pool's tokens that this class gets whenever it has work, 0 to 1.
+  double m_GuaranteedShare = 0.0;
+
+  auto operator==(const PriorityClass &) const -> bool = default;
+};
+
+/// A customer. Callers are told apart by API keys, of which only SHA-256 hashes are kept.
+struct Workspace {
+  std::string m_Name;
+  std::string m_Budget;
+  std::string m_PriorityClass;
+
+  /// Share of tokens relative to other workspaces of the class.
+  double m_Weight = 1.0;
+
+  /// SHA-256 of each API key, 64 lower-case hexadecimal digits.
+  std::vector<std::string> m_KeyHashes;
+
+  auto operator==(const Workspace &) const -> bool = default;
+};
+
+/// A pool of interchangeable targets.
+struct ModelPool {
+  std::string m_Name;
+  TargetKind m_Kind = TargetKind::Engine;
+
+  /// Models that an engine pool serves; empty for services.
+  std::vector<std::string> m_Models;
+
+  /// Whether a request may be run more than once. Engine pools are always idempotent.
+  bool m_Idempotent = true;
+
+  /// Fixed price of a call to a service, in tokens.
+  base::Tokens m_TokensPerCall = 0;
+
+  /// Pool of the same kind that takes the work when this one has no usable target.
+  std::optional<std::string> m_FallbackPool = std::nullopt;
+
+  auto operator==(const ModelPool &) const -> bool = default;
+};
+
+/// A back end that serves requests of one pool.
+struct Target {
+  std::string m_Name;
+  std::string m_Pool;
+
+  /// Base URL with an IP number, such as http://127.0.0.1:9001.
+  std::string m_Url;
+  std::string m_DataCentre;
+
+  /// The VM list names the target's VM; empty if the target is not on the list.
+  std::string m_Vm;
+
+  /// Requests that the target runs side by side.
+  std::int64_t m_Slots = 8;
+
+  /// Whether the target refuses orders with an old fencing number.
+  bool m_ChecksFencing = false;
+
+  /// Set by operators to take the target out of service.
+  bool m_Leaving = false;
+
+  auto operator==(const Target &) const -> bool = default;
+};
+
+/// The whole set of objects of one published generation, each kind by name.
+struct ObjectSet {
+  std::map<std::string, Budget> m_Budgets;
+  std::map<std::string, PriorityClass> m_PriorityClasses;
+  std::map<std::string, Workspace> m_Workspaces;
+  std::map<std::string, ModelPool> m_ModelPools;
+  std::map<std::string, Target> m_Targets;
+
+  auto operator==(const ObjectSet &) const -> bool = default;
+};
+
+/// A mistake in the operators' files.
+struct ObjectError {
+  std::string m_File;
+  std::int64_t m_Line = 0;
+
+  /// Path of the field, such as workspace.office.budget.
+  std::string m_Field;
+  std::string m_Message;
+};
+
+} // namespace geraniumlift::objects
--- /dev/null
+++ b/src/platform/ivmlist.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "platform/platformtypes.h"
+
+#include <absl/status/statusor.h>
+#include <functional>
+#include <vector>
+
+namespace geraniumlift::platform {
+
+/// The platform's list of live and leaving VMs, of entry VMs and targets alike. A VM that is not on
+/// it has been removed.
+class IVmList {
+public:
+  using Callback = std::function<void(absl::StatusOr<std::vector<VmEntry>>)>;
+
+  virtual ~IVmList() = default;
+
+  /// Reads the list. The callback runs exactly once, on any thread.
+  virtual auto read(Callback Done) -> void = 0;
+};
+
+} // namespace geraniumlift::platform
