Add the gateway and the VM tracker

Cause: callers need a pipeline that reserves, dispatches, streams and bills, and reclaiming grants needs a proof that a router process has ended. Change: gateway module over the interfaces of the other modules, vmwatch module, process test harness. Measured: vmwatch_test, 6 tests, pass; the gateway compiles, its tests wait for the telemetry module. Conclusion: the daemon can be wired when the other modules are merged.

--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "admission/idispatcher.h"
+#include "base/iclock.h"
+#include "base/ischeduler.h"
+#include "budget/ibudgetservice.h"
+#include "claims/iclaimservice.h"
+#include "configuration/iconfigurationsource.h"
+#include "gateway/icallerexchange.h"
+#include "gateway/ipeerdirectory.h"
+#include "gateway/ipeerforwarder.h"
+#include "targets/itargetclient.h"
+#include "telemetry/imetrics.h"
+#include "telemetry/itracer.h"
+
+#include <chrono>
+#include <memory>
+
+namespace geraniumlift::gateway {
+
+struct GatewayOptions {
+  base::HolderId m_Self;
+  std::chrono::milliseconds m_EntryTimeToLive{30'000};
+  std::int64_t m_RequestLimit = 4'000;
+};
+
+/// What the gateway works with. All references outlive the gateway; the dispatcher is called from
+/// the scheduler's thread only.
+struct GatewayDependencies {
+  const base::IClock &m_Clock;
+  base::IScheduler &m_Scheduler;
+  configuration::IConfigurationSource &m_Configuration;
+  budget::IBudgetService &m_Budgets;
+  claims::IClaimService &m_Claims;
+  admission::IDispatcher &m_Dispatcher;
+  targets::ITargetClient &m_Targets;
+  const IPeerDirectory &m_Peers;
+  IPeerForwarder &m_Forwarder;
+  telemetry::IMetrics &m_Metrics;
+  telemetry::ITracer &m_Tracer;
+};
+
+/// Serves callers: checks a request, reserves tokens, waits for a target, passes the answer on and
+/// bills it.
+class Gateway {
+public:
+  Gateway(GatewayOptions Options, GatewayDependencies Dependencies);
+  ~Gateway();
+  Gateway(const Gateway &) = delete;
+  auto operator=(const Gateway &) -> Gateway & = delete;
+
+  /// Takes a caller's request. Thread-safe.
+  auto handle(std::shared_ptr<ICallerExchange> Exchange) -> void;
+
+  /// Replaces the targets by those of the snapshot. Thread-safe.
+  auto setConfiguration(configuration::SnapshotPointer Snapshot) -> void;
+
+  /// Tells that a target is leaving, or no longer is, whichever source reported it. Thread-safe.
+  auto setTargetLeaving(const std::string &Target, bool Leaving) -> void;
+
+  /// Passes a target's load report on to the dispatcher. Thread-safe.
+  auto reportLoad(admission::LoadReport Report) -> void;
+
+  /// Calls back when no request is in flight. Thread-safe.
+  auto whenIdle(std::function<void()> Done) -> void;
+
+private:
+  class Implementation;
+  std::shared_ptr<Implementation> m_Implementation;
+};
+
+} // namespace geraniumlift::gateway
--- /dev/null
+++ b/src/gateway/internal/completioncall.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "gateway/internal/call.h"
+#include "gateway/internal/completionbody.h"
+#include "gateway/internal/wholeanswer.h"
+
+namespace geraniumlift::gateway {
+
+/// A chat completion. Events are passed on as they come; the end marker waits for the bill.
+class CompletionCall final : public Call {
+public:
+  CompletionCall(GatewayState &State, CallHead Head, CompletionBody Body, objects::ModelPool Pool);
+
+  auto start() -> void override;
+  auto onCallerGone() -> void override;
+  auto onDispatch(const std::string &Target) -> void override;
+
+  /// Takes an event of the given attempt; events of earlier attempts are dropped.
+  auto onStreamEvent(std::uint64_t Attempt, const targets::StreamEvent &Event) -> void;
+  auto onStreamEnd(std::uint64_t Attempt, const targets::StreamEnd &End) -> void;
+
+protected:
+  auto onReserved() -> void override;
+  auto onNotReserved(const base::Refusal &Refusal) -> void override;
+  auto giveUp(const base::Refusal &Refusal) -> void override;
+
+private:
+  auto passOn(const targets::StreamEvent &Event) -> void;
+  auto complete(const targets::Usage &Usage) -> void;
+  auto fail(const targets::StreamEnd &End) -> void;
+
+  CompletionBody m_Body;
+  objects::ModelPool m_Pool;
+  std::shared_ptr<targets::IEngineStream> m_Stream;
+  std::uint64_t m_Attempt = 0;
+  base::Tokens m_Generated = 0;
+  bool m_StreamBegun = false;
+  WholeAnswer m_Whole;
+};
+
+} // namespace geraniumlift::gateway
--- /dev/null
+++ b/src/gateway/internal/entryanswer.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "gateway/gatewaytypes.h"
+
+#include <chrono>
+#include <map>
+
+namespace geraniumlift::gateway {
+
+/// Formats the answer to "which VM": addresses in order of preference and how long they may be
+/// kept.
+auto entryAnswer(const std::vector<EntryAddress> &Addresses, std::chrono::milliseconds TimeToLive)
+    -> CallerAnswer;
+
+/// Formats the list of models in the OpenAI-compatible form.
+auto modelsAnswer(const std::map<std::string, std::string> &PoolByModel) -> CallerAnswer;
+
+} // namespace geraniumlift::gateway
--- /dev/null
+++ b/src/gateway/internal/gateway.cpp
@@ -0,0 +1,232 @@
+#include "gateway/gateway.h"
+
+#include "base/hashing.h"
+#include "base/log.h"
+#include "gateway/internal/completioncall.h"
+#include "gateway/internal/entryanswer.h"
+#include "gateway/internal/refusalanswer.h"
+#include "gateway/internal/servicecall.h"
+
+#include <absl/strings/numbers.h>
+#include <fmt/format.h>
+
+namespace geraniumlift::gateway {
+
+namespace {
+
+constexpr std::string_view ServicesPrefix = "/services/";
+constexpr std::size_t IdempotencyKeyLimitBytes = 128;
+constexpr std::int64_t DefaultDeadlineMs = 30'000;
+constexpr std::int64_t DeadlineLimitMs = 600'000;
+constexpr std::size_t RandomRequestIdBytes = 16;
+
+auto badRequest(std::string Detail) -> base::Refusal {
+  return {base::RefusalCode::BadRequest, base::Verdict::DidNotRun, std::move(Detail)};
+}
+
+} // namespace
+
+class Gateway::Implementation : public std::enable_shared_from_this<Implementation> {
+public:
+  Implementation(GatewayOptions Options, GatewayDependencies Dependencies)
+      : m_State(std::move(Options), Dependencies) {
+    setConfiguration(Dependencies.m_Configuration.current());
+  }
+
+  auto scheduler() -> base::IScheduler & { return m_State.m_Services.m_Scheduler; }
+
+  auto setConfiguration(configuration::SnapshotPointer Snapshot) -> void {
+    m_State.m_Snapshot = std::move(Snapshot);
+    m_State.m_Authenticator.setSnapshot(*m_State.m_Snapshot);
+    m_State.m_PoolByModel.clear();
+    for (const auto &[Name, Pool] : m_State.m_Snapshot->m_Objects.m_ModelPools) {
+      for (const auto &Model : Pool.m_Models) {
+        m_State.m_PoolByModel.emplace(Model, Name);
+      }
+    }
+    publishTargets();
+  }
+
+  auto setTargetLeaving(const std::string &Target, bool Leaving) -> void {
+    const auto Changed = Leaving ? m_State.m_LeavingTargets.insert(Target).second
+                                 : m_State.m_LeavingTargets.erase(Target) > 0;
+    if (Changed) {
+      base::logEvent(base::LogLevel::Info, "target_leaving",
+                     {{"target", Target}, {"leaving", Leaving}});
+      publishTargets();
+    }
+  }
+
+  auto reportLoad(const admission::LoadReport &Report) -> void {
+    m_State.m_Loop->reportLoad(Report);
+  }
+
+  auto whenIdle(std::function<void()> Done) -> void {
+    if (m_State.m_Calls.empty()) {
+      Done();
+    } else {
+      m_State.m_IdleWaiters.push_back(std::move(Done));
+    }
+  }
+
+  auto receive(const std::shared_ptr<ICallerExchange> &Exchange) -> void {
+    const auto &Request = Exchange->request();
+    if (Request.m_Path == "/v1/entry" && Request.m_Method == "GET") {
+      Exchange->respond(
+          entryAnswer(m_State.m_Services.m_Peers.entryList(), m_State.m_Options.m_EntryTimeToLive));
+      return;
+    }
+    auto Head = CallHead();
+    Head.m_Exchange = Exchange;
+    if (const auto Refused = readHead(Request, Head)) {
+      refuse(Head, *Refused);
+    } else if (Request.m_Path == "/v1/models" && Request.m_Method == "GET") {
+      Exchange->respond(modelsAnswer(m_State.m_PoolByModel));
+    } else if (Request.m_Path == "/v1/chat/completions" && Request.m_Method == "POST") {
+      startCompletion(std::move(Head));
+    } else if (Request.m_Path.starts_with(ServicesPrefix)) {
+      startService(std::move(Head));
+    } else {
+      refuse(Head, {base::RefusalCode::UnknownService, base::Verdict::DidNotRun,
+                    "There is nothing at this path."});
+    }
+  }
+
+private:
+  auto publishTargets() -> void {
+    auto Targets = std::vector<admission::TargetInfo>();
+    for (const auto &[Name, Target] : m_State.m_Snapshot->m_Objects.m_Targets) {
+      Targets.push_back({Name, Target.m_Pool, Target.m_DataCentre, Target.m_Slots,
+                         Target.m_Leaving || m_State.m_LeavingTargets.contains(Name)});
+    }
+    m_State.m_Loop->setTargets(std::move(Targets));
+  }
+
+  auto readHead(const CallerRequest &Request, CallHead &Head) -> std::optional<base::Refusal> {
+    const auto Workspace = m_State.m_Authenticator.workspaceOf(Request.header("authorization"));
+    if (!Workspace) {
+      return base::Refusal{base::RefusalCode::UnknownKey, base::Verdict::DidNotRun,
+                           "The Authorization header holds no known API key."};
+    }
+    Head.m_Workspace = m_State.m_Snapshot->m_Objects.m_Workspaces.at(*Workspace);
+    Head.m_CallerTrace = telemetry::parseTraceParent(Request.header("traceparent"));
+    Head.m_Forwarded = m_State.m_Services.m_Forwarder.isForwarded(Request);
+    Head.m_IdempotencyKey = Request.header("idempotency-key");
+    if (Head.m_IdempotencyKey.size() > IdempotencyKeyLimitBytes) {
+      return badRequest(fmt::format("The Idempotency-Key header is longer than {} bytes.",
+                                    IdempotencyKeyLimitBytes));
+    }
+    Head.m_RequestId = requestId(Request, Head);
+    if (m_State.m_Calls.size() >= static_cast<std::size_t>(m_State.m_Options.m_RequestLimit)) {
+      return base::Refusal{base::RefusalCode::QueueFull, base::Verdict::DidNotRun,
+                           "This router has as many requests as it can hold.",
+                           std::chrono::seconds{1}};
+    }
+    return readDeadline(Request, Head);
+  }
+
+  /// A key that the caller chose is scoped by the workspace, so that workspaces cannot collide. The
+  /// identifier goes into paths, hence the hash.
+  static auto requestId(const CallerRequest &Request, const CallHead &Head) -> base::RequestId {
+    if (!Head.m_IdempotencyKey.empty()) {
+      return base::sha256Hex(Head.m_Workspace.m_Name + "/" + Head.m_IdempotencyKey).substr(0, 32);
+    }
+    const auto Forwarded = Head.m_Forwarded ? Request.header("x-request-id") : std::string();
+    return Forwarded.empty() ? base::randomHex(RandomRequestIdBytes) : Forwarded;
+  }
+
+  auto readDeadline(const CallerRequest &Request, CallHead &Head) -> std::optional<base::Refusal> {
+    const auto Header = Request.header("x-deadline-ms");
+    auto Milliseconds = DefaultDeadlineMs;
+    if (!Header.empty() && (!absl::SimpleAtoi(Header, &Milliseconds) || Milliseconds < 1 ||
+                            Milliseconds > DeadlineLimitMs)) {
+      return badRequest(fmt::format("The X-Deadline-Ms header must be a whole number from 1 to {}.",
+                                    DeadlineLimitMs));
+    }
+    Head.m_Deadline =
+        m_State.m_Services.m_Clock.steadyNow() + std::chrono::milliseconds{Milliseconds};
+    return std::nullopt;
+  }
+
+  auto refuse(const CallHead &Head, const base::Refusal &Refusal) -> void {
+    m_State.m_Services.m_Metrics.count(
+        "geraniumlift_requests_total",
+        {{"code", std::string(base::nameOf(base::RefusalCodeNames, Refusal.m_Code))}});
+    Head.m_Exchange->respond(refusalAnswer(Refusal, Head.m_Workspace.m_Name, Head.m_RequestId));
+  }
+
+  auto startCompletion(CallHead Head) -> void {
+    auto Body = parseCompletionBody(Head.m_Exchange->request().m_Body);
+    if (!Body.ok()) {
+      refuse(Head, badRequest(std::string(Body.status().message())));
+      return;
+    }
+    const auto Pool = m_State.m_PoolByModel.find(Body->m_Model);
+    if (Pool == m_State.m_PoolByModel.end()) {
+      refuse(Head, {base::RefusalCode::UnknownModel, base::Verdict::DidNotRun,
+                    "No model pool serves this model."});
+      return;
+    }
+    launch(std::make_shared<CompletionCall>(
+        m_State, std::move(Head), *std::move(Body),
+        m_State.m_Snapshot->m_Objects.m_ModelPools.at(Pool->second)));
+  }
+
+  auto startService(CallHead Head) -> void {
+    const auto &Target = Head.m_Exchange->request().m_Target;
+    const auto Begin = ServicesPrefix.size();
+    const auto End = std::min(Target.find_first_of("/?", Begin), Target.size());
+    const auto &Pools = m_State.m_Snapshot->m_Objects.m_ModelPools;
+    const auto Pool = Pools.find(Target.substr(Begin, End - Begin));
+    if (Pool == Pools.end() || Pool->second.m_Kind != objects::TargetKind::Service) {
+      refuse(Head, {base::RefusalCode::UnknownService, base::Verdict::DidNotRun,
+                    "There is no service of this name."});
+      return;
+    }
+    const auto Rest = Target.substr(End);
+    const auto Path = Rest.starts_with("/") ? Rest : "/" + Rest;
+    launch(std::make_shared<ServiceCall>(m_State, std::move(Head), Pool->second, Path));
+  }
+
+  auto launch(const std::shared_ptr<Call> &Started) -> void {
+    m_State.m_Calls.insert(Started);
+    Started->watchCaller();
+    Started->start();
+  }
+
+  GatewayState m_State;
+};
+
+Gateway::Gateway(GatewayOptions Options, GatewayDependencies Dependencies)
+    : m_Implementation(std::make_shared<Implementation>(std::move(Options), Dependencies)) {}
+
+Gateway::~Gateway() = default;
+
+auto Gateway::handle(std::shared_ptr<ICallerExchange> Exchange) -> void {
+  m_Implementation->scheduler().post(
+      [Self = m_Implementation, Exchange = std::move(Exchange)] { Self->receive(Exchange); });
+}
+
+auto Gateway::setConfiguration(configuration::SnapshotPointer Snapshot) -> void {
+  m_Implementation->scheduler().post([Self = m_Implementation, Snapshot = std::move(Snapshot)] {
+    Self->setConfiguration(Snapshot);
+  });
+}
+
+auto Gateway::setTargetLeaving(const std::string &Target, bool Leaving) -> void {
+  m_Implementation->scheduler().post(
+      [Self = m_Implementation, Target, Leaving] { Self->setTargetLeaving(Target, Leaving); });
+}
+
+auto Gateway::reportLoad(admission::LoadReport Report) -> void {
+  m_Implementation->scheduler().post(
+      [Self = m_Implementation, Report = std::move(Report)] { Self->reportLoad(Report); });
+}
+
+auto Gateway::whenIdle(std::function<void()> Done) -> void {
+  m_Implementation->scheduler().post([Self = m_Implementation, Done = std::move(Done)]() mutable {
+    Self->whenIdle(std::move(Done));
+  });
+}
+
+} // namespace geraniumlift::gateway
--- /dev/null
+++ b/src/gateway/internal/servicecall.cpp
@@ -0,0 +1,279 @@
+#include "gateway/internal/servicecall.h"
+
+#include "base/hashing.h"
+#include "base/log.h"
+#include "gateway/internal/refusalanswer.h"
+
+#include <algorithm>
+
+namespace geraniumlift::gateway {
+
+namespace {
+
+constexpr std::size_t StoredBodyLimitBytes = 65'536;
+constexpr std::int64_t FirstErrorStatus = 400;
+
+/// An answer that comes just before the deadline still gets this long to be stored for retries.
+constexpr auto StoreAnswerTime = std::chrono::seconds{2};
+
+auto isSafeMethod(const std::string &Method) -> bool { return Method == "GET" || Method == "HEAD"; }
+
+auto answerOf(const claims::StoredAnswer &Stored, const base::RequestId &RequestId)
+    -> CallerAnswer {
+  auto Answer = CallerAnswer{Stored.m_Status,
+                             Stored.m_ContentType,
+                             Stored.m_Body,
+                             {{"X-Request-Id", RequestId}, {"X-Verdict", "ran"}}};
+  if (Stored.m_BodyOmitted) {
+    Answer.m_Headers.emplace("X-Body-Omitted", "true");
+  }
+  return Answer;
+}
+
+} // namespace
+
+ServiceCall::ServiceCall(GatewayState &State, CallHead Head, objects::ModelPool Pool,
+                         std::string PathInService)
+    : Call(State, std::move(Head), "service_call"), m_Pool(std::move(Pool)),
+      m_PathInService(std::move(PathInService)),
+      m_Idempotent(m_Pool.m_Idempotent || isSafeMethod(m_Head.m_Exchange->request().m_Method)) {}
+
+auto ServiceCall::claimName() const -> std::string {
+  return m_Head.m_Workspace.m_Name + "/" + m_Head.m_IdempotencyKey;
+}
+
+auto ServiceCall::start() -> void {
+  if (m_Idempotent) {
+    reserve(m_Pool.m_TokensPerCall);
+  } else if (m_Head.m_IdempotencyKey.empty()) {
+    refuse({base::RefusalCode::IdempotencyKeyRequired, base::Verdict::DidNotRun,
+            "This service's calls must not be repeated; send an Idempotency-Key header."});
+  } else if (!joinInFlight()) {
+    claim();
+  }
+}
+
+auto ServiceCall::joinInFlight() -> bool {
+  const auto Found = m_State.m_ClaimsInFlight.find(claimName());
+  const auto Running = Found == m_State.m_ClaimsInFlight.end() ? nullptr : Found->second.lock();
+  if (!Running ||
+      Running->m_Head.m_Exchange->request().m_Body != m_Head.m_Exchange->request().m_Body) {
+    return false;
+  }
+  Running->m_Joined.push_back(std::static_pointer_cast<ServiceCall>(shared_from_this()));
+  return true;
+}
+
+auto ServiceCall::claim() -> void {
+  const auto &Request = m_Head.m_Exchange->request();
+  m_StepSpan = openSpan("claim");
+  const auto Hash = base::sha256Hex(Request.m_Method + " " + Request.m_Target + "\n" +
+                                    base::sha256Hex(Request.m_Body));
+  // The callback must run although the caller has gone: the claim would stay without a request.
+  m_State.m_Services.m_Claims.claim(
+      {m_Head.m_Workspace.m_Name, m_Head.m_IdempotencyKey, Hash, m_Head.m_Deadline},
+      onThread<claims::ClaimResult>(
+          [this](const claims::ClaimResult &Result) { onClaim(Result); }));
+}
+
+auto ServiceCall::onClaim(const claims::ClaimResult &Result) -> void {
+  closeSpan(m_StepSpan, !std::holds_alternative<base::Refusal>(Result));
+  if (const auto *Ticket = std::get_if<claims::ClaimTicket>(&Result)) {
+    m_Ticket = *Ticket;
+    m_State.m_ClaimsInFlight[claimName()] =
+        std::static_pointer_cast<ServiceCall>(shared_from_this());
+    reserve(m_Pool.m_TokensPerCall);
+  } else if (const auto *Stored = std::get_if<claims::StoredAnswer>(&Result)) {
+    m_Head.m_Exchange->respond(answerOf(*Stored, m_Head.m_RequestId));
+    finish("ok", base::Verdict::Ran);
+  } else if (const auto *Elsewhere = std::get_if<claims::ClaimedElsewhere>(&Result)) {
+    onClaimedBy(Elsewhere->m_Owner);
+  } else {
+    refuse(std::get<base::Refusal>(Result));
+  }
+}
+
+/// A claim of this process without a request in flight may just have been completed, so it is read
+/// once more before its outcome is called unknown.
+auto ServiceCall::onClaimedBy(const base::HolderId &Owner) -> void {
+  const auto Unknown =
+      base::Refusal{base::RefusalCode::OutcomeUnknown, base::Verdict::MayHaveRun,
+                    "An earlier attempt with this idempotency key has no known outcome."};
+  if (Owner != m_State.m_Options.m_Self) {
+    const auto Peer = m_State.m_Services.m_Peers.find(Owner);
+    forwardOrRefuse(Peer ? std::vector{*Peer} : std::vector<PeerAddress>(), Unknown);
+  } else if (joinInFlight()) {
+    return;
+  } else if (!m_ClaimedTwice) {
+    m_ClaimedTwice = true;
+    claim();
+  } else {
+    refuse(Unknown);
+  }
+}
+
+auto ServiceCall::onReserved() -> void {
+  auto Item = admission::WorkItem();
+  Item.m_MaxTokens = 1;
+  Item.m_Idempotent = m_Idempotent;
+  offer(m_Pool, std::move(Item));
+}
+
+auto ServiceCall::onNotReserved(const base::Refusal &Refusal) -> void {
+  auto Peers = std::vector<PeerAddress>();
+  if (Refusal.m_Code == base::RefusalCode::BudgetUnavailable) {
+    Peers = m_State.m_Services.m_Peers.withAllowance(m_Head.m_Workspace.m_Budget,
+                                                     m_Pool.m_TokensPerCall);
+  }
+  abandonThen([this, Peers, Refusal] { forwardOrRefuse(Peers, Refusal); });
+}
+
+auto ServiceCall::giveUp(const base::Refusal &Refusal) -> void {
+  if (Refusal.m_Verdict == base::Verdict::DidNotRun) {
+    abandonThen([this, Refusal] { refuse(Refusal); });
+  } else {
+    refuse(Refusal);
+  }
+}
+
+/// Removes the claim of a request that provably did not run, then goes on. Retries that joined it
+/// run on their own.
+auto ServiceCall::abandonThen(std::function<void()> Next) -> void {
+  auto Joined = std::vector<std::shared_ptr<ServiceCall>>();
+  Joined.swap(m_Joined);
+  if (!m_Ticket) {
+    Next();
+    return;
+  }
+  m_State.m_ClaimsInFlight.erase(claimName());
+  auto Ticket = std::move(*m_Ticket);
+  m_Ticket.reset();
+  m_State.m_Services.m_Claims.abandon(
+      std::move(Ticket),
+      [Self = std::static_pointer_cast<ServiceCall>(shared_from_this()), Next, Joined] {
+        Self->m_State.m_Services.m_Scheduler.post([Self, Next, Joined] {
+          Next();
+          for (const auto &Waiting : Joined) {
+            Waiting->claim();
+          }
+        });
+      });
+}
+
+auto ServiceCall::onDispatch(const std::string &Target) -> void {
+  closeSpan(m_StepSpan, true);
+  const auto *Found = findTarget(Target);
+  if (Found == nullptr) {
+    onServiceResult({base::Verdict::DidNotRun, 0, "", "", true,
+                     "The target was removed from the configuration."});
+    return;
+  }
+  const auto &Received = m_Head.m_Exchange->request();
+  m_StepSpan = openSpan("target.call");
+  m_StepSpan->attribute("geraniumlift.target", Target);
+  auto Request = targets::ServiceRequest();
+  Request.m_RequestId = m_Head.m_RequestId;
+  Request.m_Url = Found->m_Url;
+  Request.m_Method = Received.m_Method;
+  Request.m_Path = m_PathInService;
+  Request.m_ContentType = Received.header("content-type");
+  Request.m_Body = Received.m_Body;
+  Request.m_IdempotencyKey = m_Head.m_IdempotencyKey;
+  Request.m_TraceParent = telemetry::formatTraceParent(m_StepSpan->context());
+  Request.m_Deadline = m_Head.m_Deadline;
+  Request.m_Idempotent = m_Idempotent;
+  m_State.m_Services.m_Targets.callService(
+      std::move(Request),
+      onThread<targets::ServiceResult>(
+          [this](const targets::ServiceResult &Result) { onServiceResult(Result); }));
+}
+
+auto ServiceCall::onServiceResult(const targets::ServiceResult &Result) -> void {
+  if (m_Finished || !m_Work) {
+    return;
+  }
+  const auto Success = Result.m_Verdict == base::Verdict::Ran;
+  closeSpan(m_StepSpan, Success);
+  const auto End = admission::AttemptEnd{Success, Result.m_Verdict, Result.m_TargetLeaving};
+  const auto MayRetry = !Success && (m_Idempotent || Result.m_Verdict == base::Verdict::DidNotRun);
+  if (m_State.m_Loop->onEnd(*m_Work, End, MayRetry)) {
+    m_StepSpan = openSpan("queue");
+    return;
+  }
+  m_Work.reset();
+  if (Success) {
+    storeAnswer(Result);
+    return;
+  }
+  const auto Refusal =
+      base::Refusal{base::RefusalCode::TargetFailed, Result.m_Verdict, Result.m_Detail};
+  if (Result.m_Verdict == base::Verdict::DidNotRun) {
+    giveUp(Refusal);
+  } else {
+    // The claim stays as it is, so that no router sends the request again.
+    if (m_Ticket) {
+      m_State.m_ClaimsInFlight.erase(claimName());
+    }
+    answerJoined(refusalAnswer(Refusal, m_Head.m_Workspace.m_Name, m_Head.m_RequestId),
+                 base::nameOf(base::RefusalCodeNames, Refusal.m_Code), Refusal.m_Verdict);
+    refuse(Refusal);
+  }
+}
+
+auto ServiceCall::storeAnswer(const targets::ServiceResult &Result) -> void {
+  if (!m_Ticket) {
+    deliver(Result);
+    return;
+  }
+  const auto Omitted = Result.m_Body.size() > StoredBodyLimitBytes;
+  auto Stored = claims::StoredAnswer{Result.m_Status, Result.m_ContentType,
+                                     Omitted ? std::string() : Result.m_Body, Omitted};
+  m_StepSpan = openSpan("claim.complete");
+  const auto StoreDeadline =
+      std::max(m_Head.m_Deadline, m_State.m_Services.m_Clock.steadyNow() + StoreAnswerTime);
+  m_State.m_Services.m_Claims.complete(
+      *m_Ticket, std::move(Stored), StoreDeadline, onThread<bool>([this, Result](bool Landed) {
+        closeSpan(m_StepSpan, Landed);
+        if (!Landed) {
+          base::logEvent(base::LogLevel::Warning, "claim_not_completed",
+                         {{"request_id", m_Head.m_RequestId}});
+        }
+        m_State.m_ClaimsInFlight.erase(claimName());
+        deliver(Result);
+      }));
+}
+
+/// Errors of the service are passed on but not billed.
+auto ServiceCall::deliver(const targets::ServiceResult &Result) -> void {
+  auto Answer = CallerAnswer{Result.m_Status,
+                             Result.m_ContentType,
+                             Result.m_Body,
+                             {{"X-Request-Id", m_Head.m_RequestId}, {"X-Verdict", "ran"}}};
+  const auto Respond = [this, Answer] {
+    answerJoined(Answer, "ok", base::Verdict::Ran);
+    m_Head.m_Exchange->respond(Answer);
+    finish("ok", base::Verdict::Ran);
+  };
+  if (Result.m_Status >= FirstErrorStatus) {
+    Respond();
+  } else {
+    bill(m_Pool.m_TokensPerCall, Respond);
+  }
+}
+
+auto ServiceCall::answerJoined(const CallerAnswer &Answer, std::string_view Code,
+                               base::Verdict Verdict) -> void {
+  auto Joined = std::vector<std::shared_ptr<ServiceCall>>();
+  Joined.swap(m_Joined);
+  for (const auto &Waiting : Joined) {
+    Waiting->m_Head.m_Exchange->respond(Answer);
+    Waiting->finish(Code, Verdict);
+  }
+}
+
+/// The work goes on without its caller: its answer is stored for the retry and billed.
+auto ServiceCall::onCallerGone() -> void {
+  base::logEvent(base::LogLevel::Info, "caller_gone", {{"request_id", m_Head.m_RequestId}});
+}
+
+} // namespace geraniumlift::gateway
--- /dev/null
+++ b/src/gateway/internal/servicecall.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "gateway/internal/call.h"
+
+namespace geraniumlift::gateway {
+
+/// A call of a plain service. A non-idempotent one is claimed before anything is sent, and its
+/// answer is stored in the claim before the caller gets it.
+class ServiceCall final : public Call {
+public:
+  /// PathInService begins with a slash and carries the query.
+  ServiceCall(GatewayState &State, CallHead Head, objects::ModelPool Pool,
+              std::string PathInService);
+
+  auto start() -> void override;
+  auto onCallerGone() -> void override;
+  auto onDispatch(const std::string &Target) -> void override;
+
+protected:
+  auto onReserved() -> void override;
+  auto onNotReserved(const base::Refusal &Refusal) -> void override;
+  auto giveUp(const base::Refusal &Refusal) -> void override;
+
+private:
+  auto claim() -> void;
+  auto onClaim(const claims::ClaimResult &Result) -> void;
+  auto onClaimedBy(const base::HolderId &Owner) -> void;
+  auto joinInFlight() -> bool;
+  auto onServiceResult(const targets::ServiceResult &Result) -> void;
+  auto storeAnswer(const targets::ServiceResult &Result) -> void;
+  auto deliver(const targets::ServiceResult &Result) -> void;
+  auto abandonThen(std::function<void()> Next) -> void;
+  auto answerJoined(const CallerAnswer &Answer, std::string_view Code, base::Verdict Verdict)
+      -> void;
+  [[nodiscard]] auto claimName() const -> std::string;
+
+  objects::ModelPool m_Pool;
+  std::string m_PathInService;
+  bool m_Idempotent;
+  std::optional<claims::ClaimTicket> m_Ticket;
+  bool m_ClaimedTwice = false;
+
+  /// Retries of the same request that arrived while it was in flight.
+  std::vector<std::shared_ptr<ServiceCall>> m_Joined;
+};
+
+} // namespace geraniumlift::gateway
--- /dev/null
+++ b/src/gateway/internal/wholeanswer.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "targets/targettypes.h"
+
+#include <string>
+
+namespace geraniumlift::gateway {
+
+/// Joins the events of a stream into one chat.completion object, for callers that did not ask for a
+/// stream.
+class WholeAnswer {
+public:
+  /// Adds the text of one event. Malformed events add nothing.
+  auto add(const std::string &EventJson) -> void;
+
+  /// Returns the JSON text of the whole answer.
+  [[nodiscard]] auto finish(const base::RequestId &RequestId, const std::string &Model,
+                            const targets::Usage &Usage) const -> std::string;
+
+private:
+  std::string m_Text;
+  std::string m_FinishReason = "stop";
+};
+
+} // namespace geraniumlift::gateway
--- /dev/null
+++ b/src/vmwatch/tests/vmwatch_test.cpp
@@ -0,0 +1,88 @@
+#include "base/manualclock.h"
+#include "vmwatch/vmtracker.h"
+
+#include <criterion/criterion.h>
+
+using namespace geraniumlift;
+using std::chrono::seconds;
+
+namespace {
+
+const auto Router = base::HolderId{"entry-2", 10};
+
+struct Fixture {
+  auto list(std::vector<platform::VmEntry> Entries) -> void {
+    Entries.push_back({"entry-1", platform::VmState::Live});
+    m_Tracker.onVmList(Entries, m_Clock.steadyNow());
+  }
+
+  auto isGone() -> bool { return m_Tracker.isGone(Router, m_Clock.steadyNow()); }
+
+  base::ManualClock m_Clock;
+  vmwatch::VmTracker m_Tracker{{"entry-1"}};
+};
+
+} // namespace
+
+// Guards against reclaiming the grant of a router that is only paused: it may wake and spend it.
+Test(vmwatch, pausedRouterOnTheListIsNeverGone) {
+  auto Test = Fixture();
+  Test.m_Tracker.onHeartbeat(Router, Test.m_Clock.steadyNow());
+  for (auto Hour = 0; Hour < 24; ++Hour) {
+    Test.m_Clock.advance(std::chrono::hours{1});
+    Test.list({{"entry-2", platform::VmState::Live}});
+    cr_assert_not(Test.isGone());
+  }
+}
+
+// Guards against a removed VM whose grant stays stranded.
+Test(vmwatch, removedAndSilentVmIsGoneAfterTheAbsence) {
+  auto Test = Fixture();
+  Test.list({{"entry-2", platform::VmState::Live}});
+  Test.m_Clock.advance(seconds{10});
+  Test.list({});
+  cr_assert_not(Test.isGone());
+  Test.m_Clock.advance(seconds{30});
+  cr_assert_not(Test.isGone(), "no list confirmed the absence since");
+  Test.list({});
+  cr_assert(Test.isGone());
+}
+
+// Guards against a lagging list that lacks a VM which is still heard.
+Test(vmwatch, absentVmThatIsHeardIsNotGone) {
+  auto Test = Fixture();
+  Test.list({});
+  Test.m_Clock.advance(seconds{60});
+  Test.m_Tracker.onHeartbeat(Router, Test.m_Clock.steadyNow());
+  Test.list({});
+  cr_assert_not(Test.isGone());
+}
+
+// Guards against an empty or foreign list that would make every router look removed.
+Test(vmwatch, listWithoutThisVmProvesNothing) {
+  auto Test = Fixture();
+  Test.m_Tracker.onVmList({}, Test.m_Clock.steadyNow());
+  Test.m_Clock.advance(seconds{60});
+  Test.m_Tracker.onVmList({{"entry-9", platform::VmState::Live}}, Test.m_Clock.steadyNow());
+  cr_assert_not(Test.isGone());
+}
+
+// Guards against a restarted router whose earlier process keeps a grant for good.
+Test(vmwatch, newerIncarnationEndsTheEarlierOne) {
+  auto Test = Fixture();
+  Test.list({{"entry-2", platform::VmState::Live}});
+  Test.m_Tracker.onHeartbeat({"entry-2", 11}, Test.m_Clock.steadyNow());
+  cr_assert(Test.isGone());
+  cr_assert_not(Test.m_Tracker.isGone({"entry-2", 11}, Test.m_Clock.steadyNow()));
+}
+
+// Guards against new work for a target whose VM is leaving or was removed.
+Test(vmwatch, leavingAndRemovedVmsAreLeaving) {
+  auto Test = Fixture();
+  Test.list({{"runner-1", platform::VmState::Live}, {"runner-2", platform::VmState::Leaving}});
+  cr_assert_not(Test.m_Tracker.isLeaving("runner-1"));
+  cr_assert(Test.m_Tracker.isLeaving("runner-2"));
+  cr_assert_not(Test.m_Tracker.isLeaving("runner-3"), "never listed: the list lags");
+  Test.list({});
+  cr_assert(Test.m_Tracker.isLeaving("runner-1"));
+}
