Add the objects module

Cause: operators' files need to be parsed, checked as a whole, compared and encoded before anything can be published.

Change: one table of fields per kind drives reading TOML, checking, diff and the JSON codec. Every mistake is reported with file, line and field path. Chunks are grouped by kind and by bits of the hash of the name and split only when they exceed 256 KB.

Conclusion: ready for the publisher.

--- /dev/null
+++ b/src/objects/internal/objectcheck.cpp
@@ -0,0 +1,259 @@
+#include "objects/objectcheck.h"
+
+#include "objects/internal/checkparts.h"
+#include "objects/internal/objectfields.h"
+
+#include <fmt/format.h>
+#include <set>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace geraniumlift::objects {
+
+namespace internal {
+
+namespace {
+
+using Errors = std::vector<ObjectError>;
+
+auto report(Errors &Found, std::string Path, std::string Message) -> void {
+  Found.push_back(
+      {.m_File = "", .m_Line = 0, .m_Field = std::move(Path), .m_Message = std::move(Message)});
+}
+
+/// Checks one value against its row of the field table. One overload per type of member.
+template <typename Object>
+auto checkValue(const Field<Object> &Row, const std::string &Value, const std::string &Path,
+                Errors &Found) -> void {
+  if (Row.m_Required && Value.empty()) {
+    report(Found, Path, "must not be empty");
+  } else if (const auto Wrong = Row.m_Rule(Value); !Wrong.empty()) {
+    report(Found, Path, std::string(Wrong));
+  }
+}
+
+/// Numbers. The comparison is written so that it fails for a value that is not a number.
+template <typename Object, typename Number>
+requires std::is_arithmetic_v<Number>
+auto checkValue(const Field<Object> &Row, Number Value, const std::string &Path, Errors &Found)
+    -> void {
+  const auto Wide = static_cast<double>(Value);
+  if (!(Wide >= Row.m_Lowest && Wide <= Row.m_Highest)) {
+    report(Found, Path, fmt::format("must be from {} to {}", Row.m_Lowest, Row.m_Highest));
+  }
+}
+
+template <typename Object>
+auto checkValue(const Field<Object> & /*Row*/, bool /*Value*/, const std::string & /*Path*/,
+                Errors & /*Found*/) -> void {}
+
+template <typename Object>
+auto checkValue(const Field<Object> & /*Row*/, TargetKind /*Value*/, const std::string & /*Path*/,
+                Errors & /*Found*/) -> void {}
+
+template <typename Object, typename Value>
+auto checkValue(const Field<Object> &Row, const std::optional<Value> &Content,
+                const std::string &Path, Errors &Found) -> void {
+  if (Content) {
+    checkValue(Row, *Content, Path, Found);
+  }
+}
+
+template <typename Object>
+auto checkValue(const Field<Object> &Row, const std::vector<std::string> &List,
+                const std::string &Path, Errors &Found) -> void {
+  if (static_cast<double>(List.size()) > Row.m_Highest) {
+    report(Found, Path, fmt::format("must have at most {} elements", Row.m_Highest));
+  }
+  for (std::size_t Index = 0; Index < List.size(); ++Index) {
+    if (const auto Wrong = Row.m_Rule(List[Index]); !Wrong.empty()) {
+      report(Found, fmt::format("{}[{}]", Path, Index), std::string(Wrong));
+    }
+  }
+}
+
+template <typename Object>
+auto checkObject(const std::string &Name, const Object &Content, Errors &Found) -> void {
+  const auto Path = fmt::format("{}.{}", kindName<Object>(), Name);
+  if (const auto Wrong = checkName(Name); !Wrong.empty()) {
+    report(Found, Path, fmt::format("name {}", Wrong));
+  }
+  if (Name != Content.m_Name) {
+    report(Found, Path, "name differs from the name in the object");
+  }
+  for (const auto &Row : KindTraits<Object>::Fields) {
+    std::visit(
+        [&](auto Member) {
+          checkValue(Row, Content.*Member, fmt::format("{}.{}", Path, Row.m_Name), Found);
+        },
+        Row.m_Member);
+  }
+}
+
+/// Reports a reference to an object that does not exist. An empty name is reported as a field.
+template <typename Referred>
+auto checkReference(const std::map<std::string, Referred> &Known, const std::string &Name,
+                    std::string Path, Errors &Found) -> void {
+  if (!Name.empty() && !Known.contains(Name)) {
+    report(Found, std::move(Path), fmt::format("unknown {} {}", kindName<Referred>(), Name));
+  }
+}
+
+auto checkShares(const ObjectSet &Objects, Errors &Found) -> void {
+  constexpr auto RoundingError = 1e-9;
+  auto Sum = 0.0;
+  for (const auto &[Name, Class] : Objects.m_PriorityClasses) {
+    Sum += Class.m_GuaranteedShare;
+  }
+  if (Sum > 1.0 + RoundingError) {
+    const auto &Last = Objects.m_PriorityClasses.rbegin()->first;
+    report(Found, fmt::format("priority_class.{}.guaranteed_share", Last),
+           fmt::format("the guaranteed shares of all classes add up to {}, more than 1", Sum));
+  }
+}
+
+auto checkWorkspaces(const ObjectSet &Objects, Errors &Found) -> void {
+  auto Owners = std::unordered_map<std::string_view, std::string_view>();
+  for (const auto &[Name, Space] : Objects.m_Workspaces) {
+    const auto Path = fmt::format("workspace.{}", Name);
+    checkReference(Objects.m_Budgets, Space.m_Budget, Path + ".budget", Found);
+    checkReference(Objects.m_PriorityClasses, Space.m_PriorityClass, Path + ".priority_class",
+                   Found);
+    for (std::size_t Index = 0; Index < Space.m_KeyHashes.size(); ++Index) {
+      const auto [Place, IsNew] = Owners.try_emplace(Space.m_KeyHashes[Index], Name);
+      if (!IsNew) {
+        report(Found, fmt::format("{}.key_hashes[{}]", Path, Index),
+               fmt::format("workspace {} already has this key", Place->second));
+      }
+    }
+  }
+}
+
+auto checkModels(const ModelPool &Pool, const std::string &Path, Errors &Found) -> void {
+  if (Pool.m_Kind == TargetKind::Engine && Pool.m_Models.empty()) {
+    report(Found, Path + ".models", "must name at least one model of an engine pool");
+  }
+  if (Pool.m_Kind == TargetKind::Service && !Pool.m_Models.empty()) {
+    report(Found, Path + ".models", "must be empty for a service pool");
+  }
+  auto Seen = std::unordered_set<std::string_view>();
+  for (std::size_t Index = 0; Index < Pool.m_Models.size(); ++Index) {
+    if (!Seen.insert(Pool.m_Models[Index]).second) {
+      report(Found, fmt::format("{}.models[{}]", Path, Index), "is listed twice");
+    }
+  }
+}
+
+auto checkEngineFields(const ModelPool &Pool, const std::string &Path, Errors &Found) -> void {
+  if (Pool.m_Kind != TargetKind::Engine) {
+    return;
+  }
+  if (!Pool.m_Idempotent) {
+    report(Found, Path + ".idempotent", "must be true for an engine pool");
+  }
+  if (Pool.m_TokensPerCall != 0) {
+    report(Found, Path + ".tokens_per_call", "must be 0 for an engine pool");
+  }
+}
+
+/// Whether following the fallbacks from the pool leads back to it.
+auto isOnCycle(const ObjectSet &Objects, const std::string &Start) -> bool {
+  auto Visited = std::set<std::string>();
+  auto Next = Objects.m_ModelPools.find(Start);
+  while (Next != Objects.m_ModelPools.end() && Next->second.m_FallbackPool) {
+    const auto &Fallback = *Next->second.m_FallbackPool;
+    if (Fallback == Start) {
+      return true;
+    }
+    if (!Visited.insert(Fallback).second) {
+      return false;
+    }
+    Next = Objects.m_ModelPools.find(Fallback);
+  }
+  return false;
+}
+
+auto checkFallback(const ObjectSet &Objects, const ModelPool &Pool, const std::string &Path,
+                   Errors &Found) -> void {
+  if (!Pool.m_FallbackPool) {
+    return;
+  }
+  checkReference(Objects.m_ModelPools, *Pool.m_FallbackPool, Path, Found);
+  const auto Other = Objects.m_ModelPools.find(*Pool.m_FallbackPool);
+  if (Other == Objects.m_ModelPools.end()) {
+    return;
+  }
+  if (Other->second.m_Kind != Pool.m_Kind) {
+    report(Found, Path, fmt::format("pool {} is of another kind", Other->first));
+  }
+  // A retry after a fallback would otherwise bypass the claim that keeps such calls at most once.
+  if (Other->second.m_Idempotent != Pool.m_Idempotent) {
+    report(Found, Path, fmt::format("pool {} differs in idempotent", Other->first));
+  }
+  if (isOnCycle(Objects, Pool.m_Name)) {
+    report(Found, Path, "the fallbacks form a cycle");
+  }
+}
+
+auto checkModelPools(const ObjectSet &Objects, Errors &Found) -> void {
+  for (const auto &[Name, Pool] : Objects.m_ModelPools) {
+    const auto Path = fmt::format("model_pool.{}", Name);
+    checkModels(Pool, Path, Found);
+    checkEngineFields(Pool, Path, Found);
+    checkFallback(Objects, Pool, Path + ".fallback_pool", Found);
+  }
+}
+
+auto checkTargets(const ObjectSet &Objects, Errors &Found) -> void {
+  auto Owners = std::unordered_map<std::string_view, std::string_view>();
+  for (const auto &[Name, Back] : Objects.m_Targets) {
+    const auto Path = fmt::format("target.{}", Name);
+    checkReference(Objects.m_ModelPools, Back.m_Pool, Path + ".pool", Found);
+    if (Back.m_Url.empty()) {
+      continue;
+    }
+    const auto [Place, IsNew] = Owners.try_emplace(Back.m_Url, Name);
+    if (!IsNew) {
+      report(Found, Path + ".url", fmt::format("target {} already has this URL", Place->second));
+    }
+  }
+}
+
+} // namespace
+
+auto checkFields(const ObjectSet &Objects) -> std::vector<ObjectError> {
+  auto Found = Errors();
+  forEachKind([&]<typename Object>() {
+    const auto &Map = Objects.*KindTraits<Object>::Objects;
+    if (Map.size() > KindTraits<Object>::MostObjects) {
+      report(Found, std::string(kindName<Object>()),
+             fmt::format("has {} objects, the limit is {}", Map.size(),
+                         KindTraits<Object>::MostObjects));
+    }
+    for (const auto &[Name, Content] : Map) {
+      checkObject(Name, Content, Found);
+    }
+  });
+  return Found;
+}
+
+auto checkReferences(const ObjectSet &Objects) -> std::vector<ObjectError> {
+  auto Found = Errors();
+  checkShares(Objects, Found);
+  checkWorkspaces(Objects, Found);
+  checkModelPools(Objects, Found);
+  checkTargets(Objects, Found);
+  return Found;
+}
+
+} // namespace internal
+
+auto checkObjects(const ObjectSet &Objects) -> std::vector<ObjectError> {
+  auto Found = internal::checkFields(Objects);
+  auto References = internal::checkReferences(Objects);
+  Found.insert(Found.end(), std::make_move_iterator(References.begin()),
+               std::make_move_iterator(References.end()));
+  return Found;
+}
+
+} // namespace geraniumlift::objects
--- /dev/null
+++ b/src/objects/internal/objectjson.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "objects/internal/objectfields.h"
+
+#include <absl/status/status.h>
+#include <rapidjson/document.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+#include <string>
+
+namespace geraniumlift::objects::internal {
+
+using JsonWriter = rapidjson::Writer<rapidjson::StringBuffer>;
+
+/// Writes one member. Numbers are written in the shortest form that reads back the same.
+auto writeJson(JsonWriter &Writer, const std::string &Value) -> void;
+auto writeJson(JsonWriter &Writer, std::int64_t Value) -> void;
+auto writeJson(JsonWriter &Writer, double Value) -> void;
+auto writeJson(JsonWriter &Writer, bool Value) -> void;
+auto writeJson(JsonWriter &Writer, TargetKind Value) -> void;
+auto writeJson(JsonWriter &Writer, const std::vector<std::string> &Value) -> void;
+
+/// Reads one member; false if the JSON value has another type.
+auto readJson(const rapidjson::Value &Json, std::string &Out) -> bool;
+auto readJson(const rapidjson::Value &Json, std::int64_t &Out) -> bool;
+auto readJson(const rapidjson::Value &Json, double &Out) -> bool;
+auto readJson(const rapidjson::Value &Json, bool &Out) -> bool;
+auto readJson(const rapidjson::Value &Json, TargetKind &Out) -> bool;
+auto readJson(const rapidjson::Value &Json, std::vector<std::string> &Out) -> bool;
+
+template <typename Value>
+auto readJson(const rapidjson::Value &Json, std::optional<Value> &Out) -> bool {
+  return readJson(Json, Out.emplace());
+}
+
+template <typename Value>
+auto writeField(JsonWriter &Writer, std::string_view Name, const Value &Content) -> void {
+  Writer.Key(Name.data(), static_cast<rapidjson::SizeType>(Name.size()));
+  writeJson(Writer, Content);
+}
+
+/// An optional member that is not set is left out.
+template <typename Value>
+auto writeField(JsonWriter &Writer, std::string_view Name, const std::optional<Value> &Content)
+    -> void {
+  if (Content) {
+    writeField(Writer, Name, *Content);
+  }
+}
+
+/// Writes the fields of one object in the order of the field table, without the name.
+template <typename Object>
+auto writeObject(JsonWriter &Writer, const Object &Content) -> void {
+  Writer.StartObject();
+  for (const auto &Row : KindTraits<Object>::Fields) {
+    std::visit([&](auto Member) { writeField(Writer, Row.m_Name, Content.*Member); }, Row.m_Member);
+  }
+  Writer.EndObject();
+}
+
+/// Reads the fields that the JSON value has; the others keep their defaults.
+template <typename Object>
+auto readObject(const rapidjson::Value &Json, Object &Out) -> absl::Status {
+  if (!Json.IsObject()) {
+    return absl::InvalidArgumentError("an object of the chunk is not a JSON object");
+  }
+  for (const auto &Row : KindTraits<Object>::Fields) {
+    const auto Found = Json.FindMember(
+        rapidjson::Value(Row.m_Name.data(), static_cast<rapidjson::SizeType>(Row.m_Name.size())));
+    const auto IsGood =
+        Found == Json.MemberEnd() ||
+        std::visit([&](auto Member) { return readJson(Found->value, Out.*Member); }, Row.m_Member);
+    if (!IsGood) {
+      return absl::InvalidArgumentError("a field of the chunk has the wrong type");
+    }
+  }
+  return absl::OkStatus();
+}
+
+} // namespace geraniumlift::objects::internal
--- /dev/null
+++ b/src/objects/internal/textrules.cpp
@@ -0,0 +1,102 @@
+#include "objects/internal/textrules.h"
+
+#include <absl/strings/ascii.h>
+#include <algorithm>
+#include <arpa/inet.h>
+#include <array>
+#include <charconv>
+#include <string>
+
+namespace geraniumlift::objects::internal {
+
+namespace {
+
+constexpr std::size_t MostTextBytes = 256;
+constexpr std::size_t MostNameBytes = 63;
+constexpr std::size_t MostModelNameBytes = 128;
+constexpr std::size_t MostVmNameBytes = 128;
+constexpr std::size_t KeyHashBytes = 64;
+constexpr int HighestPort = 65535;
+
+/// Whether all bytes are ASCII letters or digits, or among the others.
+auto consistsOf(std::string_view Text, std::string_view Others) -> bool {
+  return std::all_of(Text.begin(), Text.end(), [Others](char Byte) {
+    return absl::ascii_isalnum(static_cast<unsigned char>(Byte)) ||
+           Others.find(Byte) != std::string_view::npos;
+  });
+}
+
+auto hasUpperCase(std::string_view Text) -> bool {
+  return std::any_of(Text.begin(), Text.end(), [](char Byte) {
+    return absl::ascii_isupper(static_cast<unsigned char>(Byte));
+  });
+}
+
+/// Removes the prefix and the suffix from the text if it has both.
+auto consumeAround(std::string_view &Text, std::string_view Prefix, std::string_view Suffix)
+    -> bool {
+  if (Text.size() < Prefix.size() + Suffix.size() || !Text.starts_with(Prefix) ||
+      !Text.ends_with(Suffix)) {
+    return false;
+  }
+  Text = Text.substr(Prefix.size(), Text.size() - Prefix.size() - Suffix.size());
+  return true;
+}
+
+/// Whether the text is an IP number of the family, AF_INET or AF_INET6.
+auto isIpNumber(int Family, std::string_view Text) -> bool {
+  auto Buffer = std::array<unsigned char, sizeof(in6_addr)>{};
+  return inet_pton(Family, std::string(Text).c_str(), Buffer.data()) == 1;
+}
+
+auto isPort(std::string_view Text) -> bool {
+  auto Port = 0;
+  const auto *End = Text.data() + Text.size();
+  const auto [Rest, Error] = std::from_chars(Text.data(), End, Port);
+  return Error == std::errc() && Rest == End && Port >= 1 && Port <= HighestPort;
+}
+
+} // namespace
+
+auto checkAnyText(std::string_view Text) -> std::string_view {
+  return Text.size() <= MostTextBytes ? "" : "must have at most 256 bytes";
+}
+
+auto checkName(std::string_view Text) -> std::string_view {
+  const auto Good =
+      !Text.empty() && Text.size() <= MostNameBytes && consistsOf(Text, "-") && !hasUpperCase(Text);
+  return Good ? "" : "must have 1 to 63 characters of a-z, 0-9 and -";
+}
+
+auto checkModelName(std::string_view Text) -> std::string_view {
+  const auto Good = !Text.empty() && Text.size() <= MostModelNameBytes && consistsOf(Text, "._:/-");
+  return Good ? "" : "must have 1 to 128 characters of letters, digits and ._:/-";
+}
+
+auto checkVmName(std::string_view Text) -> std::string_view {
+  const auto Good = Text.size() <= MostVmNameBytes && consistsOf(Text, "._-");
+  return Good ? "" : "must have at most 128 characters of letters, digits and ._-";
+}
+
+auto checkKeyHash(std::string_view Text) -> std::string_view {
+  const auto Good = Text.size() == KeyHashBytes &&
+                    Text.find_first_not_of("0123456789abcdef") == std::string_view::npos;
+  return Good ? "" : "must be a SHA-256 of 64 lower-case hexadecimal digits";
+}
+
+auto checkTargetUrl(std::string_view Text) -> std::string_view {
+  constexpr std::string_view Wrong =
+      "must be http://ADDRESS:PORT with an IP number, without a path";
+  if (Text.size() > MostTextBytes || !consumeAround(Text, "http://", "")) {
+    return Wrong;
+  }
+  const auto Colon = Text.rfind(':');
+  if (Colon == std::string_view::npos || !isPort(Text.substr(Colon + 1))) {
+    return Wrong;
+  }
+  auto Host = Text.substr(0, Colon);
+  const auto IsIpv6 = consumeAround(Host, "[", "]");
+  return isIpNumber(IsIpv6 ? AF_INET6 : AF_INET, Host) ? "" : Wrong;
+}
+
+} // namespace geraniumlift::objects::internal
--- /dev/null
+++ b/src/objects/objectcodec.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "objects/objectkind.h"
+#include "objects/objecttypes.h"
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace geraniumlift::objects {
+
+/// Limit on the text of one chunk, in bytes.
+inline constexpr std::size_t MostChunkBytes = std::size_t{256} * 1024;
+
+/// A part of a set, addressed by its content.
+struct Chunk {
+  /// SHA-256 of the text, 64 lower-case hexadecimal digits.
+  std::string m_Hash;
+
+  /// Canonical JSON: the same objects always give the same bytes.
+  std::string m_Text;
+};
+
+/// Encodes a set. Objects are placed by kind and by the hash of their name; a group that exceeds
+/// MostChunkBytes is split by the next bit of the hash. A change of one object therefore changes
+/// one chunk, or two where a group is split or joined. A single object always fits, given the
+/// limits that checkObjects enforces; for one that does not, InvalidArgument.
+auto encodeChunks(const ObjectSet &Objects) -> absl::StatusOr<std::vector<Chunk>>;
+
+/// Adds the objects of one chunk to a set. InvalidArgument for any text that encodeChunks cannot
+/// have written, and for an object that the set already has. Fields of unknown name are ignored, so
+/// that an older router reads what a newer publisher wrote. On an error the set is left partly
+/// filled.
+auto decodeChunk(std::string_view Text, ObjectSet &Objects) -> absl::Status;
+
+/// Decodes all chunks of a set.
+auto decodeChunks(const std::vector<std::string> &Texts) -> absl::StatusOr<ObjectSet>;
+
+/// Writes one object as canonical JSON; NotFound if the set lacks it.
+auto encodeObject(const ObjectSet &Objects, ObjectKind Kind, const std::string &Name)
+    -> absl::StatusOr<std::string>;
+
+/// Names of all objects of a kind, in order.
+auto namesOf(const ObjectSet &Objects, ObjectKind Kind) -> std::vector<std::string>;
+
+} // namespace geraniumlift::objects
--- /dev/null
+++ b/src/objects/objectdiff.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "objects/objectkind.h"
+#include "objects/objecttypes.h"
+
+#include <string>
+#include <vector>
+
+namespace geraniumlift::objects {
+
+enum class ChangeKind { Added, Changed, Removed };
+
+inline constexpr auto ChangeKindNames = std::array{
+    base::NamedValue<ChangeKind>{ChangeKind::Added, "added"},
+    base::NamedValue<ChangeKind>{ChangeKind::Changed, "changed"},
+    base::NamedValue<ChangeKind>{ChangeKind::Removed, "removed"},
+};
+
+/// One object that differs between two sets.
+struct ObjectChange {
+  ChangeKind m_Change = ChangeKind::Changed;
+  ObjectKind m_Kind = ObjectKind::Budget;
+  std::string m_Name;
+
+  /// Names of the fields that differ, after Changed.
+  std::vector<std::string> m_Fields;
+
+  auto operator==(const ObjectChange &) const -> bool = default;
+};
+
+/// Lists what differs, by kind and then by name.
+auto diffObjects(const ObjectSet &Before, const ObjectSet &After) -> std::vector<ObjectChange>;
+
+} // namespace geraniumlift::objects
--- /dev/null
+++ b/src/objects/objectparser.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "objects/objecttypes.h"
+
+#include <string>
+#include <vector>
+
+namespace geraniumlift::objects {
+
+/// One of the operators' files, already read.
+struct ObjectFile {
+  /// The name that appears in errors.
+  std::string m_Name;
+
+  /// TOML text in UTF-8.
+  std::string m_Text;
+};
+
+struct ParseResult {
+  /// Complete only if there are no errors.
+  ObjectSet m_Objects;
+
+  /// Every mistake found, ordered by file and line.
+  std::vector<ObjectError> m_Errors;
+};
+
+/// Limit on the text of all files together, in bytes. The expected set of 15,000 workspaces and
+/// 25,000 budgets takes about 7 MB.
+inline constexpr std::size_t MostFileBytes = std::size_t{64} * 1024 * 1024;
+
+/// Parses the files as one set and checks it as a whole. A file with a syntax error contributes
+/// nothing, and then names are not resolved, since the objects they refer to may be in that file.
+auto parseObjects(const std::vector<ObjectFile> &Files) -> ParseResult;
+
+} // namespace geraniumlift::objects
