Add retries, target choice and the dispatcher with basic strategies

The dispatcher offers round robin, least outstanding and two choices, a bounded first-in-first-out queue per pool, fixed limits, and blind or budgeted retries. Work on removed targets is counted until it ends.

--- /dev/null
+++ b/src/admission/dispatcher.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "admission/dispatcheroptions.h"
+#include "admission/idispatcher.h"
+#include "admission/internal/poolstate.h"
+#include "admission/internal/work.h"
+#include "base/random.h"
+#include "retry/retrypolicy.h"
+
+#include <map>
+#include <set>
+#include <tuple>
+#include <unordered_map>
+
+namespace geraniumlift::admission {
+
+/// The dispatcher of one router: a queue per pool in front of the targets, with the strategies of
+/// the options.
+class Dispatcher final : public IDispatcher {
+public:
+  explicit Dispatcher(DispatcherOptions Options);
+
+  auto setTargets(std::vector<TargetInfo> Targets, base::SteadyTime Now) -> void override;
+  auto markLeaving(const std::string &Target, base::SteadyTime Now) -> void override;
+  auto offer(WorkItem Item, base::SteadyTime Now) -> std::optional<base::Refusal> override;
+  auto cancel(WorkId Id, base::SteadyTime Now) -> void override;
+  auto poll(base::SteadyTime Now) -> PollResult override;
+  auto onFirstToken(WorkId Id, base::SteadyTime Now) -> void override;
+  auto onProgress(WorkId Id, base::Tokens NewTokens, base::SteadyTime Now) -> void override;
+  auto onEnd(WorkId Id, const AttemptEnd &End, bool MayRetry, base::SteadyTime Now)
+      -> bool override;
+  auto onLoadReport(const LoadReport &Report, base::SteadyTime Now) -> void override;
+  auto onCacheEvent(const CacheEvent &Event, base::SteadyTime Now) -> void override;
+
+private:
+  /// A request and a time at which something is due for it.
+  struct Due {
+    base::SteadyTime m_Time;
+    WorkId m_Id = 0;
+
+    auto operator<(const Due &Other) const -> bool {
+      return std::tie(m_Time, m_Id) < std::tie(Other.m_Time, Other.m_Id);
+    }
+  };
+
+  auto poolNamed(const std::string &Name) -> PoolState &;
+  auto findTarget(const std::string &Name) -> TargetState *;
+  auto findWork(WorkId Id) -> Work *;
+  static auto hasUsableTarget(const PoolState &Pool) -> bool;
+  static auto entryOf(const Work &Work) -> QueueEntry;
+  auto refuseAtOnce(const PoolState &Pool) const -> std::optional<base::Refusal>;
+
+  /// Puts a request into its pool's queue.
+  auto enqueue(Work &Work) -> void;
+
+  /// Forgets a request in whatever state it is.
+  auto forget(WorkId Id, base::SteadyTime Now) -> void;
+  auto releaseTarget(const Work &Work, base::SteadyTime Now) -> void;
+  auto learnFrom(const Work &Work, base::SteadyTime Now) -> void;
+  auto retryAfterFailure(Work &Work, const AttemptEnd &End, base::SteadyTime Now) -> bool;
+  auto endBackoffs(base::SteadyTime Now) -> void;
+  auto rejectExpired(base::SteadyTime Now, PollResult &Result) -> void;
+  auto dispatchPool(PoolState &Pool, base::SteadyTime Now, PollResult &Result) -> void;
+  auto dispatchNext(PoolState &Pool, Lane Lane, base::SteadyTime Now, PollResult &Result) -> bool;
+  auto chooseTarget(PoolState &Pool, const Work &Work, base::SteadyTime Now) -> TargetState *;
+  auto candidatesFor(PoolState &Pool, const Work &Work, base::SteadyTime Now)
+      -> std::vector<TargetState *>;
+  auto allows(const PoolState &Pool, const TargetState &Target, const Work &Work,
+              base::SteadyTime Now) const -> bool;
+  auto nextPoll() const -> std::optional<base::SteadyTime>;
+
+  DispatcherOptions m_Options;
+  base::RandomEngine m_Random;
+  retry::RetryPolicy m_Retries;
+  LengthEstimator m_Lengths;
+  std::map<std::string, PoolState> m_Pools;
+
+  /// Pool of each known target.
+  std::map<std::string, std::string> m_PoolOfTarget;
+  std::unordered_map<WorkId, Work> m_Work;
+
+  /// Deadlines of requests that are not on a target.
+  std::set<Due> m_Deadlines;
+
+  /// Ends of backoffs.
+  std::set<Due> m_Backoffs;
+};
+
+} // namespace geraniumlift::admission
--- /dev/null
+++ b/src/admission/internal/dispatcher.cpp
@@ -0,0 +1,346 @@
+#include "admission/dispatcher.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace geraniumlift::admission {
+
+namespace {
+
+/// Pause suggested to a caller when nothing better is known.
+constexpr auto DefaultRetryAfter = std::chrono::milliseconds{1000};
+
+auto secondsBetween(base::SteadyTime From, base::SteadyTime To) -> double {
+  return std::chrono::duration<double>(To - From).count();
+}
+
+auto refusal(base::RefusalCode Code, std::string Detail) -> base::Refusal {
+  return {Code, base::Verdict::DidNotRun, std::move(Detail), DefaultRetryAfter};
+}
+
+} // namespace
+
+Dispatcher::Dispatcher(DispatcherOptions Options)
+    : m_Options(std::move(Options)), m_Random(m_Options.m_Seed), m_Retries(m_Options.m_Retry) {}
+
+auto Dispatcher::setTargets(std::vector<TargetInfo> Targets, base::SteadyTime /*Now*/) -> void {
+  for (auto &[PoolName, Pool] : m_Pools) {
+    for (auto &[Name, Target] : Pool.m_Targets) {
+      Target.m_View.markRemoved();
+    }
+  }
+  m_PoolOfTarget.clear();
+  for (auto &Info : Targets) {
+    auto &Pool = poolNamed(Info.m_Pool);
+    m_PoolOfTarget[Info.m_Name] = Info.m_Pool;
+    const auto Known = Pool.m_Targets.find(Info.m_Name);
+    if (Known != Pool.m_Targets.end()) {
+      Known->second.m_View.setInfo(std::move(Info));
+      continue;
+    }
+    auto Name = Info.m_Name;
+    auto State = TargetState{routing::TargetView(std::move(Info)), makeConcurrencyLimit(m_Options)};
+    Pool.m_Targets.emplace(std::move(Name), std::move(State));
+  }
+  for (auto &[PoolName, Pool] : m_Pools) {
+    std::erase_if(Pool.m_Targets, [](const auto &Entry) {
+      return Entry.second.m_View.isRemoved() && Entry.second.m_View.outstanding() == 0;
+    });
+  }
+}
+
+auto Dispatcher::markLeaving(const std::string &Target, base::SteadyTime /*Now*/) -> void {
+  if (auto *State = findTarget(Target)) {
+    State->m_View.markLeaving();
+  }
+}
+
+auto Dispatcher::offer(WorkItem Item, base::SteadyTime /*Now*/) -> std::optional<base::Refusal> {
+  auto &Pool = poolNamed(Item.m_Pool);
+  if (auto Refusal = refuseAtOnce(Pool)) {
+    return Refusal;
+  }
+  m_Retries.onFreshRequest();
+  const auto Id = Item.m_Id;
+  auto NewWork = Work();
+  NewWork.m_Expected = m_Lengths.estimate(Item);
+  NewWork.m_Item = std::move(Item);
+  m_Deadlines.insert({NewWork.m_Item.m_Deadline, Id});
+  auto &Stored = m_Work.insert_or_assign(Id, std::move(NewWork)).first->second;
+  enqueue(Stored);
+  return std::nullopt;
+}
+
+auto Dispatcher::cancel(WorkId Id, base::SteadyTime Now) -> void { forget(Id, Now); }
+
+auto Dispatcher::poll(base::SteadyTime Now) -> PollResult {
+  auto Result = PollResult();
+  endBackoffs(Now);
+  rejectExpired(Now, Result);
+  for (auto &[Name, Pool] : m_Pools) {
+    dispatchPool(Pool, Now, Result);
+  }
+  Result.m_NextPoll = nextPoll();
+  return Result;
+}
+
+auto Dispatcher::onFirstToken(WorkId Id, base::SteadyTime Now) -> void {
+  auto *Work = findWork(Id);
+  if (Work != nullptr && Work->m_State == WorkState::Dispatched && !Work->m_FirstTokenAt) {
+    Work->m_FirstTokenAt = Now;
+  }
+}
+
+auto Dispatcher::onProgress(WorkId Id, base::Tokens NewTokens, base::SteadyTime /*Now*/) -> void {
+  if (auto *Work = findWork(Id)) {
+    Work->m_AnswerTokens += NewTokens;
+  }
+}
+
+auto Dispatcher::onEnd(WorkId Id, const AttemptEnd &End, bool MayRetry, base::SteadyTime Now)
+    -> bool {
+  auto *Work = findWork(Id);
+  if (Work == nullptr || Work->m_State != WorkState::Dispatched) {
+    return false;
+  }
+  if (End.m_TargetLeaving) {
+    markLeaving(Work->m_Target, Now);
+  }
+  if (End.m_Success) {
+    learnFrom(*Work, Now);
+  }
+  if (!End.m_Success && MayRetry && retryAfterFailure(*Work, End, Now)) {
+    return true;
+  }
+  forget(Id, Now);
+  return false;
+}
+
+auto Dispatcher::onLoadReport(const LoadReport &Report, base::SteadyTime Now) -> void {
+  if (auto *State = findTarget(Report.m_Target)) {
+    State->m_View.onReport(Report, Now);
+  }
+}
+
+auto Dispatcher::onCacheEvent(const CacheEvent & /*Event*/, base::SteadyTime /*Now*/) -> void {}
+
+auto Dispatcher::poolNamed(const std::string &Name) -> PoolState & {
+  const auto Known = m_Pools.find(Name);
+  if (Known != m_Pools.end()) {
+    return Known->second;
+  }
+  auto Pool = PoolState();
+  Pool.m_Queue = makeWorkQueue(m_Options.m_QueueOrder);
+  Pool.m_Chooser = routing::makeTargetChooser(m_Options.m_TargetChoice);
+  return m_Pools.emplace(Name, std::move(Pool)).first->second;
+}
+
+auto Dispatcher::findTarget(const std::string &Name) -> TargetState * {
+  const auto PoolName = m_PoolOfTarget.find(Name);
+  if (PoolName == m_PoolOfTarget.end()) {
+    return nullptr;
+  }
+  auto &Targets = poolNamed(PoolName->second).m_Targets;
+  const auto Found = Targets.find(Name);
+  return Found == Targets.end() ? nullptr : &Found->second;
+}
+
+auto Dispatcher::findWork(WorkId Id) -> Work * {
+  const auto Found = m_Work.find(Id);
+  return Found == m_Work.end() ? nullptr : &Found->second;
+}
+
+auto Dispatcher::hasUsableTarget(const PoolState &Pool) -> bool {
+  return std::any_of(Pool.m_Targets.begin(), Pool.m_Targets.end(),
+                     [](const auto &Entry) { return Entry.second.m_View.acceptsWork(); });
+}
+
+auto Dispatcher::entryOf(const Work &Work) -> QueueEntry {
+  const auto &Item = Work.m_Item;
+  auto Entry = QueueEntry();
+  Entry.m_Id = Item.m_Id;
+  Entry.m_Workspace = Item.m_Workspace;
+  Entry.m_WorkspaceWeight = Item.m_WorkspaceWeight;
+  Entry.m_PriorityClass = Item.m_PriorityClass;
+  Entry.m_PriorityLevel = Item.m_PriorityLevel;
+  Entry.m_ClassGuaranteedShare = Item.m_ClassGuaranteedShare;
+  Entry.m_CostTokens = static_cast<double>(Item.m_PromptTokens) + Work.m_Expected.m_AnswerTokens;
+  Entry.m_RunSeconds = Work.m_Expected.m_RunSeconds;
+  Entry.m_Deadline = Item.m_Deadline;
+  return Entry;
+}
+
+auto Dispatcher::refuseAtOnce(const PoolState &Pool) const -> std::optional<base::Refusal> {
+  if (!hasUsableTarget(Pool)) {
+    return refusal(base::RefusalCode::NoTarget, "no target of the pool accepts work");
+  }
+  const auto Waiting = static_cast<std::int64_t>(Pool.m_Queue->size());
+  if (Waiting >= m_Options.m_QueueLimit) {
+    return refusal(base::RefusalCode::QueueFull,
+                   fmt::format("{} requests already wait for the pool", Waiting));
+  }
+  return std::nullopt;
+}
+
+auto Dispatcher::enqueue(Work &Work) -> void {
+  Work.m_State = WorkState::Waiting;
+  poolNamed(Work.m_Item.m_Pool).m_Queue->push(entryOf(Work));
+}
+
+auto Dispatcher::forget(WorkId Id, base::SteadyTime Now) -> void {
+  auto *Work = findWork(Id);
+  if (Work == nullptr) {
+    return;
+  }
+  if (Work->m_State == WorkState::Dispatched) {
+    releaseTarget(*Work, Now);
+  }
+  if (Work->m_State == WorkState::Waiting) {
+    poolNamed(Work->m_Item.m_Pool).m_Queue->drop(Id);
+  }
+  m_Deadlines.erase({Work->m_Item.m_Deadline, Id});
+  m_Backoffs.erase({Work->m_NotBefore, Id});
+  m_Work.erase(Id);
+}
+
+auto Dispatcher::releaseTarget(const Work &Work, base::SteadyTime Now) -> void {
+  // The pool is the request's, as the target's name may have moved to another pool meanwhile.
+  auto &Targets = poolNamed(Work.m_Item.m_Pool).m_Targets;
+  const auto Target = Targets.find(Work.m_Target);
+  if (Target == Targets.end()) {
+    return;
+  }
+  auto &View = Target->second.m_View;
+  View.onEnd(Work.m_Expected.m_RunSeconds, Now);
+  if (View.isRemoved() && View.outstanding() == 0) {
+    Targets.erase(Target);
+  }
+}
+
+auto Dispatcher::learnFrom(const Work &Work, base::SteadyTime Now) -> void {
+  const auto Started = Work.m_FirstTokenAt.value_or(Work.m_DispatchedAt);
+  m_Lengths.learn(Work.m_Item,
+                  {static_cast<double>(Work.m_AnswerTokens), secondsBetween(Started, Now)});
+}
+
+auto Dispatcher::retryAfterFailure(Work &Work, const AttemptEnd &End, base::SteadyTime Now)
+    -> bool {
+  const auto Next = m_Retries.nextAttempt(
+      {Work.m_Attempts, Work.m_Item.m_Idempotent, End.m_Verdict, Work.m_Item.m_Deadline}, Now,
+      m_Random);
+  if (!Next) {
+    return false;
+  }
+  releaseTarget(Work, Now);
+  Work.m_State = WorkState::BackingOff;
+  Work.m_NotBefore = *Next;
+  Work.m_FirstTokenAt = std::nullopt;
+  Work.m_AnswerTokens = 0;
+  m_Backoffs.insert({*Next, Work.m_Item.m_Id});
+  m_Deadlines.insert({Work.m_Item.m_Deadline, Work.m_Item.m_Id});
+  return true;
+}
+
+auto Dispatcher::endBackoffs(base::SteadyTime Now) -> void {
+  while (!m_Backoffs.empty() && m_Backoffs.begin()->m_Time <= Now) {
+    const auto Id = m_Backoffs.begin()->m_Id;
+    m_Backoffs.erase(m_Backoffs.begin());
+    enqueue(*findWork(Id));
+  }
+}
+
+auto Dispatcher::rejectExpired(base::SteadyTime Now, PollResult &Result) -> void {
+  while (!m_Deadlines.empty() && m_Deadlines.begin()->m_Time <= Now) {
+    const auto Id = m_Deadlines.begin()->m_Id;
+    const auto &Pool = poolNamed(findWork(Id)->m_Item.m_Pool);
+    auto Refusal = hasUsableTarget(Pool)
+                       ? refusal(base::RefusalCode::DeadlineUnreachable,
+                                 "the deadline passed while the request waited for a target")
+                       : refusal(base::RefusalCode::NoTarget, "no target of the pool accepts work");
+    Result.m_Rejections.push_back({Id, std::move(Refusal)});
+    forget(Id, Now);
+  }
+}
+
+auto Dispatcher::dispatchPool(PoolState &Pool, base::SteadyTime Now, PollResult &Result) -> void {
+  while (dispatchNext(Pool, Lane::Any, Now, Result) ||
+         dispatchNext(Pool, Lane::ShortOnly, Now, Result)) {
+  }
+}
+
+auto Dispatcher::dispatchNext(PoolState &Pool, Lane Lane, base::SteadyTime Now, PollResult &Result)
+    -> bool {
+  const auto Id = Pool.m_Queue->next(Lane);
+  if (!Id) {
+    return false;
+  }
+  auto &Work = *findWork(*Id);
+  auto *Target = chooseTarget(Pool, Work, Now);
+  if (Target == nullptr) {
+    return false;
+  }
+  Pool.m_Queue->take(*Id);
+  m_Deadlines.erase({Work.m_Item.m_Deadline, *Id});
+  Target->m_View.onDispatch(Work.m_Expected.m_RunSeconds, Now);
+  Work.m_State = WorkState::Dispatched;
+  Work.m_Target = Target->m_View.info().m_Name;
+  Work.m_DispatchedAt = Now;
+  ++Work.m_Attempts;
+  Result.m_Dispatches.push_back({*Id, Work.m_Target});
+  return true;
+}
+
+auto Dispatcher::chooseTarget(PoolState &Pool, const Work &Work, base::SteadyTime Now)
+    -> TargetState * {
+  const auto Candidates = candidatesFor(Pool, Work, Now);
+  if (Candidates.empty()) {
+    return nullptr;
+  }
+  auto Views = std::vector<const routing::TargetView *>();
+  for (const auto *Target : Candidates) {
+    Views.push_back(&Target->m_View);
+  }
+  const auto Request = routing::ChoiceRequest{Work.m_Expected.m_RunSeconds,
+                                              Work.m_Item.m_PromptTokens, Work.m_Item.m_PrefixHash};
+  return Candidates[Pool.m_Chooser->choose(Views, Request, Now, m_Random)];
+}
+
+auto Dispatcher::candidatesFor(PoolState &Pool, const Work &Work, base::SteadyTime Now)
+    -> std::vector<TargetState *> {
+  auto Candidates = std::vector<TargetState *>();
+  for (auto &[Name, Target] : Pool.m_Targets) {
+    if (Target.m_View.acceptsWork() && allows(Pool, Target, Work, Now)) {
+      Candidates.push_back(&Target);
+    }
+  }
+  // A retry avoids the target that just failed unless no other can take it.
+  if (Work.m_Attempts > 0 && Candidates.size() > 1) {
+    std::erase_if(Candidates, [&Work](const TargetState *Target) {
+      return Target->m_View.info().m_Name == Work.m_Target;
+    });
+  }
+  return Candidates;
+}
+
+auto Dispatcher::allows(const PoolState & /*Pool*/, const TargetState &Target,
+                        const Work & /*Work*/, base::SteadyTime Now) const -> bool {
+  const auto Own = static_cast<double>(Target.m_View.outstanding());
+  const auto Expected = Own * static_cast<double>(m_Options.m_ExpectedRouters - 1);
+  auto Query = LimitQuery();
+  Query.m_Slots = Target.m_View.info().m_Slots;
+  Query.m_Own = Own;
+  Query.m_Others = Target.m_View.othersOutstanding(Expected, Now);
+  return Target.m_Limit->allows(Query);
+}
+
+auto Dispatcher::nextPoll() const -> std::optional<base::SteadyTime> {
+  auto Next = std::optional<base::SteadyTime>();
+  for (const auto *Dues : {&m_Deadlines, &m_Backoffs}) {
+    if (!Dues->empty() && (!Next || Dues->begin()->m_Time < *Next)) {
+      Next = Dues->begin()->m_Time;
+    }
+  }
+  return Next;
+}
+
+} // namespace geraniumlift::admission
--- /dev/null
+++ b/src/admission/internal/work.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "admission/internal/iworkqueue.h"
+#include "admission/internal/lengthestimator.h"
+
+namespace geraniumlift::admission {
+
+enum class WorkState { Waiting, BackingOff, Dispatched };
+
+/// A request that the dispatcher knows.
+struct Work {
+  WorkItem m_Item;
+  LengthEstimate m_Expected;
+  WorkState m_State = WorkState::Waiting;
+  std::int64_t m_Attempts = 0;
+
+  /// Target of the current or last attempt.
+  std::string m_Target;
+  base::SteadyTime m_DispatchedAt;
+  std::optional<base::SteadyTime> m_FirstTokenAt;
+  base::Tokens m_AnswerTokens = 0;
+
+  /// End of the backoff while backing off.
+  base::SteadyTime m_NotBefore;
+};
+
+} // namespace geraniumlift::admission
--- /dev/null
+++ b/src/routing/internal/roundrobinchooser.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "routing/itargetchooser.h"
+
+namespace geraniumlift::routing {
+
+/// Takes the targets in turn, without regard to their load.
+class RoundRobinChooser final : public ITargetChooser {
+public:
+  auto choose(const std::vector<const TargetView *> &Candidates, const ChoiceRequest &Request,
+              base::SteadyTime Now, base::RandomEngine &Random) -> std::size_t override;
+
+private:
+  std::string m_Last;
+};
+
+} // namespace geraniumlift::routing
--- /dev/null
+++ b/src/routing/internal/targetview.cpp
@@ -0,0 +1,79 @@
+#include "routing/targetview.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace geraniumlift::routing {
+
+namespace {
+
+/// Reports older than this are subtracted against the oldest known entry.
+constexpr auto HistoryLength = std::chrono::seconds{10};
+
+/// Age at which a report has lost two thirds of its weight. Requests run for about a second, so
+/// that an older report says little about who occupies the slots now.
+constexpr auto ReportDecaySeconds = 2.0;
+
+auto secondsBetween(base::SteadyTime From, base::SteadyTime To) -> double {
+  return std::chrono::duration<double>(To - From).count();
+}
+
+} // namespace
+
+TargetView::TargetView(admission::TargetInfo Info) : m_Info(std::move(Info)) {}
+
+auto TargetView::setInfo(admission::TargetInfo Info) -> void {
+  m_Info = std::move(Info);
+  m_Removed = false;
+}
+
+auto TargetView::onDispatch(double RunSeconds, base::SteadyTime Now) -> void {
+  ++m_Outstanding;
+  m_OutstandingSeconds += RunSeconds;
+  recordOutstanding(Now);
+}
+
+auto TargetView::onEnd(double RunSeconds, base::SteadyTime Now) -> void {
+  --m_Outstanding;
+  m_OutstandingSeconds = std::max(0.0, m_OutstandingSeconds - RunSeconds);
+  recordOutstanding(Now);
+}
+
+auto TargetView::onReport(const admission::LoadReport &Report, base::SteadyTime Now) -> void {
+  const auto MeasuredAt = Now - Report.m_Age;
+  if (m_HasReport && MeasuredAt < m_MeasuredAt) {
+    return;
+  }
+  const auto Total = Report.m_Running + Report.m_Waiting;
+  const auto Others = Total - outstandingAt(MeasuredAt);
+  m_HasReport = true;
+  m_MeasuredAt = MeasuredAt;
+  m_OthersReported = static_cast<double>(std::max<std::int64_t>(0, Others));
+}
+
+auto TargetView::othersOutstanding(double Expected, base::SteadyTime Now) const -> double {
+  if (!m_HasReport) {
+    return Expected;
+  }
+  const auto Age = std::max(0.0, secondsBetween(m_MeasuredAt, Now));
+  const auto Weight = std::exp(-Age / ReportDecaySeconds);
+  return Weight * m_OthersReported + (1.0 - Weight) * Expected;
+}
+
+auto TargetView::recordOutstanding(base::SteadyTime Now) -> void {
+  m_History.push_back({Now, m_Outstanding});
+  while (m_History.size() > 1 && m_History[1].m_Time < Now - HistoryLength) {
+    m_History.pop_front();
+  }
+}
+
+auto TargetView::outstandingAt(base::SteadyTime Time) const -> std::int64_t {
+  for (auto Entry = m_History.rbegin(); Entry != m_History.rend(); ++Entry) {
+    if (Entry->m_Time <= Time) {
+      return Entry->m_Outstanding;
+    }
+  }
+  return 0;
+}
+
+} // namespace geraniumlift::routing
--- /dev/null
+++ b/src/routing/routingtypes.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "base/identifiers.h"
+#include "base/nametable.h"
+
+namespace geraniumlift::routing {
+
+/// How a target is chosen among those that may take a request.
+enum class TargetChoice { RoundRobin, LeastOutstanding, TwoChoices };
+
+inline constexpr auto TargetChoiceNames = std::array{
+    base::NamedValue<TargetChoice>{TargetChoice::RoundRobin, "round_robin"},
+    base::NamedValue<TargetChoice>{TargetChoice::LeastOutstanding, "least_outstanding"},
+    base::NamedValue<TargetChoice>{TargetChoice::TwoChoices, "two_choices"},
+};
+
+/// What target choice needs to know of a request.
+struct ChoiceRequest {
+  /// Expected time on a slot, in seconds.
+  double m_RunSeconds = 0.0;
+  base::Tokens m_PromptTokens = 0;
+
+  /// Hash of the prompt's first bytes; 0 if there is none.
+  std::uint64_t m_PrefixHash = 0;
+};
+
+} // namespace geraniumlift::routing
--- /dev/null
+++ b/src/routing/targetview.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "admission/dispatchtypes.h"
+
+#include <deque>
+
+namespace geraniumlift::routing {
+
+/// What this router knows of one target: its own outstanding work and the target's lagged reports.
+class TargetView {
+public:
+  explicit TargetView(admission::TargetInfo Info);
+
+  [[nodiscard]] auto info() const -> const admission::TargetInfo & { return m_Info; }
+
+  /// Takes over a newer description and forgets marks of the previous one.
+  auto setInfo(admission::TargetInfo Info) -> void;
+
+  /// Whether new work may go to the target at all.
+  [[nodiscard]] auto acceptsWork() const -> bool { return !m_Info.m_Leaving && !m_Removed; }
+  auto markLeaving() -> void { m_Info.m_Leaving = true; }
+
+  /// A removed target is kept only while requests are in flight on it.
+  auto markRemoved() -> void { m_Removed = true; }
+  [[nodiscard]] auto isRemoved() const -> bool { return m_Removed; }
+
+  /// Counts a request of this router with its expected time on a slot.
+  auto onDispatch(double RunSeconds, base::SteadyTime Now) -> void;
+
+  /// Takes back what onDispatch counted.
+  auto onEnd(double RunSeconds, base::SteadyTime Now) -> void;
+
+  /// Takes in a report of the target, unless a newer one is known.
+  auto onReport(const admission::LoadReport &Report, base::SteadyTime Now) -> void;
+
+  /// Requests of this router on the target.
+  [[nodiscard]] auto outstanding() const -> std::int64_t { return m_Outstanding; }
+
+  /// Expected time on a slot of this router's requests on the target, in seconds.
+  [[nodiscard]] auto outstandingSeconds() const -> double { return m_OutstandingSeconds; }
+
+  /// Estimates the requests of the other routers. The weight of the last report falls with its age;
+  /// the rest of the weight is on the expectation given.
+  [[nodiscard]] auto othersOutstanding(double Expected, base::SteadyTime Now) const -> double;
+
+private:
+  struct HistoryEntry {
+    base::SteadyTime m_Time;
+    std::int64_t m_Outstanding = 0;
+  };
+
+  auto recordOutstanding(base::SteadyTime Now) -> void;
+  [[nodiscard]] auto outstandingAt(base::SteadyTime Time) const -> std::int64_t;
+
+  admission::TargetInfo m_Info;
+  bool m_Removed = false;
+  std::int64_t m_Outstanding = 0;
+  double m_OutstandingSeconds = 0.0;
+
+  /// Own outstanding requests over the last seconds, to subtract them from a lagged report.
+  std::deque<HistoryEntry> m_History;
+  bool m_HasReport = false;
+  base::SteadyTime m_MeasuredAt;
+  double m_OthersReported = 0.0;
+};
+
+} // namespace geraniumlift::routing
--- /dev/null
+++ b/src/routing/tests/routing_test.cpp
@@ -0,0 +1,71 @@
+#include "base/manualclock.h"
+#include "routing/itargetchooser.h"
+
+#include <criterion/criterion.h>
+
+using namespace geraniumlift;
+
+namespace {
+
+auto targetNamed(std::string Name) -> routing::TargetView {
+  auto Info = admission::TargetInfo();
+  Info.m_Name = std::move(Name);
+  return routing::TargetView(std::move(Info));
+}
+
+} // namespace
+
+// Guards against counting this router's own requests twice, once from the lagged report.
+Test(routing, reportIsReducedByOwnWorkAtTheTimeOfMeasurement) {
+  auto Clock = base::ManualClock();
+  auto View = targetNamed("a");
+  View.onDispatch(1.0, Clock.steadyNow());
+  Clock.advance(std::chrono::seconds{1});
+  View.onDispatch(1.0, Clock.steadyNow());
+  auto Report = admission::LoadReport();
+  Report.m_Running = 4;
+  Report.m_Age = std::chrono::milliseconds{500};
+  View.onReport(Report, Clock.steadyNow());
+  const auto Others = View.othersOutstanding(3.0, Clock.steadyNow());
+  cr_assert_float_eq(Others, 3.0, 1e-9);
+}
+
+// Guards against an old report that outweighs the present: its weight falls with age.
+Test(routing, oldReportLosesWeight) {
+  auto Clock = base::ManualClock();
+  auto View = targetNamed("a");
+  auto Report = admission::LoadReport();
+  Report.m_Running = 8;
+  View.onReport(Report, Clock.steadyNow());
+  Clock.advance(std::chrono::seconds{20});
+  cr_assert_lt(View.othersOutstanding(0.0, Clock.steadyNow()), 0.1);
+}
+
+// Guards against a strategy that ignores the load it is meant to compare.
+Test(routing, leastOutstandingAvoidsLoadedTargets) {
+  auto Clock = base::ManualClock();
+  auto Random = base::RandomEngine(7);
+  auto First = targetNamed("a");
+  auto Second = targetNamed("b");
+  First.onDispatch(1.0, Clock.steadyNow());
+  for (const auto Choice :
+       {routing::TargetChoice::LeastOutstanding, routing::TargetChoice::TwoChoices}) {
+    const auto Chooser = routing::makeTargetChooser(Choice);
+    for (auto Draw = 0; Draw < 20; ++Draw) {
+      cr_assert_eq(Chooser->choose({&First, &Second}, {}, Clock.steadyNow(), Random), 1U);
+    }
+  }
+}
+
+// Guards against an uneven turn when the list of candidates changes between calls.
+Test(routing, roundRobinContinuesAfterTheLastName) {
+  auto Clock = base::ManualClock();
+  auto Random = base::RandomEngine(7);
+  auto First = targetNamed("a");
+  auto Second = targetNamed("b");
+  auto Third = targetNamed("c");
+  const auto Chooser = routing::makeTargetChooser(routing::TargetChoice::RoundRobin);
+  cr_assert_eq(Chooser->choose({&First, &Second, &Third}, {}, Clock.steadyNow(), Random), 0U);
+  cr_assert_eq(Chooser->choose({&Second, &Third}, {}, Clock.steadyNow(), Random), 0U);
+  cr_assert_eq(Chooser->choose({&First, &Second, &Third}, {}, Clock.steadyNow(), Random), 2U);
+}
