Add publishing and adoption of configurations

Cause: accepted sets must be in force everywhere within seconds, through lost responses, operator races, lagging reads and outages.

A publication that got no response before its manifest write ends as unavailable rather than unknown, since nothing was published.

Conclusion: ready to be wired into the router and geraniumctl.

--- /dev/null
+++ b/src/configuration/internal/manifest.cpp
@@ -0,0 +1,148 @@
+#include "configuration/manifest.h"
+
+#include <algorithm>
+#include <rapidjson/document.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+#include <set>
+
+namespace geraniumlift::configuration {
+
+namespace {
+
+/// Raised when an older router could misread the manifest or the chunks.
+constexpr unsigned FormatVersion = 1;
+constexpr std::size_t MostManifestBytes = std::size_t{1024} * 1024;
+constexpr std::size_t MostPublicationIdBytes = 64;
+constexpr std::size_t HashDigits = 64;
+
+using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
+
+auto writeText(Writer &Json, std::string_view Text) -> void {
+  Json.String(Text.data(), static_cast<rapidjson::SizeType>(Text.size()));
+}
+
+auto writeList(Writer &Json, const char *Key, const std::vector<std::string> &Texts) -> void {
+  Json.Key(Key);
+  Json.StartArray();
+  for (const auto &Text : Texts) {
+    writeText(Json, Text);
+  }
+  Json.EndArray();
+}
+
+auto isHash(const std::string &Text) -> bool {
+  return Text.size() == HashDigits &&
+         Text.find_first_not_of("0123456789abcdef") == std::string::npos;
+}
+
+auto isPublicationId(const std::string &Text) -> bool {
+  return !Text.empty() && Text.size() <= MostPublicationIdBytes;
+}
+
+/// Reads a list of distinct texts that satisfy the rule; false if there is anything else.
+auto readList(const rapidjson::Document &Json, const char *Key, std::size_t Most,
+              bool (*Rule)(const std::string &), std::vector<std::string> &Out) -> bool {
+  const auto Found = Json.FindMember(Key);
+  if (Found == Json.MemberEnd() || !Found->value.IsArray() || Found->value.Size() > Most) {
+    return false;
+  }
+  auto Seen = std::set<std::string>();
+  for (const auto &Element : Found->value.GetArray()) {
+    if (!Element.IsString()) {
+      return false;
+    }
+    Out.emplace_back(Element.GetString(), Element.GetStringLength());
+    if (!Rule(Out.back()) || !Seen.insert(Out.back()).second) {
+      return false;
+    }
+  }
+  return true;
+}
+
+auto readNumber(const rapidjson::Document &Json, const char *Key, std::uint64_t &Out) -> bool {
+  const auto Found = Json.FindMember(Key);
+  if (Found == Json.MemberEnd() || !Found->value.IsUint64()) {
+    return false;
+  }
+  Out = Found->value.GetUint64();
+  return true;
+}
+
+/// Whether the parts of a manifest agree with one another.
+auto isConsistent(const Manifest &Content) -> bool {
+  return Content.m_Generation >= 1 && !Content.m_RecentPublications.empty() &&
+         Content.m_RecentPublications.size() <= Content.m_Generation;
+}
+
+} // namespace
+
+auto chunkKey(std::string_view Hash) -> std::string {
+  return "geraniumlift/config/chunk/" + std::string(Hash);
+}
+
+auto encodeManifest(const Manifest &Content) -> std::string {
+  auto Buffer = rapidjson::StringBuffer();
+  auto Json = Writer(Buffer);
+  Json.StartObject();
+  Json.Key("format");
+  Json.Uint(FormatVersion);
+  Json.Key("generation");
+  Json.Uint64(Content.m_Generation);
+  writeList(Json, "chunks", Content.m_ChunkHashes);
+  writeList(Json, "publications", Content.m_RecentPublications);
+  Json.EndObject();
+  return {Buffer.GetString(), Buffer.GetSize()};
+}
+
+auto decodeManifest(std::string_view Text) -> absl::StatusOr<Manifest> {
+  if (Text.size() > MostManifestBytes) {
+    return absl::InvalidArgumentError("the manifest exceeds 1 MB");
+  }
+  auto Json = rapidjson::Document();
+  Json.Parse<rapidjson::kParseIterativeFlag | rapidjson::kParseValidateEncodingFlag>(Text.data(),
+                                                                                     Text.size());
+  if (Json.HasParseError() || !Json.IsObject()) {
+    return absl::InvalidArgumentError("the manifest is not a JSON object");
+  }
+  auto Format = std::uint64_t{0};
+  if (!readNumber(Json, "format", Format) || Format != FormatVersion) {
+    return absl::InvalidArgumentError("the manifest has an unknown format");
+  }
+  auto Content = Manifest();
+  const auto IsGood = readNumber(Json, "generation", Content.m_Generation) &&
+                      readList(Json, "chunks", MostChunks, isHash, Content.m_ChunkHashes) &&
+                      readList(Json, "publications", KeptPublications, isPublicationId,
+                               Content.m_RecentPublications);
+  if (!IsGood || !isConsistent(Content)) {
+    return absl::InvalidArgumentError("the manifest has missing or wrong fields");
+  }
+  Content.m_PublicationId = Content.m_RecentPublications.back();
+  return Content;
+}
+
+auto generationOf(const Manifest &Content, std::string_view PublicationId)
+    -> std::optional<Generation> {
+  const auto &Recent = Content.m_RecentPublications;
+  const auto Found = std::find(Recent.begin(), Recent.end(), PublicationId);
+  if (Found == Recent.end()) {
+    return std::nullopt;
+  }
+  return Content.m_Generation - static_cast<Generation>(Recent.end() - Found - 1);
+}
+
+auto nextManifest(const Manifest &Before, std::string PublicationId,
+                  std::vector<std::string> ChunkHashes) -> Manifest {
+  auto Next = Manifest{.m_Generation = Before.m_Generation + 1,
+                       .m_PublicationId = PublicationId,
+                       .m_ChunkHashes = std::move(ChunkHashes),
+                       .m_RecentPublications = Before.m_RecentPublications};
+  auto &Recent = Next.m_RecentPublications;
+  Recent.push_back(std::move(PublicationId));
+  if (Recent.size() > KeptPublications) {
+    Recent.erase(Recent.begin(), Recent.end() - KeptPublications);
+  }
+  return Next;
+}
+
+} // namespace geraniumlift::configuration
--- /dev/null
+++ b/src/configuration/internal/publication.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "configuration/manifest.h"
+#include "configuration/publisher.h"
+#include "objects/objectcodec.h"
+
+#include <memory>
+
+namespace geraniumlift::configuration::internal {
+
+/// A checked and encoded set to publish.
+struct PublicationWork {
+  std::string m_Id;
+  std::vector<objects::Chunk> m_Chunks;
+  std::optional<Generation> m_ExpectedGeneration;
+};
+
+/// One publication: reads the manifest, writes the missing chunks, replaces the manifest. One call
+/// is in flight at a time, and its callback keeps the publication alive. A write without a response
+/// is resolved by the publication ID: the manifest is read until it shows whether the write took
+/// effect, and a write that did not is repeated against the same revision, so that at most one of
+/// the attempts takes effect.
+class Publication : public std::enable_shared_from_this<Publication> {
+public:
+  Publication(platform::IKeyValueStore &Store, base::IScheduler &Scheduler,
+              const base::IClock &Clock, PublisherOptions Options, PublicationWork Work,
+              PublishCallback Done);
+
+  auto start() -> void;
+
+private:
+  using ReadResult = absl::StatusOr<std::optional<platform::KeyValue>>;
+  using Step = void (Publication::*)();
+
+  auto readBase() -> void;
+  auto onBase(const ReadResult &Result) -> void;
+  auto takeBase(const platform::KeyValue &Found) -> bool;
+
+  auto writeNextChunk() -> void;
+  auto onChunk(const platform::WriteResult &Result) -> void;
+
+  auto writeManifest() -> void;
+  auto onManifest(const platform::WriteResult &Result) -> void;
+
+  auto readOutcome() -> void;
+  auto onOutcome(const ReadResult &Result) -> void;
+
+  /// Draws the conclusion from a manifest that is newer than the one this publication is based on.
+  auto judge(const platform::KeyValue &Found) -> void;
+
+  /// Repeats a step after the retry interval, or gives up.
+  auto retry(Step Repeat, const absl::Status &Cause) -> void;
+  auto finish(PublishOutcome Outcome, Generation Number, absl::Status Status) -> void;
+
+  platform::IKeyValueStore &m_Store;
+  base::IScheduler &m_Scheduler;
+  const base::IClock &m_Clock;
+  PublisherOptions m_Options;
+  PublicationWork m_Work;
+  PublishCallback m_Done;
+  base::SteadyTime m_GiveUp;
+
+  /// The manifest that this publication replaces, and its revision.
+  Manifest m_Base;
+  std::int64_t m_BaseRevision = platform::AbsentRevision;
+  Manifest m_Next;
+  std::size_t m_NextChunk = 0;
+
+  /// Whether the manifest write was sent at least once, so that it may have taken effect.
+  bool m_ManifestSent = false;
+};
+
+} // namespace geraniumlift::configuration::internal
--- /dev/null
+++ b/src/configuration/internal/publisher.cpp
@@ -0,0 +1,52 @@
+#include "configuration/publisher.h"
+
+#include "base/hashing.h"
+#include "configuration/internal/publication.h"
+#include "objects/objectcheck.h"
+
+namespace geraniumlift::configuration {
+
+namespace {
+
+constexpr std::size_t PublicationIdBytes = 16;
+
+auto reject(std::string PublicationId, std::vector<objects::ObjectError> Errors,
+            absl::Status Status) -> PublishResult {
+  return {.m_Outcome = PublishOutcome::Rejected,
+          .m_Generation = 0,
+          .m_PublicationId = std::move(PublicationId),
+          .m_Errors = std::move(Errors),
+          .m_Status = std::move(Status)};
+}
+
+} // namespace
+
+Publisher::Publisher(platform::IKeyValueStore &Store, base::IScheduler &Scheduler,
+                     const base::IClock &Clock, PublisherOptions Options)
+    : m_Store(Store), m_Scheduler(Scheduler), m_Clock(Clock), m_Options(Options) {}
+
+auto Publisher::publish(PublishRequest Request, PublishCallback Done) -> void {
+  auto Id = Request.m_PublicationId.empty() ? base::randomHex(PublicationIdBytes)
+                                            : std::move(Request.m_PublicationId);
+  if (auto Errors = objects::checkObjects(Request.m_Objects); !Errors.empty()) {
+    Done(reject(std::move(Id), std::move(Errors),
+                absl::InvalidArgumentError("the set has mistakes")));
+    return;
+  }
+  auto Chunks = objects::encodeChunks(Request.m_Objects);
+  if (Chunks.ok() && Chunks->size() > MostChunks) {
+    Chunks = absl::InvalidArgumentError("the set exceeds the limit of chunks");
+  }
+  if (!Chunks.ok()) {
+    Done(reject(std::move(Id), {}, Chunks.status()));
+    return;
+  }
+  auto Work = internal::PublicationWork{.m_Id = std::move(Id),
+                                        .m_Chunks = *std::move(Chunks),
+                                        .m_ExpectedGeneration = Request.m_ExpectedGeneration};
+  std::make_shared<internal::Publication>(m_Store, m_Scheduler, m_Clock, m_Options, std::move(Work),
+                                          std::move(Done))
+      ->start();
+}
+
+} // namespace geraniumlift::configuration
--- /dev/null
+++ b/src/configuration/tests/configurationservice_test.cpp
@@ -0,0 +1,190 @@
+#include "base/hashing.h"
+#include "configuration/configurationservice.h"
+#include "configuration/tests/fixture.h"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+
+using namespace geraniumlift;
+using namespace geraniumlift::configuration;
+using namespace geraniumlift::configuration::testing;
+
+namespace {
+
+/// A service on the fixture's store that has been started.
+auto startService(Fixture &Test, const std::string &Vm = "vm-a")
+    -> std::unique_ptr<ConfigurationService> {
+  auto Service = std::make_unique<ConfigurationService>(
+      Test.m_Store, Test.m_Scheduler, Test.m_Scheduler.m_Clock, ConfigurationOptions{.m_Vm = Vm});
+  Service->start();
+  Test.m_Scheduler.runFor(100ms);
+  return Service;
+}
+
+auto setDown(Fixture &Test, bool IsDown) -> void {
+  Test.m_Store.m_NextFault = [IsDown](const auto &, bool) {
+    return IsDown ? Fault::Down : Fault::None;
+  };
+}
+
+} // namespace
+
+// Guards against an accepted configuration that is not adopted within seconds, observers that miss
+// it or see it twice, and chunks that are read again although they did not change.
+Test(service, adoptsNewGenerationAndReadsOnlyChangedChunks) {
+  auto Test = Fixture();
+  Test.publishNamed("first");
+  const auto Service = startService(Test);
+  auto Seen = std::vector<Generation>();
+  Service->subscribe([&](const auto &Adopted) { Seen.push_back(Adopted->m_Generation); });
+  cr_assert_eq(Service->current()->m_Generation, 1U);
+  cr_assert(Service->current()->m_Objects == setNamed("first"));
+
+  Test.publishNamed("second");
+  cr_assert(Service->current()->m_Objects == setNamed("second"));
+  cr_assert(Service->adoptSerialized(Service->serialize()).ok());
+  Test.m_Scheduler.runFor(1s);
+  cr_assert(Seen == std::vector<Generation>{2});
+  for (const auto &Hash : Test.manifest().m_ChunkHashes) {
+    cr_assert_eq(Test.m_Store.m_Reads[chunkKey(Hash)], 1);
+  }
+}
+
+// Guards against a read that lags and takes an accepted configuration back.
+Test(service, laggingReadDoesNotRevert) {
+  auto Test = Fixture();
+  Test.publishNamed("first");
+  const auto Old = Test.m_Store.m_Content.at(std::string(ManifestKey));
+  Test.publishNamed("second");
+  const auto Service = startService(Test);
+  Test.m_Store.m_Lagging[std::string(ManifestKey)] = Old;
+  Test.m_Scheduler.runFor(5s);
+  cr_assert_eq(Service->current()->m_Generation, 2U);
+  Test.m_Store.m_Content.clear();
+  Test.m_Store.m_Lagging.clear();
+  Test.m_Scheduler.runFor(5s);
+  cr_assert_eq(Service->current()->m_Generation, 2U);
+}
+
+// Guards against an outage right after the acceptance that leaves the routers without the set: one
+// that has it passes it on, also to a router that starts during the outage.
+Test(service, peerSnapshotIsAdoptedDuringOutage) {
+  auto Test = Fixture();
+  Test.publishNamed("first");
+  const auto Reader = startService(Test, "vm-a");
+  const auto Behind = startService(Test, "vm-b");
+  setDown(Test, true);
+  const auto Starting = startService(Test, "vm-c");
+  cr_assert(Starting->serialize().empty());
+  cr_assert(Starting->adoptSerialized(Reader->serialize()).ok());
+  cr_assert_eq(Starting->current()->m_Generation, 1U);
+
+  setDown(Test, false);
+  auto Result = std::optional<PublishResult>();
+  Test.m_Publisher.publish({.m_Objects = setNamed("second")}, [&](auto Given) {
+    Result = std::move(Given);
+    setDown(Test, true);
+  });
+  Test.m_Scheduler.runFor(60s);
+  cr_assert(Result->m_Outcome == PublishOutcome::Accepted);
+  cr_assert_eq(Behind->current()->m_Generation, 1U);
+  setDown(Test, false);
+  Test.m_Scheduler.runFor(1s);
+  cr_assert_eq(Behind->current()->m_Generation, 2U);
+}
+
+// Guards against a peer's snapshot that repeats chunks at hand, lacks chunks, is older or is
+// damaged.
+Test(service, peerSnapshotIsIncrementalAndVerified) {
+  auto Test = Fixture();
+  Test.publishNamed("first");
+  const auto Reader = startService(Test);
+  const auto Old = Reader->serialize();
+  auto Behind = ConfigurationService(Test.m_Store, Test.m_Scheduler, Test.m_Scheduler.m_Clock, {});
+  cr_assert(Behind.adoptSerialized(Old).ok());
+  Test.publishNamed("second");
+  const auto Whole = Reader->serialize();
+  const auto Delta = Reader->serialize(Behind.knownChunks());
+  cr_assert_lt(Delta.size(), Whole.size());
+
+  auto Fresh = ConfigurationService(Test.m_Store, Test.m_Scheduler, Test.m_Scheduler.m_Clock, {});
+  cr_assert(absl::IsFailedPrecondition(Fresh.adoptSerialized(Delta)));
+  for (std::size_t Place = 0; Place < Whole.size(); ++Place) {
+    cr_assert_not(Fresh.adoptSerialized(Whole.substr(0, Place)).ok());
+    auto Damaged = Whole;
+    Damaged[Place] = static_cast<char>(Damaged[Place] ^ 1);
+    if (Fresh.adoptSerialized(Damaged).ok()) {
+      cr_assert(Fresh.current()->m_Objects == setNamed("second"));
+    }
+  }
+  cr_assert(Behind.adoptSerialized(Delta).ok());
+  cr_assert(Behind.adoptSerialized(Old).ok());
+  cr_assert(Behind.current()->m_Objects == setNamed("second"));
+}
+
+// Guards against a published set that does not check, or a chunk with a wrong text, that replaces
+// the one in force.
+Test(service, faultySetChangesNothing) {
+  auto Test = Fixture();
+  Test.publishNamed("first");
+  const auto Service = startService(Test);
+  const auto PublishChunk = [&](const std::string &Hash, const std::string &Text) {
+    const auto Key = std::string(ManifestKey);
+    Test.m_Store.apply({.m_Key = chunkKey(Hash), .m_Value = Text});
+    Test.m_Store.apply({.m_Key = Key,
+                        .m_ExpectedModRevision = Test.m_Store.m_Content.at(Key).m_ModRevision,
+                        .m_Value = encodeManifest(nextManifest(Test.manifest(), Hash, {Hash}))});
+    Test.m_Scheduler.runFor(5s);
+  };
+  const auto Bad = std::string(R"({"kind":"workspace","objects":{"w":{"budget":"nowhere"}}})");
+  PublishChunk(base::sha256Hex(Bad), Bad);
+  PublishChunk(std::string(64, '0'), R"({"kind":"budget","objects":{"b":{}}})");
+  cr_assert_eq(Service->current()->m_Generation, 1U);
+  Test.publishNamed("second");
+  cr_assert_eq(Service->current()->m_Generation, 4U);
+}
+
+// Guards against a data centre in which no router polls, or all do.
+Test(polling, twoRoutersPollAndOthersFallBack) {
+  auto Vms = std::vector<std::string>();
+  for (int Index = 0; Index < 50; ++Index) {
+    Vms.push_back("vm-" + std::to_string(Index));
+  }
+  const auto Pollers = designatedPollers(Vms);
+  cr_assert_eq(Pollers.size(), 2U);
+  for (const auto &Vm : Vms) {
+    const auto IsPoller = std::find(Pollers.begin(), Pollers.end(), Vm) != Pollers.end();
+    cr_assert(shouldPoll(Vm, Vms, 4999ms) == (IsPoller ? PollRole::Designated : PollRole::None));
+    cr_assert(shouldPoll(Vm, Vms, 5s) == (IsPoller ? PollRole::Designated : PollRole::Fallback));
+  }
+  std::reverse(Vms.begin(), Vms.end());
+  cr_assert(designatedPollers(Vms) == Pollers);
+  cr_assert(shouldPoll("vm-a", {}, 0s) == PollRole::Designated);
+}
+
+// Guards against a router that polls at full rate although others do, or never when they went
+// silent.
+Test(polling, fallbackPollsAreSpacedOut) {
+  auto Test = Fixture();
+  const auto Key = std::string(ManifestKey);
+  auto Vms = std::vector<std::string>{"vm-a", "vm-b", "vm-c", "vm-d"};
+  const auto Pollers = designatedPollers(Vms);
+  const auto Self = *std::find_if(Vms.begin(), Vms.end(), [&](const auto &Vm) {
+    return std::find(Pollers.begin(), Pollers.end(), Vm) == Pollers.end();
+  });
+  auto Service = ConfigurationService(Test.m_Store, Test.m_Scheduler, Test.m_Scheduler.m_Clock,
+                                      {.m_Vm = Self});
+  auto Peers = std::vector<PollerSighting>();
+  for (const auto &Vm : Vms) {
+    Peers.push_back({Vm, Test.m_Scheduler.m_Clock.steadyNow()});
+  }
+  Service.updatePeers(Peers);
+  Service.start();
+  Test.m_Scheduler.runFor(4900ms);
+  cr_assert_eq(Test.m_Store.m_Reads[Key], 0);
+  cr_assert(Service.pollRole() == PollRole::None);
+  Test.m_Scheduler.runFor(60s);
+  cr_assert(Service.pollRole() == PollRole::Fallback);
+  cr_assert_geq(Test.m_Store.m_Reads[Key], 5);
+  cr_assert_leq(Test.m_Store.m_Reads[Key], 13);
+}
--- /dev/null
+++ b/src/configuration/tests/fakestore.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "base/ischeduler.h"
+#include "platform/ikeyvaluestore.h"
+
+#include <map>
+
+namespace geraniumlift::configuration::testing {
+
+/// What befalls one call.
+enum class Fault { None, Down, LostApplied, LostNotApplied };
+
+/// A key-value store in memory with faults chosen per call. Responses are posted on the scheduler.
+class FakeStore final : public platform::IKeyValueStore {
+public:
+  explicit FakeStore(base::IScheduler &Scheduler) : m_Scheduler(Scheduler) {}
+
+  auto read(std::string Key, ReadCallback Done) -> void override {
+    ++m_Reads[Key];
+    auto Result = absl::StatusOr<std::optional<platform::KeyValue>>(std::nullopt);
+    if (m_NextFault(Key, false) != Fault::None) {
+      Result = absl::UnavailableError("down");
+    } else if (const auto Old = m_Lagging.find(Key); Old != m_Lagging.end()) {
+      Result = Old->second;
+    } else if (const auto Found = m_Content.find(Key); Found != m_Content.end()) {
+      Result = Found->second;
+    }
+    m_Scheduler.post([Done = std::move(Done), Result] { Done(Result); });
+  }
+
+  auto compareAndSwap(platform::CompareAndSwap Request, WriteCallback Done) -> void override {
+    const auto Befalls = m_NextFault(Request.m_Key, true);
+    auto Result = platform::WriteResult();
+    if (Befalls == Fault::None || Befalls == Fault::LostApplied) {
+      Result = apply(Request);
+    }
+    if (Befalls != Fault::None) {
+      Result = {.m_Outcome = platform::WriteOutcome::Unknown,
+                .m_Status = absl::UnavailableError("lost")};
+    }
+    m_Scheduler.post([Done = std::move(Done), Result] { Done(Result); });
+  }
+
+  auto list(std::string /*Prefix*/, ListCallback /*Done*/) -> void override {}
+  auto compareAndErase(std::string /*Key*/, std::int64_t /*ExpectedModRevision*/,
+                       WriteCallback /*Done*/) -> void override {}
+  auto grantLease(std::chrono::seconds /*TimeToLive*/, LeaseCallback /*Done*/) -> void override {}
+  auto keepAlive(platform::LeaseId /*Lease*/, StatusCallback /*Done*/) -> void override {}
+  auto revokeLease(platform::LeaseId /*Lease*/, StatusCallback /*Done*/) -> void override {}
+
+  auto apply(const platform::CompareAndSwap &Request) -> platform::WriteResult {
+    const auto Found = m_Content.find(Request.m_Key);
+    const auto Revision = Found == m_Content.end() ? 0 : Found->second.m_ModRevision;
+    if (Revision != Request.m_ExpectedModRevision) {
+      auto Result = platform::WriteResult{.m_Outcome = platform::WriteOutcome::Conflict};
+      if (Found != m_Content.end()) {
+        Result.m_Current = Found->second;
+      }
+      return Result;
+    }
+    ++m_Revision;
+    m_Content[Request.m_Key] = {.m_Key = Request.m_Key,
+                                .m_Value = Request.m_Value,
+                                .m_CreateRevision = m_Revision,
+                                .m_ModRevision = m_Revision};
+    return {.m_Outcome = platform::WriteOutcome::Landed, .m_ModRevision = m_Revision};
+  }
+
+  /// Chooses the fault of a call by key and by whether it writes.
+  std::function<Fault(const std::string &, bool)> m_NextFault = [](const auto &, bool) {
+    return Fault::None;
+  };
+
+  std::map<std::string, platform::KeyValue> m_Content;
+
+  /// Values that reads return instead of the newest ones.
+  std::map<std::string, platform::KeyValue> m_Lagging;
+  std::map<std::string, int> m_Reads;
+
+private:
+  base::IScheduler &m_Scheduler;
+  std::int64_t m_Revision = 0;
+};
+
+} // namespace geraniumlift::configuration::testing
--- /dev/null
+++ b/src/configuration/tests/publisher_test.cpp
@@ -0,0 +1,145 @@
+#include "configuration/tests/fixture.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace geraniumlift;
+using namespace geraniumlift::configuration;
+using namespace geraniumlift::configuration::testing;
+
+// Guards against two operators who both believe that their set is in force.
+Test(publisher, raceHasOneWinner) {
+  auto Test = Fixture();
+  auto Results = std::vector<PublishResult>();
+  for (const auto *Name : {"left", "right"}) {
+    Test.m_Publisher.publish({.m_Objects = setNamed(Name)},
+                             [&](auto Result) { Results.push_back(std::move(Result)); });
+  }
+  Test.m_Scheduler.runFor(60s);
+  cr_assert_eq(Results.size(), 2U);
+  cr_assert(Results[0].m_Outcome == PublishOutcome::Accepted);
+  cr_assert(Results[1].m_Outcome == PublishOutcome::Conflict);
+  cr_assert_eq(Test.manifest().m_Generation, 1U);
+  cr_assert_eq(Test.manifest().m_PublicationId, Results[0].m_PublicationId);
+}
+
+// Guards against a publication that is repeated or reported as failed because only its response was
+// lost.
+Test(publisher, lostResponseOfAppliedWriteIsAccepted) {
+  auto Test = Fixture();
+  Test.publishNamed("first");
+  Test.failManifestWrite(Fault::LostApplied, 3s);
+  const auto Result = Test.publishNamed("second");
+  cr_assert(Result.m_Outcome == PublishOutcome::Accepted);
+  cr_assert_eq(Result.m_Generation, 2U);
+  cr_assert_eq(Test.manifest().m_Generation, 2U);
+}
+
+// Guards against a publication that is reported as accepted although its write was lost.
+Test(publisher, lostWriteIsRepeated) {
+  auto Test = Fixture();
+  Test.failManifestWrite(Fault::LostNotApplied, 3s);
+  const auto Result = Test.publishNamed("first");
+  cr_assert(Result.m_Outcome == PublishOutcome::Accepted);
+  cr_assert_eq(Test.manifest().m_PublicationId, Result.m_PublicationId);
+}
+
+// Guards against a lost response that is taken for a conflict when others publish before it is
+// resolved, and the reverse.
+Test(publisher, lostResponseIsResolvedAfterOtherPublications) {
+  for (const auto Befalls : {Fault::LostApplied, Fault::LostNotApplied}) {
+    auto Test = Fixture();
+    Test.failManifestWrite(Befalls, 3s);
+    auto Result = std::optional<PublishResult>();
+    Test.m_Publisher.publish({.m_Objects = setNamed("mine")},
+                             [&](auto Given) { Result = std::move(Given); });
+    Test.m_Scheduler.runFor(1s);
+    const auto Key = std::string(ManifestKey);
+    const auto Found = Test.m_Store.m_Content.find(Key);
+    const auto IsApplied = Found != Test.m_Store.m_Content.end();
+    const auto Before = IsApplied ? Test.manifest() : Manifest();
+    Test.m_Store.apply({.m_Key = Key,
+                        .m_ExpectedModRevision = IsApplied ? Found->second.m_ModRevision : 0,
+                        .m_Value = encodeManifest(nextManifest(Before, "other", {}))});
+    Test.m_Scheduler.runFor(60s);
+    cr_assert(Result->m_Outcome ==
+              (IsApplied ? PublishOutcome::Accepted : PublishOutcome::Conflict));
+    cr_assert_eq(Result->m_Generation, 1U);
+  }
+}
+
+// Guards against a verdict without proof while the service stays silent, before and after the
+// write.
+Test(publisher, silentServiceGivesUnavailableOrUnknown) {
+  auto Test = Fixture();
+  Test.failManifestWrite(Fault::LostApplied, 1h);
+  cr_assert(Test.publishNamed("a").m_Outcome == PublishOutcome::Unknown);
+  cr_assert(Test.publishNamed("b").m_Outcome == PublishOutcome::Unavailable);
+}
+
+// Guards against a read of the manifest that lags behind the base revision and leads to a verdict.
+Test(publisher, laggingReadDoesNotDecide) {
+  auto Test = Fixture();
+  Test.publishNamed("first");
+  const auto Key = std::string(ManifestKey);
+  const auto Old = Test.m_Store.m_Content.at(Key);
+  Test.publishNamed("second");
+  Test.failManifestWrite(Fault::LostApplied);
+  auto Result = std::optional<PublishResult>();
+  Test.m_Publisher.publish({.m_Objects = setNamed("third")},
+                           [&](auto Given) { Result = std::move(Given); });
+  Test.m_Scheduler.runFor(100ms);
+  Test.m_Store.m_Lagging[Key] = Old;
+  Test.m_Scheduler.runFor(2s);
+  cr_assert_not(Result.has_value());
+  Test.m_Store.m_Lagging.clear();
+  Test.m_Scheduler.runFor(2s);
+  cr_assert(Result->m_Outcome == PublishOutcome::Accepted);
+  cr_assert_eq(Result->m_Generation, 3U);
+}
+
+// Guards against a set with mistakes, or one based on an outdated generation, that reaches the
+// store.
+Test(publisher, refusedSetChangesNothing) {
+  auto Test = Fixture();
+  Test.publishNamed("first");
+  const auto Before = Test.m_Store.m_Content.size();
+  auto Bad = setNamed("second");
+  Bad.m_Workspaces["w"].m_Name = "w";
+  Bad.m_Workspaces["w"].m_Budget = "nowhere";
+  Bad.m_Workspaces["w"].m_PriorityClass = "paid";
+  const auto Rejected = Test.publish({.m_Objects = Bad}).value();
+  cr_assert(Rejected.m_Outcome == PublishOutcome::Rejected);
+  cr_assert_eq(Rejected.m_Errors.size(), 1U);
+  const auto Outdated =
+      Test.publish({.m_Objects = setNamed("second"), .m_ExpectedGeneration = 0}).value();
+  cr_assert(Outdated.m_Outcome == PublishOutcome::Conflict);
+  cr_assert_eq(Test.m_Store.m_Content.size(), Before);
+  cr_assert_eq(Test.manifest().m_Generation, 1U);
+}
+
+// Guards against a manifest codec that loses a field, and a list of publications that grows.
+Test(manifest, keepsTheLastPublications) {
+  auto Content = Manifest();
+  for (int Index = 0; Index < 40; ++Index) {
+    Content = nextManifest(Content, "p" + std::to_string(Index), {std::string(64, 'a')});
+  }
+  const auto Decoded = decodeManifest(encodeManifest(Content));
+  cr_assert(Decoded.ok());
+  cr_assert(*Decoded == Content);
+  cr_assert_eq(Content.m_RecentPublications.size(), KeptPublications);
+  cr_assert(generationOf(Content, "p8") == Generation{9});
+  cr_assert_not(generationOf(Content, "p7").has_value());
+}
+
+// Guards against a crash on a manifest with arbitrary bytes changed.
+Test(manifest, survivesChangedBytes) {
+  const auto Text = encodeManifest(nextManifest({}, "p", {std::string(64, 'a')}));
+  cr_assert(rc::check([&] {
+    auto Changed = Text;
+    Changed[*rc::gen::inRange<std::size_t>(0, Text.size())] = *rc::gen::arbitrary<char>();
+    if (const auto Decoded = decodeManifest(Changed); Decoded.ok()) {
+      RC_ASSERT(Decoded->m_Generation >= 1U);
+    }
+  }));
+}
