--- a/src/base/identifiers.h
+++ b/src/base/identifiers.h
@@ -18,6 +18,8 @@
   std::string m_Vm;
   std::uint64_t m_Incarnation = 0;
 
+  // clang-tidy 14 reports its own expansion of a defaulted comparison.
+  // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming)
   auto operator<=>(const HolderId &) const = default;
 };
 
