--- a/src/gateway/internal/httpserver.cpp
+++ b/src/gateway/internal/httpserver.cpp
@@ -26,8 +26,8 @@
 class HttpExchange final : public ICallerExchange,
                            public std::enable_shared_from_this<HttpExchange> {
 public:
-  HttpExchange(web::http::http_request Request, CallerRequest Parsed)
-      : m_Http(std::move(Request)), m_Request(std::move(Parsed)) {}
+  HttpExchange(const web::http::http_request &Request, CallerRequest Parsed)
+      : m_Http(Request), m_Request(std::move(Parsed)) {}
 
   [[nodiscard]] auto request() const -> const CallerRequest & override { return m_Request; }
 
@@ -189,13 +189,13 @@
     Http.body()
         .read(Body, Limit + 1)
         .then([this, Http, Body, Limit,
-               Parsed = std::move(Request)](const pplx::task<std::size_t> &Read) {
+               Parsed = std::move(Request)](const pplx::task<std::size_t> &Read) mutable {
           deliver(Http, Parsed, Body, Limit, Read);
         });
   }
 
   auto deliver(const web::http::http_request &Http, CallerRequest Request,
-               concurrency::streams::container_buffer<std::string> Body, std::size_t Limit,
+               concurrency::streams::container_buffer<std::string> &Body, std::size_t Limit,
                const pplx::task<std::size_t> &Read) -> void {
     try {
       if (Read.get() > Limit) {
--- a/src/gateway/internal/servicecall.cpp
+++ b/src/gateway/internal/servicecall.cpp
@@ -138,7 +138,7 @@
 
 /// Removes the claim of a request that provably did not run, then goes on. Retries that joined it
 /// run on their own.
-auto ServiceCall::abandonThen(std::function<void()> Next) -> void {
+auto ServiceCall::abandonThen(const std::function<void()> &Next) -> void {
   auto Joined = std::vector<std::shared_ptr<ServiceCall>>();
   Joined.swap(m_Joined);
   if (!m_Ticket) {
--- a/src/gateway/internal/servicecall.h
+++ b/src/gateway/internal/servicecall.h
@@ -29,7 +29,7 @@
   auto onServiceResult(const targets::ServiceResult &Result) -> void;
   auto storeAnswer(const targets::ServiceResult &Result) -> void;
   auto deliver(const targets::ServiceResult &Result) -> void;
-  auto abandonThen(std::function<void()> Next) -> void;
+  auto abandonThen(const std::function<void()> &Next) -> void;
   auto answerJoined(const CallerAnswer &Answer, std::string_view Code, base::Verdict Verdict)
       -> void;
   [[nodiscard]] auto claimName() const -> std::string;
