--- a/testing/process/fleet.cpp
+++ b/testing/process/fleet.cpp
@@ -17,6 +17,7 @@
 constexpr auto DataCentres = std::array{"swansea-a", "cardiff-b", "newport-c"};
 constexpr auto ApiKeyPrefix = "test-key-";
 constexpr auto PeerKey = "0123456789abcdef0123456789abcdef";
+constexpr auto FarPeerKey = "fedcba9876543210fedcba9876543210";
 constexpr auto StartTimeout = std::chrono::seconds{60};
 
 auto loopback(int Port) -> std::string { return fmt::format("http://127.0.0.1:{}", Port); }
@@ -36,8 +37,8 @@
 Fleet::Fleet(FleetOptions Options)
     : m_Options(std::move(Options)), m_Programs{PROGRAM_ROUTER, PROGRAM_CONTROL, PROGRAM_KEY_VALUE,
                                                 PROGRAM_ENGINE, PROGRAM_SERVICE},
-      m_Folder(makeFolder()), m_KeyValuePort(freePort()), m_ServicePort(freePort()),
-      m_Routers(m_Options.m_Routers) {
+      m_Folder(makeFolder()), m_KeyValuePort(freePort()), m_RelayPort(freePort()),
+      m_ServicePort(freePort()), m_Routers(m_Options.m_Routers) {
   for (auto Index = 0; Index < m_Options.m_Engines; ++Index) {
     m_EnginePorts.push_back(freePort());
   }
@@ -57,6 +58,7 @@
   const auto Listen = [](int Port) { return std::vector{"--listen=" + loopback(Port)}; };
   m_KeyValue = std::make_unique<ChildProcess>(m_Programs.m_KeyValue, Listen(m_KeyValuePort),
                                               m_Folder + "/kv.log");
+  m_Relay = std::make_unique<TcpRelay>(m_RelayPort, m_KeyValuePort);
   m_Service = std::make_unique<ChildProcess>(m_Programs.m_Service, Listen(m_ServicePort),
                                              m_Folder + "/service.log");
   for (const auto Port : m_EnginePorts) {
@@ -172,6 +174,7 @@
 auto Fleet::writeSettings(int Index) const -> std::string {
   const auto File = fmt::format("{}/{}.toml", m_Folder, vmOf(Index));
   const auto &Ports = m_RouterPorts.at(Index);
+  const auto KeyValue = isFar(Index) ? loopback(m_RelayPort) : keyValueUrl();
   auto Seeds = std::string();
   for (const auto &Row : m_RouterPorts) {
     Seeds += fmt::format("{}\"127.0.0.1:{}\"", Seeds.empty() ? "" : ", ", Row.m_Peers);
@@ -198,9 +201,9 @@
 expected_routers = {}
 )",
       vmOf(Index), DataCentres.at(Index % DataCentres.size()), loopback(Ports.m_Callers),
-      m_Options.m_EntryTimeToLiveMs, loopback(Ports.m_Operators), Ports.m_Peers, Seeds, PeerKey,
-      keyValueUrl(), keyValueUrl(), m_Options.m_CommitIntervalMs, m_Options.m_BillHoldMs,
-      m_Options.m_Routers);
+      m_Options.m_EntryTimeToLiveMs, loopback(Ports.m_Operators), Ports.m_Peers, Seeds,
+      isFar(Index) ? FarPeerKey : PeerKey, KeyValue, KeyValue, m_Options.m_CommitIntervalMs,
+      m_Options.m_BillHoldMs, m_Options.m_Routers);
   return File;
 }
 
--- a/testing/process/fleet.h
+++ b/testing/process/fleet.h
@@ -2,6 +2,7 @@
 
 #include "process/childprocess.h"
 #include "process/httpcall.h"
+#include "process/tcprelay.h"
 
 #include <map>
 #include <memory>
@@ -28,6 +29,10 @@
   int m_CommitIntervalMs = 50;
   int m_BillHoldMs = 2'000;
   int m_EntryTimeToLiveMs = 1'000;
+
+  /// The last routers, this many, reach the key-value service through a relay that can be cut, and
+  /// have another peer key than the rest, so that the two sides do not hear each other.
+  int m_FarRouters = 0;
 };
 
 /// Real routers with stand-ins for platform and targets, on loopback ports that were free.
@@ -51,6 +56,9 @@
   [[nodiscard]] auto serviceUrl() const -> std::string;
   [[nodiscard]] auto folder() const -> const std::string & { return m_Folder; }
 
+  /// The network between the far routers and the key-value service.
+  [[nodiscard]] auto relay() -> TcpRelay & { return *m_Relay; }
+
   /// Sends faults to a stand-in's /control.
   auto control(const std::string &Url, const std::string &Json) const -> void;
 
@@ -88,6 +96,9 @@
     int m_Peers = 0;
   };
 
+  [[nodiscard]] auto isFar(int Index) const -> bool {
+    return Index >= m_Options.m_Routers - m_Options.m_FarRouters;
+  }
   auto writeSettings(int Index) const -> std::string;
   auto writeObjects() const -> std::string;
 
@@ -95,9 +106,11 @@
   Programs m_Programs;
   std::string m_Folder;
   int m_KeyValuePort = 0;
+  int m_RelayPort = 0;
   int m_ServicePort = 0;
   std::vector<int> m_EnginePorts;
   std::vector<RouterPorts> m_RouterPorts;
+  std::unique_ptr<TcpRelay> m_Relay;
   std::unique_ptr<ChildProcess> m_KeyValue;
   std::unique_ptr<ChildProcess> m_Service;
   std::vector<std::unique_ptr<ChildProcess>> m_Engines;
