Add stand-ins for engine and service, and the HTTP target client

Cause: routers need a client of model engines and plain services, and tests need something to talk to. Change: testing/standins/engine (cpprestsdk listener) and testing/standins/service (Boost.Beast, because some faults close the socket without an answer); src/targets with the event parser, the stream state, the verdict rules and HttpTargetClient. The time to connect is bounded by TCP_USER_TIMEOUT on the socket, as cpprestsdk has one timeout for connecting and for reading. Each stream and each non-idempotent call opens a connection of its own, so that a failure to connect proves that nothing was sent.

--- /dev/null
+++ b/src/targets/internal/enginestream.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "targets/ienginestream.h"
+#include "targets/internal/httpexchange.h"
+#include "targets/internal/sseparser.h"
+#include "targets/internal/streamstate.h"
+#include "targets/internal/targetcontext.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace geraniumlift::targets {
+
+/// One completion across all its connections. Used on the scheduler's thread only.
+class EngineStream : public std::enable_shared_from_this<EngineStream> {
+public:
+  EngineStream(const TargetContext &Context, StreamRequest Request,
+               std::shared_ptr<IStreamObserver> Observer);
+  ~EngineStream();
+
+  /// Sends the request. OnOver is called once, after the observer's last call.
+  auto start(std::function<void()> OnOver) -> void;
+
+  /// Ends the stream and tells the engine to stop.
+  auto cancel() -> void;
+
+private:
+  /// Receives one connection. It is replaced with the connection, so that a late call of an older
+  /// connection has no receiver.
+  class Link;
+
+  auto onHead(const HttpResponseHead &Head) -> void;
+  auto onBytes(std::string_view Bytes) -> void;
+  auto onLinkEnd(const HttpEnd &End) -> void;
+
+  auto openLink(const HttpRequest &Request) -> void;
+  auto openResumption() -> void;
+  auto closeLink() -> void;
+
+  /// False if the connection was given up or the stream is over.
+  auto takeEvent(const SseEvent &Event) -> bool;
+  auto deliver(const SseEvent &Event) -> void;
+  auto endOnStatus(const HttpEnd &End) -> void;
+  auto resume(const std::string &Reason) -> void;
+  auto checkProgress() -> void;
+  auto scheduleCheck() -> void;
+
+  auto complete() -> void;
+
+  /// Ends a stream whose request may still run on the engine, which is told to stop.
+  auto abandon(const std::string &Detail) -> void;
+  auto end(StreamEnd End) -> void;
+
+  [[nodiscard]] auto completionRequest() const -> HttpRequest;
+  [[nodiscard]] auto resumptionRequest() const -> HttpRequest;
+  auto sendCancellation() -> void;
+
+  const TargetContext &m_Context;
+  StreamRequest m_Request;
+  std::shared_ptr<IStreamObserver> m_Observer;
+  std::function<void()> m_OnOver;
+  StreamState m_State;
+  SseParser m_Parser;
+  std::shared_ptr<Link> m_Link;
+  std::shared_ptr<HttpExchange> m_Exchange;
+  std::optional<HttpResponseHead> m_Head;
+  base::SteadyTime m_LastProgress;
+  std::int64_t m_FruitlessResumptions = 0;
+  bool m_IsResumption = false;
+  bool m_Over = false;
+};
+
+} // namespace geraniumlift::targets
--- /dev/null
+++ b/src/targets/internal/sseparser.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace geraniumlift::targets {
+
+/// One server-sent event.
+struct SseEvent {
+  /// The number in the "id" field; nothing if the field is absent or no number.
+  std::optional<std::uint64_t> m_Id;
+
+  /// The "data" lines, joined by line feeds.
+  std::string m_Data;
+};
+
+/// Parses the bytes of an event stream (WHATWG HTML, "Server-sent events"), however they are cut
+/// into chunks. Any input is accepted; unknown fields are skipped.
+class SseParser {
+public:
+  /// Longest line, and longest data of one event, in bytes. An engine event with log probabilities
+  /// takes a few KB.
+  static constexpr std::size_t MaxLineBytes = 256 * 1024;
+
+  /// Takes the next bytes and returns the events that they complete.
+  auto feed(std::string_view Bytes) -> std::vector<SseEvent>;
+
+  /// Set once a line or an event was too long. Nothing is parsed after that.
+  [[nodiscard]] auto overflowed() const -> bool { return m_Overflowed; }
+
+private:
+  auto takeCharacter(char Character, std::vector<SseEvent> &Completed) -> void;
+  auto takeLine(std::vector<SseEvent> &Completed) -> void;
+  auto takeField(std::string_view Name, std::string_view Value) -> void;
+  auto appendData(std::string_view Value) -> void;
+
+  std::string m_Line;
+  SseEvent m_Event;
+  bool m_HasData = false;
+  bool m_AfterCarriageReturn = false;
+  bool m_IsFirstLine = true;
+  bool m_Overflowed = false;
+};
+
+} // namespace geraniumlift::targets
--- /dev/null
+++ b/src/targets/internal/verdictrules.cpp
@@ -0,0 +1,30 @@
+#include "targets/internal/verdictrules.h"
+
+namespace geraniumlift::targets {
+
+namespace {
+
+constexpr std::int64_t TooManyRequests = 429;
+constexpr std::int64_t ServiceUnavailable = 503;
+
+/// Messages of cpprestsdk 2.10 for a connection that was not opened. Its error codes do not serve:
+/// it reports host_unreachable for a refused connection and also for a failed write. An unknown
+/// message counts as MayHaveRun, so a change of the texts in the library cannot claim too much.
+constexpr auto ConnectFailure = std::string_view{"Failed to connect to any resolved endpoint"};
+constexpr auto ResolveFailure = std::string_view{"Error resolving address"};
+
+} // namespace
+
+auto verdictOfFailure(const FailedExchange &Failed) -> base::Verdict {
+  const auto NotOpened =
+      Failed.m_Message.starts_with(ConnectFailure) || Failed.m_Message.starts_with(ResolveFailure);
+  return Failed.m_FreshConnection && NotOpened ? base::Verdict::DidNotRun
+                                               : base::Verdict::MayHaveRun;
+}
+
+auto verdictOfResponse(std::int64_t Status, bool SaysNotRun) -> base::Verdict {
+  const auto IsRefusal = Status == TooManyRequests || Status == ServiceUnavailable;
+  return IsRefusal && SaysNotRun ? base::Verdict::DidNotRun : base::Verdict::Ran;
+}
+
+} // namespace geraniumlift::targets
--- /dev/null
+++ b/src/targets/tests/httptargetclient_test.cpp
@@ -0,0 +1,297 @@
+#include "targets/httptargetclient.h"
+
+#include "base/systemclock.h"
+#include "targets/tests/recorders.h"
+#include "targets/tests/standinprocess.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <criterion/criterion.h>
+#include <future>
+#include <thread>
+
+using namespace geraniumlift;
+using namespace geraniumlift::targets;
+using boost::asio::ip::tcp;
+
+namespace {
+
+constexpr auto ForeignEvents = "geraniumlift_targets_foreign_events_total";
+
+/// A client with a short progress timeout.
+struct Fixture {
+  base::SystemClock m_Clock;
+  CountingMetrics m_Metrics;
+  HttpTargetClient m_Client{
+      {.m_ProgressTimeout = std::chrono::milliseconds{1500}}, m_Clock, m_Metrics};
+
+  auto stream(const std::string &Url, const std::string &Body,
+              const std::shared_ptr<RecordingObserver> &Observer)
+      -> std::shared_ptr<IEngineStream> {
+    auto Request = StreamRequest();
+    Request.m_RequestId = "ws/key 1";
+    Request.m_Url = Url;
+    Request.m_Body = Body;
+    Request.m_Deadline = m_Clock.steadyNow() + WaitLimit;
+    return m_Client.startStream(Request, Observer);
+  }
+
+  auto call(const std::string &Url, const std::string &Method, bool Idempotent,
+            std::chrono::milliseconds Deadline = WaitLimit) -> ServiceResult {
+    auto Request = ServiceRequest();
+    Request.m_Url = Url;
+    Request.m_Method = Method;
+    Request.m_Path = "/book?x=1";
+    Request.m_ContentType = "application/json";
+    Request.m_Body = Method == "POST" ? "{}" : "";
+    Request.m_IdempotencyKey = "k1";
+    Request.m_TraceParent = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+    Request.m_Deadline = m_Clock.steadyNow() + Deadline;
+    Request.m_Idempotent = Idempotent;
+    auto Result = std::make_shared<std::promise<ServiceResult>>();
+    m_Client.callService(Request, [Result](ServiceResult Done) { Result->set_value(Done); });
+    return Result->get_future().get();
+  }
+};
+
+auto body(int Tokens) -> std::string {
+  return R"({"stream":true,"max_tokens":1000,"x_tokens":)" + std::to_string(Tokens) + "}";
+}
+
+auto assertWhole(RecordingObserver &Observer, std::size_t Tokens) -> void {
+  const auto End = Observer.waitForEnd();
+  cr_assert(End.has_value());
+  cr_assert(End->m_Complete, "%s", End->m_Detail.c_str());
+  cr_assert(End->m_Verdict == base::Verdict::Ran);
+  cr_assert_eq(End->m_Usage->m_CompletionTokens, static_cast<base::Tokens>(Tokens));
+  const auto Events = Observer.events();
+  cr_assert_eq(Events.size(), Tokens);
+  for (std::size_t At = 0; At < Tokens; ++At) {
+    cr_assert_eq(Events[At].m_Offset, At);
+    cr_assert(Events[At].m_Data.starts_with(R"({"id":"ws/key 1")"));
+    cr_assert(Events[At].m_Data.find("\"t" + std::to_string(At) + " \"") != std::string::npos);
+  }
+}
+
+auto waitUntil(const std::function<bool()> &Condition) -> bool {
+  const auto Limit = std::chrono::steady_clock::now() + WaitLimit;
+  while (!Condition() && std::chrono::steady_clock::now() < Limit) {
+    std::this_thread::sleep_for(std::chrono::milliseconds{10});
+  }
+  return Condition();
+}
+
+/// Accepts one connection, reads a little, writes the bytes and closes.
+class RawServer {
+public:
+  explicit RawServer(std::string Bytes)
+      : m_Thread([this, Moved = std::move(Bytes)] { serve(Moved); }) {}
+  ~RawServer() { m_Thread.join(); }
+
+  auto url() -> std::string {
+    return "http://127.0.0.1:" + std::to_string(m_Acceptor.local_endpoint().port());
+  }
+
+private:
+  auto serve(const std::string &Bytes) -> void {
+    auto Error = boost::system::error_code();
+    auto Socket = m_Acceptor.accept(Error);
+    auto Buffer = std::array<char, 4096>();
+    Socket.read_some(boost::asio::buffer(Buffer), Error);
+    boost::asio::write(Socket, boost::asio::buffer(Bytes), Error);
+  }
+
+  boost::asio::io_context m_Context;
+  tcp::acceptor m_Acceptor{m_Context, {boost::asio::ip::address_v4::loopback(), 0}};
+  std::thread m_Thread;
+};
+
+} // namespace
+
+// Guards against lost events, a lost usage report and a request that runs twice.
+Test(stream, arrivesWhole) {
+  auto Engine = StandinProcess(STANDIN_ENGINE, {"--ttft_ms=5", "--token_ms=1"});
+  auto Setup = Fixture();
+  const auto Observer = std::make_shared<RecordingObserver>();
+  Setup.stream(Engine.url(), body(50), Observer);
+  assertWhole(*Observer, 50);
+  cr_assert_eq(Engine.count("by_request", "ws/key 1"), 1);
+  cr_assert_eq(Engine.count("resumed"), 0);
+}
+
+// Guards against buffering that holds the first token back; the second one is not due within the
+// test. Also against a cancel that leaves the engine generating.
+Test(stream, firstEventIsNotDelayedAndCancelReachesTheEngine) {
+  auto Engine = StandinProcess(STANDIN_ENGINE, {"--ttft_ms=5", "--token_ms=60000"});
+  auto Setup = Fixture();
+  const auto Observer = std::make_shared<RecordingObserver>();
+  const auto Stream = Setup.stream(Engine.url(), body(3), Observer);
+  cr_assert(Observer->waitForEvents(1));
+  Stream->cancel();
+  const auto End = Observer->waitForEnd();
+  cr_assert(End && !End->m_Complete && End->m_Verdict == base::Verdict::MayHaveRun);
+  cr_assert(waitUntil([&] { return Engine.count("cancelled") == 1; }));
+}
+
+// Guards against a stream that hangs when its connection goes silent, and against gaps or repeats
+// after the resumption.
+Test(stream, silentConnectionIsResumed) {
+  auto Engine = StandinProcess(STANDIN_ENGINE, {"--ttft_ms=5", "--token_ms=20"});
+  auto Setup = Fixture();
+  const auto Observer = std::make_shared<RecordingObserver>();
+  Setup.stream(Engine.url(), body(40), Observer);
+  cr_assert(Observer->waitForEvents(3));
+  Engine.control(R"({"silent":true})");
+  assertWhole(*Observer, 40);
+  cr_assert_eq(Engine.count("by_request", "ws/key 1"), 1);
+  cr_assert_geq(Engine.count("resumed"), 1);
+}
+
+// Guards against a truncated stream that is presented as complete.
+Test(stream, cutStreamIsResumed) {
+  auto Engine = StandinProcess(STANDIN_ENGINE, {"--ttft_ms=5", "--token_ms=1"});
+  Engine.control(R"({"cut_after_events":4})");
+  auto Setup = Fixture();
+  const auto Observer = std::make_shared<RecordingObserver>();
+  Setup.stream(Engine.url(), body(18), Observer);
+  assertWhole(*Observer, 18);
+  cr_assert_eq(Engine.count("by_request", "ws/key 1"), 1);
+  cr_assert_geq(Engine.count("resumed"), 4);
+}
+
+// Guards against the delivery of another request's events, for a moment or for good.
+Test(stream, crossedEventsAreNeverDelivered) {
+  auto Engine = StandinProcess(STANDIN_ENGINE, {"--ttft_ms=5", "--token_ms=1"});
+  Engine.control(R"({"crossed_events":2})");
+  auto Setup = Fixture();
+  const auto Passing = std::make_shared<RecordingObserver>();
+  Setup.stream(Engine.url(), body(10), Passing);
+  assertWhole(*Passing, 10);
+  cr_assert_geq(Setup.m_Metrics.counter(ForeignEvents), 2);
+  Engine.control(R"({"crossed":true})");
+  const auto Lasting = std::make_shared<RecordingObserver>();
+  Setup.stream(Engine.url(), body(10), Lasting);
+  const auto End = Lasting->waitForEnd();
+  cr_assert(End && !End->m_Complete && End->m_Verdict == base::Verdict::MayHaveRun);
+  cr_assert(Lasting->events().empty());
+}
+
+// Guards against a wrong verdict when the engine dies, was never there, or refuses.
+Test(stream, failuresHaveAccurateVerdicts) {
+  auto Engine = StandinProcess(STANDIN_ENGINE, {"--ttft_ms=5", "--token_ms=60000"});
+  auto Setup = Fixture();
+  Engine.control(R"({"refuse":true})");
+  const auto Refused = std::make_shared<RecordingObserver>();
+  Setup.stream(Engine.url(), body(3), Refused);
+  auto End = Refused->waitForEnd();
+  cr_assert(End && End->m_Verdict == base::Verdict::DidNotRun && End->m_Status == 503);
+  Engine.control(R"({"refuse":false,"leaving":true})");
+  const auto Leaving = std::make_shared<RecordingObserver>();
+  Setup.stream(Engine.url(), body(3), Leaving);
+  End = Leaving->waitForEnd();
+  cr_assert(End && End->m_Verdict == base::Verdict::DidNotRun && End->m_TargetLeaving);
+  cr_assert_eq(Engine.count("total"), 0);
+  Engine.control(R"({"leaving":false})");
+  const auto Killed = std::make_shared<RecordingObserver>();
+  Setup.stream(Engine.url(), body(3), Killed);
+  cr_assert(Killed->waitForEvents(1));
+  Engine.kill();
+  End = Killed->waitForEnd();
+  cr_assert(End && !End->m_Complete && End->m_Verdict == base::Verdict::MayHaveRun);
+  const auto Absent = std::make_shared<RecordingObserver>();
+  Setup.stream(Engine.url(), body(3), Absent);
+  End = Absent->waitForEnd();
+  cr_assert(End && End->m_Verdict == base::Verdict::DidNotRun && End->m_Status == 0);
+}
+
+// Guards against a wait for the whole deadline when a host drops the packets that open a
+// connection; a listener whose queue is full drops them too.
+Test(service, connectionThatDoesNotOpenDidNotRun) {
+  auto Context = boost::asio::io_context();
+  auto Acceptor = tcp::acceptor(Context);
+  Acceptor.open(tcp::v4());
+  Acceptor.bind({boost::asio::ip::address_v4::loopback(), 0});
+  Acceptor.listen(0);
+  auto Fillers = std::vector<tcp::socket>();
+  for (auto Count = 0; Count < 4; ++Count) {
+    // The system call, as the library's connect waits even on a non-blocking socket.
+    auto &Filler = Fillers.emplace_back(Context, tcp::v4());
+    Filler.native_non_blocking(true);
+    auto Endpoint = Acceptor.local_endpoint();
+    ::connect(Filler.native_handle(), Endpoint.data(), static_cast<socklen_t>(Endpoint.size()));
+  }
+  auto Setup = Fixture();
+  const auto Url = "http://127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+  const auto Start = std::chrono::steady_clock::now();
+  const auto Result = Setup.call(Url, "POST", false);
+  cr_assert(Result.m_Verdict == base::Verdict::DidNotRun, "%s", Result.m_Detail.c_str());
+  cr_assert(std::chrono::steady_clock::now() - Start < WaitLimit / 2);
+  const auto Absent = "http://127.0.0.1:" + std::to_string(freePort());
+  cr_assert(Setup.call(Absent, "POST", false).m_Verdict == base::Verdict::DidNotRun);
+}
+
+// Guards against a non-idempotent call that is sent twice, or is said not to have run although it
+// may have.
+Test(service, dyingServiceGetsOneCallWithMayHaveRun) {
+  auto Service = StandinProcess(STANDIN_SERVICE);
+  auto Setup = Fixture();
+  Service.control(R"({"die_before_read":1})");
+  cr_assert(Setup.call(Service.url(), "POST", false).m_Verdict == base::Verdict::MayHaveRun);
+  cr_assert_eq(Service.count("by_key", "k1"), 0);
+  Service.control(R"({"die_after_run":1})");
+  cr_assert(Setup.call(Service.url(), "POST", false).m_Verdict == base::Verdict::MayHaveRun);
+  cr_assert_eq(Service.count("by_key", "k1"), 1);
+  Service.control(R"({"refuse":true})");
+  cr_assert(Setup.call(Service.url(), "POST", false).m_Verdict == base::Verdict::DidNotRun);
+  cr_assert_eq(Service.count("by_key", "k1"), 1);
+}
+
+// Guards against headers that get lost, and against calls over a connection that went silent.
+Test(service, callsSurviveASilentPooledConnection) {
+  auto Service = StandinProcess(STANDIN_SERVICE);
+  auto Setup = Fixture();
+  const auto First = Setup.call(Service.url(), "GET", true);
+  cr_assert(First.m_Verdict == base::Verdict::Ran && First.m_Status == 200);
+  for (const auto *Text : {R"("Idempotency-Key":"k1")", R"("path":"/book?x=1")", "0af7651916cd"}) {
+    cr_assert(First.m_Body.find(Text) != std::string::npos, "%s", First.m_Body.c_str());
+  }
+  Service.control(R"({"silent":true})");
+  const auto Booked = Setup.call(Service.url(), "POST", false);
+  cr_assert(Booked.m_Verdict == base::Verdict::Ran);
+  const auto Silent = Setup.call(Service.url(), "GET", true, std::chrono::milliseconds{400});
+  cr_assert(Silent.m_Verdict == base::Verdict::MayHaveRun);
+  cr_assert(Setup.call(Service.url(), "GET", true).m_Verdict == base::Verdict::Ran);
+  cr_assert_eq(Service.count("total"), 1);
+}
+
+// Guards against a truncated or oversized body that is taken for a response.
+Test(service, incompleteAndOversizedResponsesMayHaveRun) {
+  auto Setup = Fixture();
+  const auto Head = std::string("HTTP/1.1 200 OK\r\n");
+  for (const auto &Bytes : {Head + "Content-Length: 10\r\n\r\n12345",
+                            Head + "Transfer-Encoding: chunked\r\n\r\n5\r\n12",
+                            Head + "\r\nno length", std::string("HTTP/1.1 2"),
+                            Head + "Content-Length: 1048577\r\n\r\n" + std::string(1048577, 'x')}) {
+    auto Server = RawServer(Bytes);
+    const auto Result = Setup.call(Server.url(), "POST", false);
+    cr_assert(Result.m_Verdict == base::Verdict::MayHaveRun, "%s", Bytes.substr(0, 60).c_str());
+    cr_assert(Result.m_Body.empty());
+  }
+}
+
+// Guards against a load report that is read wrongly, and against an engine without one.
+Test(load, isReadFromTheEngine) {
+  auto Engine = StandinProcess(STANDIN_ENGINE, {"--load_lag_ms=70"});
+  auto Setup = Fixture();
+  auto Read = [&Setup](const std::string &Url) {
+    auto Result = std::promise<absl::StatusOr<EngineLoad>>();
+    Setup.m_Client.readLoad(Url, [&](absl::StatusOr<EngineLoad> Load) { Result.set_value(Load); });
+    return Result.get_future().get();
+  };
+  const auto Load = Read(Engine.url());
+  cr_assert(Load.ok() && Load->m_RunningRequests == 0);
+  cr_assert(Load->m_Age == std::chrono::milliseconds{70});
+  Engine.kill();
+  cr_assert_not(Read(Engine.url()).ok());
+}
