Add the budget ledger and its property tests

Change: BudgetLedger takes events and returns commands. It spends only what a landed write granted, keeps writes of unknown outcome until a newer revision tells by the sequence which one landed, commits bills in groups, refuses budget_exhausted only from a read issued after the request arrived, returns idle grants, reclaims on proof and drains. Grant strategies are a table. The naive ledger (blind retry, reclaim by time) is falsified by the same properties.

--- /dev/null
+++ b/src/budget/internal/budgetledger.cpp
@@ -0,0 +1,600 @@
+#include "budget/budgetledger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace geraniumlift::budget {
+
+namespace {
+
+/// A reservation still waits this long for an answer when the key-value service is known not to
+/// respond, so that its recovery is noticed.
+constexpr auto KnownDownWait = std::chrono::milliseconds{250};
+
+/// Pause between reads while reservations wait for tokens that others hold.
+constexpr auto PollInterval = std::chrono::milliseconds{250};
+
+constexpr auto FirstBackoff = std::chrono::milliseconds{50};
+constexpr auto LongestBackoff = std::chrono::milliseconds{500};
+
+/// Longest stretch of the commit interval under conflicts. Thirty routers that write to one record
+/// every 50 ms would exceed what the key-value service takes.
+constexpr auto LongestSpacing = std::chrono::milliseconds{1000};
+
+auto refusal(base::RefusalCode Code, std::string Detail,
+             std::optional<std::chrono::milliseconds> RetryAfter = std::nullopt) -> base::Refusal {
+  return {.m_Code = Code,
+          .m_Verdict = base::Verdict::DidNotRun,
+          .m_Detail = std::move(Detail),
+          .m_RetryAfter = RetryAfter};
+}
+
+auto unavailableRefusal(std::string Detail) -> base::Refusal {
+  constexpr auto RetryAfter = std::chrono::milliseconds{1000};
+  return refusal(base::RefusalCode::BudgetUnavailable, std::move(Detail), RetryAfter);
+}
+
+} // namespace
+
+BudgetLedger::BudgetLedger(BudgetOptions Options, std::uint64_t Seed)
+    : m_Options(std::move(Options)), m_Strategy(&grantStrategy(m_Options.m_GrantStrategy)),
+      m_Random(Seed), m_Spacing(m_Options.m_CommitInterval) {}
+
+auto BudgetLedger::handle(const LedgerEvent &Event, LedgerTime Now) -> std::vector<LedgerCommand> {
+  m_Wake.reset();
+  std::visit([&](const auto &Typed) { on(Typed, Now); }, Event);
+  serveWaiters(Now);
+  decideCall(Now);
+  answerBillHolds(Now);
+  finishDrain();
+  return std::exchange(m_Commands, {});
+}
+
+auto BudgetLedger::view() const -> BudgetView {
+  auto View = BudgetView();
+  if (m_View.m_Record) {
+    const auto &Record = *m_View.m_Record;
+    View.m_ToppedUp = Record.m_ToppedUp;
+    View.m_Settled = Record.m_ToppedUp - unsettledTokens(Record);
+    View.m_Outstanding = unsettledTokens(Record) - freeTokens(Record);
+  }
+  View.m_Allowance = std::max(Tokens{0}, allowance());
+  View.m_Reserved = m_Reserved;
+  return View;
+}
+
+auto BudgetLedger::pendingTokens() const -> Tokens { return m_PendingTokens; }
+
+// Events.
+
+auto BudgetLedger::on(const ReserveEvent &Event, LedgerTime Now) -> void {
+  if (m_Draining) {
+    m_Commands.emplace_back(
+        ReserveAnswer{Event.m_Reservation,
+                      refusal(base::RefusalCode::Draining, "This router is shutting down.")});
+    return;
+  }
+  m_LastActivity = Now.m_Steady;
+  const auto WorstCase = std::clamp(Event.m_WorstCase, Tokens{0}, MaxBudgetTokens);
+  m_ReserveRate.add(static_cast<double>(WorstCase), Now.m_Steady);
+  m_Waiters.push_back({Event.m_Reservation, Event.m_RequestHash, WorstCase, Event.m_Deadline,
+                       Now.m_Steady, m_CallsIssued});
+}
+
+auto BudgetLedger::on(const BillEvent &Event, LedgerTime Now) -> void {
+  const auto Found = m_Reservations.find(Event.m_Reservation);
+  if (Found == m_Reservations.end()) {
+    // The reservation was lost with this holder's entry; it can't be settled any more.
+    m_Commands.emplace_back(BillAnswer{Event.m_Reservation, BillOutcome::Pending});
+    return;
+  }
+  m_LastActivity = Now.m_Steady;
+  const auto Used = std::clamp(Event.m_Used, Tokens{0}, Found->second.m_WorstCase);
+  m_Reserved -= Found->second.m_WorstCase;
+  if (Used == 0) {
+    m_Commands.emplace_back(BillAnswer{Event.m_Reservation, BillOutcome::Settled});
+  } else {
+    m_SpendRate.add(static_cast<double>(Used), Now.m_Steady);
+    m_PendingTokens += Used;
+    m_Pending.push_back({Event.m_Reservation, Found->second.m_RequestHash, Used, Now.m_Steady});
+  }
+  m_Reservations.erase(Found);
+}
+
+auto BudgetLedger::on(const ReleaseEvent &Event, LedgerTime /*Now*/) -> void {
+  const auto Found = m_Reservations.find(Event.m_Reservation);
+  if (Found != m_Reservations.end()) {
+    m_Reserved -= Found->second.m_WorstCase;
+    m_Reservations.erase(Found);
+  }
+}
+
+auto BudgetLedger::on(const RecordReadEvent &Event, LedgerTime /*Now*/) -> void {
+  noteAnswer();
+  adopt(Event.m_Stored);
+}
+
+auto BudgetLedger::on(const ReadFailedEvent & /*Event*/, LedgerTime Now) -> void {
+  noteFailure(Now);
+}
+
+auto BudgetLedger::on(const WriteLandedEvent &Event, LedgerTime /*Now*/) -> void {
+  noteAnswer();
+  m_Spacing = std::max(m_Options.m_CommitInterval, m_Spacing * 9 / 10);
+  auto Landed = std::move(*m_InFlight);
+  m_InFlight.reset();
+  // The others expected the revision that this write replaced, so they can't land any more.
+  m_Unresolved.clear();
+  finishBills(Landed);
+  setView({Event.m_Revision, std::move(Landed.m_Record)});
+}
+
+auto BudgetLedger::on(const WriteConflictEvent &Event, LedgerTime Now) -> void {
+  noteAnswer();
+  m_Spacing =
+      std::min(std::max(LongestSpacing, m_Options.m_CommitInterval), m_Spacing + m_Spacing / 2);
+  m_NotBefore = Now.m_Steady + jitter(m_Spacing / 2);
+  keepUnresolved();
+  adopt(Event.m_Current);
+}
+
+auto BudgetLedger::on(const WriteUnknownEvent & /*Event*/, LedgerTime Now) -> void {
+  keepUnresolved();
+  noteFailure(Now);
+}
+
+auto BudgetLedger::on(const TickEvent & /*Event*/, LedgerTime /*Now*/) -> void {}
+
+auto BudgetLedger::on(const HolderGoneEvent &Event, LedgerTime /*Now*/) -> void {
+  if (Event.m_Holder != m_Options.m_Holder) {
+    m_Gone.insert(Event.m_Holder);
+    updateTotals();
+  }
+}
+
+auto BudgetLedger::on(const DrainEvent & /*Event*/, LedgerTime /*Now*/) -> void {
+  m_Draining = true;
+  m_DrainAnswered = false;
+  for (const auto &Request : std::exchange(m_Waiters, {})) {
+    m_Commands.emplace_back(
+        ReserveAnswer{Request.m_Reservation,
+                      refusal(base::RefusalCode::Draining, "This router is shutting down.")});
+  }
+}
+
+// Views of the record.
+
+auto BudgetLedger::noteAnswer() -> void {
+  m_Call = Call::None;
+  m_UnansweredSince.reset();
+  m_Failures = 0;
+}
+
+auto BudgetLedger::noteFailure(LedgerTime Now) -> void {
+  m_Call = Call::None;
+  auto Backoff = FirstBackoff;
+  for (int Step = 0; Step < m_Failures && Backoff < LongestBackoff; ++Step) {
+    Backoff *= 2;
+  }
+  ++m_Failures;
+  Backoff = std::min(Backoff, LongestBackoff);
+  m_NotBefore = Now.m_Steady + Backoff / 2 + jitter(Backoff / 2);
+}
+
+auto BudgetLedger::keepUnresolved() -> void {
+  m_InFlight->m_Record = {};
+  m_Unresolved.push_back(std::move(*m_InFlight));
+  m_InFlight.reset();
+  m_MustRead = true;
+}
+
+auto BudgetLedger::adopt(const StoredRecord &Stored) -> void {
+  if (m_HasView && Stored.m_Record && Stored.m_Revision < m_View.m_Revision) {
+    // A lagging read. Nothing may be concluded from it.
+    m_MustRead = true;
+    return;
+  }
+  m_MustRead = false;
+  if (m_HasView && Stored.m_Revision == m_View.m_Revision) {
+    m_ViewCall = m_CallsIssued;
+    return;
+  }
+  resolveAttempts(Stored);
+  setView(Stored);
+}
+
+auto BudgetLedger::resolveAttempts(const StoredRecord &Stored) -> void {
+  const auto *const Entry =
+      Stored.m_Record ? findHolder(*Stored.m_Record, m_Options.m_Holder) : nullptr;
+  const auto Attempts = std::exchange(m_Unresolved, {});
+  if (Entry == nullptr) {
+    const auto IsRemoval = [](const Attempt &Sent) { return Sent.m_RemovesEntry; };
+    if (hasEntry() && std::none_of(Attempts.begin(), Attempts.end(), IsRemoval)) {
+      loseEntry(false);
+    }
+    return;
+  }
+  const auto Landed = std::find_if(Attempts.begin(), Attempts.end(), [&](const Attempt &Sent) {
+    return Sent.m_Sequence == Entry->m_Sequence;
+  });
+  if (Landed != Attempts.end()) {
+    finishBills(*Landed);
+  } else if (!hasEntry() || ownEntry() != *Entry) {
+    loseEntry(true);
+  }
+}
+
+auto BudgetLedger::setView(StoredRecord Stored) -> void {
+  m_View = std::move(Stored);
+  m_HasView = true;
+  m_ViewCall = m_CallsIssued;
+  updateTotals();
+}
+
+auto BudgetLedger::updateTotals() -> void {
+  m_Free = 0;
+  m_Unsettled = 0;
+  if (!m_View.m_Record) {
+    return;
+  }
+  m_Free = freeTokens(*m_View.m_Record);
+  m_Unsettled = unsettledTokens(*m_View.m_Record);
+  for (const auto &Entry : m_View.m_Record->m_Holders) {
+    m_Free += m_Gone.contains(Entry.m_Holder) ? Entry.m_Granted - Entry.m_Settled : 0;
+  }
+}
+
+auto BudgetLedger::finishBills(const Attempt &Landed) -> void {
+  auto Outcomes = std::map<ReservationId, BillOutcome>();
+  for (const auto &Bill : Landed.m_Bills) {
+    Outcomes.emplace(Bill.m_Reservation, Bill.m_Outcome);
+  }
+  std::erase_if(m_Pending, [&](const internal::PendingBill &Bill) {
+    const auto Found = Outcomes.find(Bill.m_Reservation);
+    if (Found == Outcomes.end()) {
+      return false;
+    }
+    m_PendingTokens -= Bill.m_Used;
+    if (!Bill.m_Answered) {
+      m_Commands.emplace_back(BillAnswer{Bill.m_Reservation, Found->second});
+    }
+    return true;
+  });
+}
+
+auto BudgetLedger::loseEntry(bool HolderIdReused) -> void {
+  m_Closed = m_Closed || HolderIdReused;
+  m_Commands.emplace_back(LossReport{m_PendingTokens + m_Reserved, HolderIdReused});
+  for (const auto &Bill : std::exchange(m_Pending, {})) {
+    if (!Bill.m_Answered) {
+      m_Commands.emplace_back(BillAnswer{Bill.m_Reservation, BillOutcome::Pending});
+    }
+  }
+  m_Reservations.clear();
+  m_PendingTokens = 0;
+  m_Reserved = 0;
+}
+
+auto BudgetLedger::ownEntry() const -> HolderEntry {
+  const auto *const Entry =
+      m_View.m_Record ? findHolder(*m_View.m_Record, m_Options.m_Holder) : nullptr;
+  return Entry == nullptr ? HolderEntry{.m_Holder = m_Options.m_Holder} : *Entry;
+}
+
+auto BudgetLedger::hasEntry() const -> bool {
+  return m_View.m_Record && findHolder(*m_View.m_Record, m_Options.m_Holder) != nullptr;
+}
+
+// Reservations.
+
+auto BudgetLedger::allowance() const -> Tokens {
+  if (m_Closed) {
+    return 0;
+  }
+  const auto Own = ownEntry();
+  auto Granted = m_InFlight ? std::min(Own.m_Granted, m_InFlight->m_Granted) : Own.m_Granted;
+  for (const auto &Sent : m_Unresolved) {
+    Granted = std::min(Granted, Sent.m_Granted);
+  }
+  return Granted - Own.m_Settled - m_PendingTokens - m_Reserved;
+}
+
+auto BudgetLedger::isExhausted(const Waiter &Request) const -> bool {
+  const auto IsFresh = m_HasView && m_ViewCall > Request.m_CallsBefore;
+  return IsFresh && (!m_View.m_Record || m_Unsettled < Request.m_WorstCase);
+}
+
+auto BudgetLedger::unavailableAt(const Waiter &Request) const -> base::SteadyTime {
+  if (m_Closed) {
+    return Request.m_Arrived;
+  }
+  if (!m_UnansweredSince) {
+    return base::SteadyTime::max();
+  }
+  return std::max(Request.m_Arrived + std::min(KnownDownWait, m_Options.m_UnavailableAfter),
+                  *m_UnansweredSince + m_Options.m_UnavailableAfter);
+}
+
+auto BudgetLedger::accept(const Waiter &Request) -> void {
+  m_Reserved += Request.m_WorstCase;
+  m_Reservations.emplace(Request.m_Reservation,
+                         Reservation{Request.m_RequestHash, Request.m_WorstCase});
+  m_Commands.emplace_back(ReserveAnswer{Request.m_Reservation, std::nullopt});
+}
+
+auto BudgetLedger::judgeWaiter(const Waiter &Request, LedgerTime Now)
+    -> std::optional<base::Refusal> {
+  if (isExhausted(Request)) {
+    return refusal(base::RefusalCode::BudgetExhausted,
+                   "The budget has fewer tokens left than this request may need.");
+  }
+  if (Request.m_Deadline <= Now.m_Steady) {
+    return unavailableRefusal(
+        "The tokens left in the budget are held for other requests until the deadline.");
+  }
+  const auto UnavailableAt = unavailableAt(Request);
+  if (UnavailableAt <= Now.m_Steady) {
+    return unavailableRefusal("This router holds too few tokens of the budget and cannot get more "
+                              "now.");
+  }
+  wakeAt(std::min(Request.m_Deadline, UnavailableAt));
+  return std::nullopt;
+}
+
+auto BudgetLedger::bypassAt(const Waiter &Request) -> base::SteadyTime {
+  return Request.m_Arrived + (Request.m_Deadline - Request.m_Arrived) / 2;
+}
+
+auto BudgetLedger::serveWaiters(LedgerTime Now) -> void {
+  auto Left = allowance();
+  auto Waiting = std::exchange(m_Waiters, {});
+  for (auto &Request : Waiting) {
+    auto Refusal = std::optional<base::Refusal>();
+    const auto IsInTurn = m_Waiters.empty() || isDue(bypassAt(Request), Now);
+    if (!IsInTurn || Request.m_WorstCase > Left) {
+      Refusal = judgeWaiter(Request, Now);
+      if (!Refusal) {
+        m_Waiters.push_back(std::move(Request));
+        continue;
+      }
+    }
+    // A request that would be refused takes what those before it can't use.
+    if (Request.m_WorstCase <= Left) {
+      Left -= Request.m_WorstCase;
+      accept(Request);
+    } else {
+      m_Commands.emplace_back(ReserveAnswer{Request.m_Reservation, std::move(Refusal)});
+    }
+  }
+}
+
+auto BudgetLedger::answerBillHolds(LedgerTime Now) -> void {
+  for (auto &Bill : m_Pending) {
+    if (!Bill.m_Answered && isDue(Bill.m_Submitted + m_Options.m_BillHold, Now)) {
+      Bill.m_Answered = true;
+      m_Commands.emplace_back(BillAnswer{Bill.m_Reservation, BillOutcome::Pending});
+    }
+  }
+}
+
+// Calls.
+
+auto BudgetLedger::decideCall(LedgerTime Now) -> void {
+  if (m_Call != Call::None || m_Closed) {
+    return;
+  }
+  const auto MayRead = isReadDue(Now);
+  const auto MayWrite = m_HasView && !m_MustRead && m_View.m_Record && isWriteDue(Now);
+  if (!MayRead && !MayWrite) {
+    return;
+  }
+  if (!isDue(m_NotBefore, Now)) {
+    return;
+  }
+  if (MayWrite && issueWrite(Now)) {
+    return;
+  }
+  if (MayRead) {
+    issueRead(Now);
+    return;
+  }
+  wakeAt(Now.m_Steady + m_Options.m_IdleReturn);
+}
+
+auto BudgetLedger::isReadDue(LedgerTime Now) -> bool {
+  if (m_MustRead) {
+    return true;
+  }
+  if (m_Waiters.empty() || !m_HasView) {
+    return !m_Waiters.empty();
+  }
+  const auto IsUnproven = [&](const Waiter &Request) {
+    return m_ViewCall <= Request.m_CallsBefore;
+  };
+  const auto NeedsProof = std::any_of(m_Waiters.begin(), m_Waiters.end(), IsUnproven);
+  return isDue(m_LastCall + (NeedsProof ? m_Options.m_CommitInterval : PollInterval), Now);
+}
+
+auto BudgetLedger::isWriteDue(LedgerTime Now) -> bool {
+  if (!m_Unresolved.empty()) {
+    // A new write settles which of the earlier ones landed: all compare the same revision.
+    return true;
+  }
+  if (m_Draining) {
+    return isDrainWriteDue();
+  }
+  if (!m_Waiters.empty() && coverableByDraw(allowance(), m_Free) > 0) {
+    return true;
+  }
+  if (!m_Pending.empty() && isDue(m_Pending.front().m_Submitted + m_Spacing, Now)) {
+    return true;
+  }
+  const auto Target = targetAllowance(m_Free + allowance(), Now);
+  if (m_Free > 0 && allowance() < Target / 2 && isDue(m_LastCall + m_Spacing, Now)) {
+    return true;
+  }
+  return isSurplusDue(Now);
+}
+
+auto BudgetLedger::isSurplusDue(LedgerTime Now) -> bool {
+  const auto Have = allowance();
+  const auto Target = targetAllowance(m_Free + Have, Now);
+  if (Have <= 0) {
+    m_SurplusSince.reset();
+    return false;
+  }
+  if (Have <= 2 * Target) {
+    m_SurplusSince.reset();
+    wakeAt(Now.m_Steady + m_Options.m_IdleReturn);
+    return false;
+  }
+  if (!m_SurplusSince) {
+    // Jitter keeps two routers that each hold what the other waits for from swapping places.
+    m_SurplusSince = Now.m_Steady + jitter(m_Options.m_IdleReturn / 4);
+  }
+  return isDue(*m_SurplusSince + m_Options.m_IdleReturn, Now);
+}
+
+auto BudgetLedger::isDrainWriteDue() const -> bool {
+  return !m_Pending.empty() || allowance() > 0 || (m_Reservations.empty() && hasEntry());
+}
+
+auto BudgetLedger::noteCall(Call Kind, LedgerTime Now) -> void {
+  m_Call = Kind;
+  ++m_CallsIssued;
+  m_LastCall = Now.m_Steady;
+  if (!m_UnansweredSince) {
+    m_UnansweredSince = Now.m_Steady;
+    for (const auto &Request : m_Waiters) {
+      wakeAt(unavailableAt(Request));
+    }
+  }
+}
+
+auto BudgetLedger::issueRead(LedgerTime Now) -> void {
+  noteCall(Call::Read, Now);
+  m_Commands.emplace_back(ReadCommand{});
+}
+
+auto BudgetLedger::issueWrite(LedgerTime Now) -> bool {
+  auto Next = composeAttempt(Now);
+  if (Next.m_Record == *m_View.m_Record && m_Unresolved.empty()) {
+    return false;
+  }
+  numberAttempt(Next);
+  noteCall(Call::Write, Now);
+  m_Commands.emplace_back(WriteCommand{m_View.m_Revision, Next.m_Record});
+  m_InFlight = std::move(Next);
+  return true;
+}
+
+auto BudgetLedger::composeAttempt(LedgerTime Now) -> Attempt {
+  auto Next = Attempt();
+  Next.m_Record = *m_View.m_Record;
+  internal::reclaimEntries(Next.m_Record, m_Gone);
+  auto Own = ownEntry();
+  Own.m_Settled += internal::settleBills(Next.m_Record, m_Pending, Now.m_UnixSeconds, Next.m_Bills);
+  sizeGrant(Next.m_Record, Own, Now);
+  Next.m_RemovesEntry = m_Draining && m_Reservations.empty() && m_Pending.empty();
+  auto &Holders = Next.m_Record.m_Holders;
+  const auto IsOwn = [&](const HolderEntry &Entry) { return Entry.m_Holder == Own.m_Holder; };
+  if (Next.m_RemovesEntry) {
+    Next.m_Record.m_RetiredSettled += Own.m_Settled;
+    std::erase_if(Holders, IsOwn);
+    return Next;
+  }
+  Next.m_Granted = Own.m_Granted;
+  const auto Place = std::find_if(Holders.begin(), Holders.end(), IsOwn);
+  if (Place != Holders.end()) {
+    *Place = Own;
+  } else if (Own.m_Granted > 0) {
+    Holders.push_back(Own);
+  }
+  return Next;
+}
+
+auto BudgetLedger::numberAttempt(Attempt &Next) -> void {
+  Next.m_Sequence = ++m_Sequence;
+  for (auto &Entry : Next.m_Record.m_Holders) {
+    if (Entry.m_Holder == m_Options.m_Holder) {
+      Entry.m_Sequence = Next.m_Sequence;
+    }
+  }
+}
+
+auto BudgetLedger::coverableByDraw(Tokens Have, Tokens Free) const -> Tokens {
+  Tokens Need = 0;
+  for (const auto &Request : m_Waiters) {
+    // A part of what a request needs is not drawn: two routers could each hold what the other
+    // needs.
+    if (Need + Request.m_WorstCase - Have > Free) {
+      break;
+    }
+    Need += Request.m_WorstCase;
+  }
+  return Need;
+}
+
+auto BudgetLedger::targetAllowance(Tokens Available, LedgerTime Now) const -> Tokens {
+  const auto IsIdle =
+      m_Reservations.empty() && m_LastActivity + m_Options.m_IdleReturn <= Now.m_Steady;
+  if (m_Draining || IsIdle) {
+    return 0;
+  }
+  return m_Strategy->targetAllowance({.m_Unsettled = m_Unsettled,
+                                      .m_Available = std::max(Tokens{0}, Available),
+                                      .m_SpendRate = m_SpendRate.rate(Now.m_Steady),
+                                      .m_ReserveRate = m_ReserveRate.rate(Now.m_Steady),
+                                      .m_Horizon = m_Options.m_GrantHorizon,
+                                      .m_ExpectedRouters = m_Options.m_ExpectedRouters});
+}
+
+auto BudgetLedger::sizeGrant(const BudgetRecord &Record, HolderEntry &Own, LedgerTime Now) -> void {
+  const auto Free = freeTokens(Record);
+  const auto Have = Own.m_Granted - Own.m_Settled - m_Reserved;
+  const auto Need = coverableByDraw(Have, Free);
+  const auto Target = targetAllowance(Free + Have, Now);
+  const auto Spare = Have - Need;
+  if (Spare < 0 || Spare < Target / 2) {
+    Own.m_Granted += std::min(Free, std::max(Target, Tokens{0}) - Spare);
+    return;
+  }
+  const auto IsHeadWaiting = Need == 0 && !m_Waiters.empty();
+  const auto IsSurplusOld =
+      m_SurplusSince && *m_SurplusSince + m_Options.m_IdleReturn <= Now.m_Steady;
+  if (Spare > 2 * Target && (!IsHeadWaiting || IsSurplusOld)) {
+    Own.m_Granted -= Spare - Target;
+    m_SurplusSince.reset();
+  }
+}
+
+// Drain, time and randomness.
+
+auto BudgetLedger::finishDrain() -> void {
+  const auto IsEmpty = m_Reservations.empty() && m_Pending.empty() && !hasUnresolvedWrite();
+  if (m_Draining && !m_DrainAnswered && (m_Closed || (IsEmpty && !hasEntry()))) {
+    m_DrainAnswered = true;
+    m_Commands.emplace_back(DrainedAnswer{});
+  }
+}
+
+auto BudgetLedger::wakeAt(base::SteadyTime Time) -> void {
+  m_Wake = m_Wake ? std::min(*m_Wake, Time) : Time;
+}
+
+auto BudgetLedger::isDue(base::SteadyTime Time, LedgerTime Now) -> bool {
+  if (Time <= Now.m_Steady) {
+    return true;
+  }
+  wakeAt(Time);
+  return false;
+}
+
+auto BudgetLedger::jitter(std::chrono::milliseconds Limit) -> std::chrono::microseconds {
+  const auto Most = std::chrono::microseconds(Limit).count();
+  auto Distribution =
+      std::uniform_int_distribution<std::int64_t>(0, std::max<std::int64_t>(Most, 1));
+  return std::chrono::microseconds(Distribution(m_Random));
+}
+
+} // namespace geraniumlift::budget
--- /dev/null
+++ b/src/budget/internal/grantstrategy.cpp
@@ -0,0 +1,69 @@
+#include "budget/grantstrategy.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace geraniumlift::budget {
+
+namespace {
+
+/// Time over which a router must be able to reserve worst cases without a write. It covers several
+/// commit intervals; unused parts of worst cases come back only when the request is billed.
+constexpr auto DrawAheadSeconds = 1.0;
+
+/// A router holds at most this part of its even share of what is left, so that a router whose
+/// demand rises finds something to draw.
+constexpr Tokens ShareDivisor = 2;
+
+class PerRequestStrategy final : public IGrantStrategy {
+public:
+  [[nodiscard]] auto targetAllowance(const GrantDemand & /*Demand*/) const -> Tokens override {
+    return 0;
+  }
+};
+
+class EvenSplitStrategy final : public IGrantStrategy {
+public:
+  [[nodiscard]] auto targetAllowance(const GrantDemand &Demand) const -> Tokens override {
+    return std::min(Demand.m_Available, Demand.m_Unsettled / Demand.m_ExpectedRouters);
+  }
+};
+
+class FirstComeStrategy final : public IGrantStrategy {
+public:
+  [[nodiscard]] auto targetAllowance(const GrantDemand &Demand) const -> Tokens override {
+    return Demand.m_Available;
+  }
+};
+
+class ForecastStrategy final : public IGrantStrategy {
+public:
+  [[nodiscard]] auto targetAllowance(const GrantDemand &Demand) const -> Tokens override {
+    const auto Horizon = std::chrono::duration<double>(Demand.m_Horizon).count();
+    const auto Forecast =
+        std::max(Demand.m_SpendRate * Horizon, Demand.m_ReserveRate * DrawAheadSeconds);
+    const auto Share = Demand.m_Unsettled / (Demand.m_ExpectedRouters * ShareDivisor);
+    const auto Bound = std::max(Tokens{0}, std::min(Share, Demand.m_Available));
+    return Forecast < static_cast<double>(Bound) ? static_cast<Tokens>(Forecast) : Bound;
+  }
+};
+
+} // namespace
+
+auto grantStrategy(GrantStrategy Strategy) -> const IGrantStrategy & {
+  static const auto PerRequest = PerRequestStrategy();
+  static const auto EvenSplit = EvenSplitStrategy();
+  static const auto FirstCome = FirstComeStrategy();
+  static const auto Forecast = ForecastStrategy();
+  static const auto Table = std::array<std::pair<GrantStrategy, const IGrantStrategy *>, 4>{{
+      {GrantStrategy::PerRequest, &PerRequest},
+      {GrantStrategy::EvenSplit, &EvenSplit},
+      {GrantStrategy::FirstCome, &FirstCome},
+      {GrantStrategy::Forecast, &Forecast},
+  }};
+  const auto *const Found = std::find_if(Table.begin(), Table.end(),
+                                         [&](const auto &Row) { return Row.first == Strategy; });
+  return Found == Table.end() ? Forecast : *Found->second;
+}
+
+} // namespace geraniumlift::budget
--- /dev/null
+++ b/src/budget/tests/budgetledger_test.cpp
@@ -0,0 +1,78 @@
+#include "budget/tests/ledgerworld.h"
+#include "budget/tests/naiveledger.h"
+
+#include <criterion/criterion.h>
+
+using namespace geraniumlift::budget;
+using namespace geraniumlift::budget::tests;
+
+namespace {
+
+constexpr std::size_t RouterCount = 3;
+
+auto ledgers(GrantStrategy Strategy) -> std::vector<BudgetLedger> {
+  auto All = std::vector<BudgetLedger>();
+  for (std::size_t At = 0; At < RouterCount; ++At) {
+    const auto Options = BudgetOptions{.m_Holder = LedgerWorld<BudgetLedger>::holder(At),
+                                       .m_GrantStrategy = Strategy,
+                                       .m_ExpectedRouters = RouterCount};
+    All.emplace_back(Options, At + 1);
+  }
+  return All;
+}
+
+auto naiveLedgers(NaiveFault Fault) -> std::vector<NaiveLedger> {
+  auto All = std::vector<NaiveLedger>();
+  for (std::size_t At = 0; At < RouterCount; ++At) {
+    All.emplace_back(LedgerWorld<NaiveLedger>::holder(At), Fault);
+  }
+  return All;
+}
+
+/// Long enough for a grant to be drawn, spent, returned and reclaimed under several faults.
+auto schedules() -> rc::Gen<std::vector<Op>> {
+  constexpr auto LengthFactor = 4.0;
+  return rc::gen::scale(LengthFactor, rc::gen::arbitrary<std::vector<Op>>());
+}
+
+auto holdsFor(GrantStrategy Strategy, bool WithKeys) -> bool {
+  return rc::check("no schedule of faults overspends or charges twice", [=] {
+    const auto Schedule = *schedules();
+    auto World = LedgerWorld<BudgetLedger>(ledgers(Strategy), WithKeys);
+    World.run(Schedule);
+    World.finish();
+  });
+}
+
+auto holdsForNaive(NaiveFault Fault) -> bool {
+  return rc::check("expected to be falsified: the naive ledger", [=] {
+    const auto Schedule = *schedules();
+    LedgerWorld<NaiveLedger>(naiveLedgers(Fault), false).run(Schedule);
+  });
+}
+
+} // namespace
+
+// Guards against overspend and wrong bills of requests without an idempotency key.
+Test(budgetledger, keepsTheLimitWithoutKeys) {
+  for (const auto &Row : GrantStrategyNames) {
+    cr_assert(holdsFor(Row.m_Value, false), "strategy %s", std::string(Row.m_Name).c_str());
+  }
+}
+
+// Guards against a request that is billed twice when its caller retries at another router.
+Test(budgetledger, chargesEachKeyOnce) {
+  for (const auto &Row : GrantStrategyNames) {
+    cr_assert(holdsFor(Row.m_Value, true), "strategy %s", std::string(Row.m_Name).c_str());
+  }
+}
+
+// Guards against properties that are too weak to notice a double charge.
+Test(budgetledger, propertiesCatchBlindRetry) {
+  cr_assert_not(holdsForNaive(NaiveFault::BlindRetry));
+}
+
+// Guards against properties that are too weak to notice spending after a reclaim.
+Test(budgetledger, propertiesCatchReclaimByTime) {
+  cr_assert_not(holdsForNaive(NaiveFault::ReclaimByTime));
+}
