--- /dev/null
+++ b/bench/decisions/policies.cpp
@@ -0,0 +1,12 @@
+#include "decisions/policies.h"
+
+namespace geraniumlift::bench {
+
+auto knownPolicies() -> std::vector<Policy> {
+  return {
+      {"naive", admission::naiveOptions()},
+      {"full", admission::DispatcherOptions()},
+  };
+}
+
+} // namespace geraniumlift::bench
