Choose targets by expected wait

Change: the cost of a target is its expected wait from own work and aged reports, the extra time if it is slow, distance and cached prefixes. The slow-target detector is added; ejection is off in this commit.

Short work still waits in the targets' queues, which target choice cannot change.

--- a/src/admission/dispatcher.h
+++ b/src/admission/dispatcher.h
@@ -46,6 +46,13 @@
   auto poolNamed(const std::string &Name) -> PoolState &;
   auto findTarget(const std::string &Name) -> TargetState *;
   auto findWork(WorkId Id) -> Work *;
+  auto poolOf(const Work &Work) -> PoolState & { return poolNamed(Work.m_Item.m_Pool); }
+
+  /// Tells the pool's slow-target detector which targets accept work.
+  static auto updateDetector(PoolState &Pool) -> void;
+
+  /// Passes a measured time per token or per call to the pool's slow-target detector.
+  auto samplePace(const Work &Work, double Seconds, base::SteadyTime Now) -> void;
   static auto hasUsableTarget(const PoolState &Pool) -> bool;
   static auto entryOf(const Work &Work) -> QueueEntry;
   auto refuseAtOnce(const PoolState &Pool) const -> std::optional<base::Refusal>;
@@ -65,6 +72,8 @@
   auto chooseTarget(PoolState &Pool, const Work &Work, base::SteadyTime Now) -> TargetState *;
   auto candidatesFor(PoolState &Pool, const Work &Work, base::SteadyTime Now)
       -> std::vector<TargetState *>;
+  auto mayProbe(const PoolState &Pool, const TargetState &Target, base::SteadyTime Now) const
+      -> bool;
   auto allows(const PoolState &Pool, const TargetState &Target, const Work &Work,
               base::SteadyTime Now) const -> bool;
   auto nextPoll() const -> std::optional<base::SteadyTime>;
--- a/src/admission/dispatcheroptions.h
+++ b/src/admission/dispatcheroptions.h
@@ -34,7 +34,10 @@
   /// Seed of the random numbers; routers should have different ones.
   std::uint64_t m_Seed = 1;
 
-  routing::TargetChoice m_TargetChoice = routing::TargetChoice::TwoChoices;
+  routing::TargetChoice m_TargetChoice = routing::TargetChoice::ExpectedWait;
+
+  /// Whether slow targets are ejected from their pool and probed.
+  bool m_EjectSlowTargets = false;
   QueueOrder m_QueueOrder = QueueOrder::Fifo;
   LimitKind m_LimitKind = LimitKind::Fixed;
   retry::RetryOptions m_Retry;
--- a/src/admission/internal/dispatcher.cpp
+++ b/src/admission/internal/dispatcher.cpp
@@ -46,12 +46,14 @@
     std::erase_if(Pool.m_Targets, [](const auto &Entry) {
       return Entry.second.m_View.isRemoved() && Entry.second.m_View.outstanding() == 0;
     });
+    updateDetector(Pool);
   }
 }
 
 auto Dispatcher::markLeaving(const std::string &Target, base::SteadyTime /*Now*/) -> void {
   if (auto *State = findTarget(Target)) {
     State->m_View.markLeaving();
+    updateDetector(poolNamed(State->m_View.info().m_Pool));
   }
 }
 
@@ -88,13 +90,21 @@
   auto *Work = findWork(Id);
   if (Work != nullptr && Work->m_State == WorkState::Dispatched && !Work->m_FirstTokenAt) {
     Work->m_FirstTokenAt = Now;
+    Work->m_LastProgress = Now;
   }
 }
 
-auto Dispatcher::onProgress(WorkId Id, base::Tokens NewTokens, base::SteadyTime /*Now*/) -> void {
-  if (auto *Work = findWork(Id)) {
-    Work->m_AnswerTokens += NewTokens;
+auto Dispatcher::onProgress(WorkId Id, base::Tokens NewTokens, base::SteadyTime Now) -> void {
+  auto *Work = findWork(Id);
+  if (Work == nullptr || Work->m_State != WorkState::Dispatched || NewTokens <= 0) {
+    return;
+  }
+  Work->m_AnswerTokens += NewTokens;
+  const auto Gap = secondsBetween(Work->m_LastProgress, Now);
+  if (Work->m_FirstTokenAt && Gap > 0.0) {
+    samplePace(*Work, Gap / static_cast<double>(NewTokens), Now);
   }
+  Work->m_LastProgress = Now;
 }
 
 auto Dispatcher::onEnd(WorkId Id, const AttemptEnd &End, bool MayRetry, base::SteadyTime Now)
@@ -122,7 +132,11 @@
   }
 }
 
-auto Dispatcher::onCacheEvent(const CacheEvent & /*Event*/, base::SteadyTime /*Now*/) -> void {}
+auto Dispatcher::onCacheEvent(const CacheEvent &Event, base::SteadyTime /*Now*/) -> void {
+  if (auto *State = findTarget(Event.m_Target)) {
+    State->m_View.onPrefix(Event.m_PrefixHash, Event.m_Cached);
+  }
+}
 
 auto Dispatcher::poolNamed(const std::string &Name) -> PoolState & {
   const auto Known = m_Pools.find(Name);
@@ -131,7 +145,8 @@
   }
   auto Pool = PoolState();
   Pool.m_Queue = makeWorkQueue(m_Options.m_QueueOrder);
-  Pool.m_Chooser = routing::makeTargetChooser(m_Options.m_TargetChoice);
+  Pool.m_Chooser = routing::makeTargetChooser(
+      m_Options.m_TargetChoice, {m_Options.m_DataCentre, m_Options.m_ExpectedRouters});
   return m_Pools.emplace(Name, std::move(Pool)).first->second;
 }
 
@@ -150,6 +165,27 @@
   return Found == m_Work.end() ? nullptr : &Found->second;
 }
 
+auto Dispatcher::updateDetector(PoolState &Pool) -> void {
+  auto Names = std::vector<std::string>();
+  for (const auto &[Name, Target] : Pool.m_Targets) {
+    if (Target.m_View.acceptsWork()) {
+      Names.push_back(Name);
+    }
+  }
+  Pool.m_Slow.setTargets(Names);
+}
+
+auto Dispatcher::samplePace(const Work &Work, double Seconds, base::SteadyTime Now) -> void {
+  if (!m_Options.m_EjectSlowTargets) {
+    return;
+  }
+  auto &Pool = poolOf(Work);
+  Pool.m_Slow.onSample(Work.m_Target, Seconds, Now);
+  for (auto &[Name, Target] : Pool.m_Targets) {
+    Target.m_View.setSlowness(Pool.m_Slow.slowness(Name));
+  }
+}
+
 auto Dispatcher::hasUsableTarget(const PoolState &Pool) -> bool {
   return std::any_of(Pool.m_Targets.begin(), Pool.m_Targets.end(),
                      [](const auto &Entry) { return Entry.second.m_View.acceptsWork(); });
@@ -219,6 +255,10 @@
 
 auto Dispatcher::learnFrom(const Work &Work, base::SteadyTime Now) -> void {
   const auto Started = Work.m_FirstTokenAt.value_or(Work.m_DispatchedAt);
+  if (!Work.m_FirstTokenAt) {
+    // A plain service has no tokens; its time per call shows its pace.
+    samplePace(Work, secondsBetween(Started, Now), Now);
+  }
   m_Lengths.learn(Work.m_Item,
                   {static_cast<double>(Work.m_AnswerTokens), secondsBetween(Started, Now)});
 }
@@ -309,8 +349,14 @@
     -> std::vector<TargetState *> {
   auto Candidates = std::vector<TargetState *>();
   for (auto &[Name, Target] : Pool.m_Targets) {
-    if (Target.m_View.acceptsWork() && allows(Pool, Target, Work, Now)) {
+    if (!Target.m_View.acceptsWork() || !allows(Pool, Target, Work, Now)) {
+      continue;
+    }
+    if (!Pool.m_Slow.isEjected(Name)) {
       Candidates.push_back(&Target);
+    } else if (mayProbe(Pool, Target, Now)) {
+      Pool.m_Slow.onProbe(Name, Now);
+      return {&Target};
     }
   }
   // A retry avoids the target that just failed unless no other can take it.
@@ -322,6 +368,11 @@
   return Candidates;
 }
 
+auto Dispatcher::mayProbe(const PoolState &Pool, const TargetState &Target,
+                          base::SteadyTime Now) const -> bool {
+  return Target.m_View.outstanding() == 0 && Pool.m_Slow.mayProbe(Target.m_View.info().m_Name, Now);
+}
+
 auto Dispatcher::allows(const PoolState & /*Pool*/, const TargetState &Target,
                         const Work & /*Work*/, base::SteadyTime Now) const -> bool {
   const auto Own = static_cast<double>(Target.m_View.outstanding());
--- a/src/admission/internal/dispatcheroptions.cpp
+++ b/src/admission/internal/dispatcheroptions.cpp
@@ -5,6 +5,7 @@
 auto naiveOptions() -> DispatcherOptions {
   auto Options = DispatcherOptions();
   Options.m_TargetChoice = routing::TargetChoice::RoundRobin;
+  Options.m_EjectSlowTargets = false;
   Options.m_QueueOrder = QueueOrder::Fifo;
   Options.m_LimitKind = LimitKind::Fixed;
   Options.m_Retry.m_Strategy = retry::RetryStrategy::Blind;
--- a/src/admission/internal/poolstate.h
+++ b/src/admission/internal/poolstate.h
@@ -3,6 +3,7 @@
 #include "admission/internal/iconcurrencylimit.h"
 #include "admission/internal/iworkqueue.h"
 #include "routing/itargetchooser.h"
+#include "routing/slowdetector.h"
 
 #include <map>
 
@@ -19,6 +20,8 @@
   std::unique_ptr<IWorkQueue> m_Queue;
   std::unique_ptr<routing::ITargetChooser> m_Chooser;
 
+  routing::SlowDetector m_Slow;
+
   /// The targets by name, removed ones with requests in flight included.
   std::map<std::string, TargetState> m_Targets;
 };
--- a/src/admission/internal/work.h
+++ b/src/admission/internal/work.h
@@ -20,6 +20,9 @@
   std::optional<base::SteadyTime> m_FirstTokenAt;
   base::Tokens m_AnswerTokens = 0;
 
+  /// Last moment at which tokens arrived.
+  base::SteadyTime m_LastProgress;
+
   /// End of the backoff while backing off.
   base::SteadyTime m_NotBefore;
 };
--- a/src/routing/internal/targetview.cpp
+++ b/src/routing/internal/targetview.cpp
@@ -14,6 +14,10 @@
 /// that an older report says little about who occupies the slots now.
 constexpr auto ReportDecaySeconds = 2.0;
 
+/// Prefixes remembered per target. Engines keep a few dozen; lost events about evicted prefixes
+/// must not let the list grow.
+constexpr auto PrefixLimit = std::size_t{256};
+
 auto secondsBetween(base::SteadyTime From, base::SteadyTime To) -> double {
   return std::chrono::duration<double>(To - From).count();
 }
@@ -60,6 +64,22 @@
   return Weight * m_OthersReported + (1.0 - Weight) * Expected;
 }
 
+auto TargetView::onPrefix(std::uint64_t PrefixHash, bool Cached) -> void {
+  std::erase(m_Prefixes, PrefixHash);
+  if (!Cached) {
+    return;
+  }
+  m_Prefixes.push_back(PrefixHash);
+  if (m_Prefixes.size() > PrefixLimit) {
+    m_Prefixes.pop_front();
+  }
+}
+
+auto TargetView::mayHavePrefix(std::uint64_t PrefixHash) const -> bool {
+  return PrefixHash != 0 &&
+         std::find(m_Prefixes.begin(), m_Prefixes.end(), PrefixHash) != m_Prefixes.end();
+}
+
 auto TargetView::recordOutstanding(base::SteadyTime Now) -> void {
   m_History.push_back({Now, m_Outstanding});
   while (m_History.size() > 1 && m_History[1].m_Time < Now - HistoryLength) {
--- a/src/routing/itargetchooser.h
+++ b/src/routing/itargetchooser.h
@@ -21,6 +21,7 @@
 };
 
 /// Creates the chooser of the given strategy.
-auto makeTargetChooser(TargetChoice Choice) -> std::unique_ptr<ITargetChooser>;
+auto makeTargetChooser(TargetChoice Choice, const ChooserSettings &Settings)
+    -> std::unique_ptr<ITargetChooser>;
 
 } // namespace geraniumlift::routing
--- a/src/routing/routingtypes.h
+++ b/src/routing/routingtypes.h
@@ -3,15 +3,24 @@
 #include "base/identifiers.h"
 #include "base/nametable.h"
 
+#include <string>
+
 namespace geraniumlift::routing {
 
 /// How a target is chosen among those that may take a request.
-enum class TargetChoice { RoundRobin, LeastOutstanding, TwoChoices };
+enum class TargetChoice { RoundRobin, LeastOutstanding, TwoChoices, ExpectedWait };
 
 inline constexpr auto TargetChoiceNames = std::array{
     base::NamedValue<TargetChoice>{TargetChoice::RoundRobin, "round_robin"},
     base::NamedValue<TargetChoice>{TargetChoice::LeastOutstanding, "least_outstanding"},
     base::NamedValue<TargetChoice>{TargetChoice::TwoChoices, "two_choices"},
+    base::NamedValue<TargetChoice>{TargetChoice::ExpectedWait, "expected_wait"},
+};
+
+/// What target choice knows of its router.
+struct ChooserSettings {
+  std::string m_DataCentre;
+  std::int64_t m_ExpectedRouters = 1;
 };
 
 /// What target choice needs to know of a request.
--- a/src/routing/targetview.h
+++ b/src/routing/targetview.h
@@ -43,6 +43,16 @@
   /// the rest of the weight is on the expectation given.
   [[nodiscard]] auto othersOutstanding(double Expected, base::SteadyTime Now) const -> double;
 
+  /// Notes that the target's cache has gained or lost a prefix.
+  auto onPrefix(std::uint64_t PrefixHash, bool Cached) -> void;
+
+  /// Whether the target probably has the prefix. Events are late and some get lost.
+  [[nodiscard]] auto mayHavePrefix(std::uint64_t PrefixHash) const -> bool;
+
+  /// How many times slower than the pool's median the target runs; 1 if that is not known.
+  [[nodiscard]] auto slowness() const -> double { return m_Slowness; }
+  auto setSlowness(double Slowness) -> void { m_Slowness = Slowness; }
+
 private:
   struct HistoryEntry {
     base::SteadyTime m_Time;
@@ -62,6 +72,10 @@
   bool m_HasReport = false;
   base::SteadyTime m_MeasuredAt;
   double m_OthersReported = 0.0;
+  double m_Slowness = 1.0;
+
+  /// Prefixes that the target is said to have, the one reported longest ago first.
+  std::deque<std::uint64_t> m_Prefixes;
 };
 
 } // namespace geraniumlift::routing
--- a/src/routing/tests/routing_test.cpp
+++ b/src/routing/tests/routing_test.cpp
@@ -50,7 +50,7 @@
   First.onDispatch(1.0, Clock.steadyNow());
   for (const auto Choice :
        {routing::TargetChoice::LeastOutstanding, routing::TargetChoice::TwoChoices}) {
-    const auto Chooser = routing::makeTargetChooser(Choice);
+    const auto Chooser = routing::makeTargetChooser(Choice, {});
     for (auto Draw = 0; Draw < 20; ++Draw) {
       cr_assert_eq(Chooser->choose({&First, &Second}, {}, Clock.steadyNow(), Random), 1U);
     }
@@ -64,7 +64,7 @@
   auto First = targetNamed("a");
   auto Second = targetNamed("b");
   auto Third = targetNamed("c");
-  const auto Chooser = routing::makeTargetChooser(routing::TargetChoice::RoundRobin);
+  const auto Chooser = routing::makeTargetChooser(routing::TargetChoice::RoundRobin, {});
   cr_assert_eq(Chooser->choose({&First, &Second, &Third}, {}, Clock.steadyNow(), Random), 0U);
   cr_assert_eq(Chooser->choose({&Second, &Third}, {}, Clock.steadyNow(), Random), 0U);
   cr_assert_eq(Chooser->choose({&First, &Second, &Third}, {}, Clock.steadyNow(), Random), 2U);
