Eject slow targets

Cause: with a quarter of the targets slowed, work still goes to them when both drawn targets are slow or the others are loaded.

--- a/src/admission/dispatcheroptions.h
+++ b/src/admission/dispatcheroptions.h
@@ -37,7 +37,7 @@
   routing::TargetChoice m_TargetChoice = routing::TargetChoice::ExpectedWait;
 
   /// Whether slow targets are ejected from their pool and probed.
-  bool m_EjectSlowTargets = false;
+  bool m_EjectSlowTargets = true;
   QueueOrder m_QueueOrder = QueueOrder::Fifo;
   LimitKind m_LimitKind = LimitKind::Fixed;
   retry::RetryOptions m_Retry;
