Refuse publications that routers could not read

Cause: a publication ID chosen by an operator is a part of the manifest; an ID of more than 64 bytes or with invalid UTF-8 would be written and then refused by the decoder, so that nobody could read or replace the manifest.

Change: the publisher accepts 1 to 64 characters of [A-Za-z0-9._:-], and decodes the chunks it has encoded before it writes anything.

--- a/src/configuration/internal/manifest.cpp
+++ b/src/configuration/internal/manifest.cpp
@@ -1,5 +1,6 @@
 #include "configuration/manifest.h"
 
+#include <absl/strings/ascii.h>
 #include <algorithm>
 #include <rapidjson/document.h>
 #include <rapidjson/stringbuffer.h>
@@ -31,18 +32,14 @@
   Json.EndArray();
 }
 
-auto isHash(const std::string &Text) -> bool {
+auto isHash(std::string_view Text) -> bool {
   return Text.size() == HashDigits &&
-         Text.find_first_not_of("0123456789abcdef") == std::string::npos;
-}
-
-auto isPublicationId(const std::string &Text) -> bool {
-  return !Text.empty() && Text.size() <= MostPublicationIdBytes;
+         Text.find_first_not_of("0123456789abcdef") == std::string_view::npos;
 }
 
 /// Reads a list of distinct texts that satisfy the rule; false if there is anything else.
 auto readList(const rapidjson::Document &Json, const char *Key, std::size_t Most,
-              bool (*Rule)(const std::string &), std::vector<std::string> &Out) -> bool {
+              bool (*Rule)(std::string_view), std::vector<std::string> &Out) -> bool {
   const auto Found = Json.FindMember(Key);
   if (Found == Json.MemberEnd() || !Found->value.IsArray() || Found->value.Size() > Most) {
     return false;
@@ -77,6 +74,14 @@
 
 } // namespace
 
+auto isPublicationId(std::string_view Text) -> bool {
+  return !Text.empty() && Text.size() <= MostPublicationIdBytes &&
+         std::all_of(Text.begin(), Text.end(), [](char Byte) {
+           return absl::ascii_isalnum(static_cast<unsigned char>(Byte)) ||
+                  std::string_view("._:-").find(Byte) != std::string_view::npos;
+         });
+}
+
 auto chunkKey(std::string_view Hash) -> std::string {
   return "geraniumlift/config/chunk/" + std::string(Hash);
 }
--- a/src/configuration/internal/publisher.cpp
+++ b/src/configuration/internal/publisher.cpp
@@ -19,6 +19,28 @@
           .m_Status = std::move(Status)};
 }
 
+/// Encodes a set, and decodes it again so that no set is published that routers could not read.
+auto encodeVerified(const objects::ObjectSet &Objects)
+    -> absl::StatusOr<std::vector<objects::Chunk>> {
+  auto Chunks = objects::encodeChunks(Objects);
+  if (!Chunks.ok()) {
+    return Chunks;
+  }
+  if (Chunks->size() > MostChunks) {
+    return absl::InvalidArgumentError("the set exceeds the limit of chunks");
+  }
+  auto Decoded = objects::ObjectSet();
+  for (const auto &Part : *Chunks) {
+    if (auto Status = objects::decodeChunk(Part.m_Text, Decoded); !Status.ok()) {
+      return Status;
+    }
+  }
+  if (Decoded != Objects) {
+    return absl::InternalError("the encoded set differs from the given one");
+  }
+  return Chunks;
+}
+
 } // namespace
 
 Publisher::Publisher(platform::IKeyValueStore &Store, base::IScheduler &Scheduler,
@@ -28,15 +50,18 @@
 auto Publisher::publish(PublishRequest Request, PublishCallback Done) -> void {
   auto Id = Request.m_PublicationId.empty() ? base::randomHex(PublicationIdBytes)
                                             : std::move(Request.m_PublicationId);
+  if (!isPublicationId(Id)) {
+    Done(reject(std::move(Id), {},
+                absl::InvalidArgumentError(
+                    "a publication ID has 1 to 64 letters, digits and characters of ._:-")));
+    return;
+  }
   if (auto Errors = objects::checkObjects(Request.m_Objects); !Errors.empty()) {
     Done(reject(std::move(Id), std::move(Errors),
                 absl::InvalidArgumentError("the set has mistakes")));
     return;
   }
-  auto Chunks = objects::encodeChunks(Request.m_Objects);
-  if (Chunks.ok() && Chunks->size() > MostChunks) {
-    Chunks = absl::InvalidArgumentError("the set exceeds the limit of chunks");
-  }
+  auto Chunks = encodeVerified(Request.m_Objects);
   if (!Chunks.ok()) {
     Done(reject(std::move(Id), {}, Chunks.status()));
     return;
--- a/src/configuration/manifest.h
+++ b/src/configuration/manifest.h
@@ -33,6 +33,10 @@
   auto operator==(const Manifest &) const -> bool = default;
 };
 
+/// Whether a text can name a publication: 1 to 64 characters of [A-Za-z0-9._:-]. A manifest with
+/// any other would not decode.
+auto isPublicationId(std::string_view Text) -> bool;
+
 /// Key of a chunk in the key-value service.
 auto chunkKey(std::string_view Hash) -> std::string;
 
--- a/src/configuration/publishtypes.h
+++ b/src/configuration/publishtypes.h
@@ -38,8 +38,8 @@
   /// Publishes only if this is the generation in force, 0 for none; any if not set.
   std::optional<Generation> m_ExpectedGeneration = std::nullopt;
 
-  /// Names the publication, at most 64 bytes. A repeated publication with the same ID is accepted
-  /// once. Random if empty.
+  /// Names the publication, as isPublicationId accepts it. A repeated publication with the same ID
+  /// is accepted once. Random if empty.
   std::string m_PublicationId = {};
 };
 
--- a/src/configuration/tests/publisher_test.cpp
+++ b/src/configuration/tests/publisher_test.cpp
@@ -114,6 +114,11 @@
   const auto Outdated =
       Test.publish({.m_Objects = setNamed("second"), .m_ExpectedGeneration = 0}).value();
   cr_assert(Outdated.m_Outcome == PublishOutcome::Conflict);
+  // An ID that the manifest's decoder refuses would leave the manifest unreadable for everyone.
+  for (const auto &Id : {std::string(65, 'x'), std::string("a b"), std::string("\xff")}) {
+    const auto Refused = Test.publish({.m_Objects = setNamed("second"), .m_PublicationId = Id});
+    cr_assert(Refused->m_Outcome == PublishOutcome::Rejected);
+  }
   cr_assert_eq(Test.m_Store.m_Content.size(), Before);
   cr_assert_eq(Test.manifest().m_Generation, 1U);
 }
