Wire the daemon and add the package for embedding

Cause: the modules need a process around them, and others should be able to use the libraries alone.

--- a/cmake/geraniumlift.cmake
+++ b/cmake/geraniumlift.cmake
@@ -6,6 +6,8 @@
 target_compile_definitions(geraniumlift_cpprest INTERFACE _TURN_OFF_PLATFORM_STRING)
 target_link_libraries(geraniumlift_cpprest INTERFACE cpprestsdk::cpprest OpenSSL::SSL OpenSSL::Crypto
                                                      Threads::Threads)
+set_target_properties(geraniumlift_cpprest PROPERTIES EXPORT_NAME cpprest)
+install(TARGETS geraniumlift_cpprest EXPORT geraniumliftTargets)
 
 # geraniumlift_module(<name> [SOURCES ...] [LINK ...])
 # Defines the library geraniumlift_<name>, header-only if it has no sources.
@@ -24,6 +26,14 @@
     ${Target} ${Scope} $<BUILD_INTERFACE:${CMAKE_SOURCE_DIR}/src>
                        $<INSTALL_INTERFACE:${CMAKE_INSTALL_INCLUDEDIR}/geraniumlift>)
   target_link_libraries(${Target} ${Scope} ${Arg_LINK})
+  set_target_properties(${Target} PROPERTIES EXPORT_NAME ${Name})
+  install(TARGETS ${Target} EXPORT geraniumliftTargets)
+  install(
+    DIRECTORY ${CMAKE_CURRENT_SOURCE_DIR}/
+    DESTINATION ${CMAKE_INSTALL_INCLUDEDIR}/geraniumlift/${Name}
+    FILES_MATCHING
+    PATTERN "*.h"
+    PATTERN "tests" EXCLUDE)
 endfunction()
 
 # geraniumlift_test(<name> SOURCES ... LINK ...)
--- /dev/null
+++ b/cmake/geraniumliftConfig.cmake
@@ -0,0 +1,12 @@
+# Package file of the installed libraries.
+include(CMakeFindDependencyMacro)
+find_dependency(absl)
+find_dependency(fmt)
+find_dependency(cereal)
+find_dependency(tomlplusplus)
+find_dependency(OpenSSL)
+find_dependency(Threads)
+find_dependency(cpprestsdk)
+find_dependency(PkgConfig)
+pkg_check_modules(xxhash REQUIRED IMPORTED_TARGET libxxhash)
+include(${CMAKE_CURRENT_LIST_DIR}/geraniumliftTargets.cmake)
--- /dev/null
+++ b/src/geraniumliftd/grantreclaimer.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "base/iclock.h"
+#include "base/ischeduler.h"
+#include "budget/ibudgetservice.h"
+#include "geraniumliftd/peernetwork.h"
+#include "platform/ivmlist.h"
+#include "vmwatch/vmtracker.h"
+
+#include <chrono>
+#include <memory>
+
+namespace geraniumlift::daemon {
+
+/// What the reclaimer works with. All references outlive it.
+struct GrantReclaimerDependencies {
+  const base::IClock &m_Clock;
+  base::IScheduler &m_Scheduler;
+  platform::IVmList &m_VmList;
+  const PeerNetwork &m_Peers;
+  budget::IBudgetService &m_Budgets;
+  vmwatch::VmTracker &m_Vms;
+};
+
+/// Reads the VM list at an interval and tells the budget service which holders have provably ended.
+/// Runs on the scheduler's thread.
+class GrantReclaimer : public std::enable_shared_from_this<GrantReclaimer> {
+public:
+  GrantReclaimer(std::chrono::milliseconds Interval, GrantReclaimerDependencies Dependencies);
+
+  auto start() -> void;
+
+private:
+  auto run() -> void;
+  auto onVmList(const absl::StatusOr<std::vector<platform::VmEntry>> &List) -> void;
+  auto onViews(const std::vector<budget::BudgetView> &Views) -> void;
+
+  /// Wraps a callback so that it runs on the scheduler's thread while the reclaimer lives.
+  template <typename Argument>
+  auto onThread(void (GrantReclaimer::*Step)(const Argument &)) -> std::function<void(Argument)> {
+    return [Weak = weak_from_this(), &Scheduler = m_Services.m_Scheduler, Step](Argument Value) {
+      Scheduler.post([Weak, Step, Value = std::move(Value)] {
+        if (const auto Self = Weak.lock()) {
+          ((*Self).*Step)(Value);
+        }
+      });
+    };
+  }
+
+  std::chrono::milliseconds m_Interval;
+  GrantReclaimerDependencies m_Services;
+};
+
+} // namespace geraniumlift::daemon
--- /dev/null
+++ b/src/geraniumliftd/operatorpages.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "budget/ibudgetservice.h"
+#include "configuration/iconfigurationsource.h"
+#include "geraniumliftd/operatorhandler.h"
+#include "geraniumliftd/peernetwork.h"
+#include "platform/etcdkeyvaluestore.h"
+#include "platform/httpvmlist.h"
+#include "settings/settingstypes.h"
+#include "telemetry/imetrics.h"
+
+#include <atomic>
+
+namespace geraniumlift::daemon {
+
+/// What the operators' pages show. All references outlive the handler.
+struct OperatorPageSources {
+  const settings::Settings &m_Settings;
+  const base::HolderId &m_Holder;
+  const configuration::IConfigurationSource &m_Configuration;
+  budget::IBudgetService &m_Budgets;
+  const platform::EtcdKeyValueStore &m_KeyValues;
+  const platform::HttpVmList &m_VmList;
+  const PeerNetwork &m_Peers;
+  telemetry::IMetrics &m_Metrics;
+  const std::atomic<bool> &m_Draining;
+};
+
+/// Adds /healthz, /readyz, /metrics, /fleet and /budgets.
+auto addOperatorPages(OperatorHandler &Handler, OperatorPageSources Sources) -> void;
+
+} // namespace geraniumlift::daemon
--- /dev/null
+++ b/src/geraniumliftd/router.cpp
@@ -0,0 +1,200 @@
+#include "geraniumliftd/router.h"
+
+#include "admission/dispatcher.h"
+#include "base/asioscheduler.h"
+#include "base/hashing.h"
+#include "base/log.h"
+#include "base/systemclock.h"
+#include "budget/budgetservice.h"
+#include "claims/claimservice.h"
+#include "configuration/configurationservice.h"
+#include "gateway/httppeerforwarder.h"
+#include "gateway/httpserver.h"
+#include "geraniumliftd/grantreclaimer.h"
+#include "geraniumliftd/operatorhandler.h"
+#include "geraniumliftd/operatorpages.h"
+#include "geraniumliftd/peernetwork.h"
+#include "geraniumliftd/targetmonitor.h"
+#include "platform/etcdkeyvaluestore.h"
+#include "platform/httpvmlist.h"
+#include "targets/httptargetclient.h"
+#include "telemetry/metrics.h"
+#include "telemetry/otlptracer.h"
+
+#include <future>
+
+namespace geraniumlift::daemon {
+
+namespace {
+
+/// Callers that took the entry list just before the drain still come for its whole time to live;
+/// this much more covers the time until the other routers know of the drain.
+constexpr auto DrainNoticeTime = std::chrono::milliseconds{1'000};
+
+auto holderOf(const settings::Settings &Settings, const base::IClock &Clock) -> base::HolderId {
+  const auto Start =
+      std::chrono::duration_cast<std::chrono::microseconds>(Clock.systemNow().time_since_epoch());
+  return {Settings.m_Vm, static_cast<std::uint64_t>(Start.count())};
+}
+
+auto endpoint(const std::string &Url, const settings::Settings &Settings)
+    -> platform::PlatformEndpoint {
+  return {{Url}, Settings.m_PlatformCallTimeout};
+}
+
+template <typename Table, typename Value>
+auto select(const Table &Names, const std::string &Name, Value Default) -> Value {
+  return base::valueOf(Names, Name).value_or(Default);
+}
+
+auto dispatcherOptions(const settings::Settings &Settings, const base::HolderId &Holder)
+    -> admission::DispatcherOptions {
+  auto Options = admission::DispatcherOptions();
+  Options.m_DataCentre = Settings.m_DataCentre;
+  Options.m_ExpectedRouters = Settings.m_ExpectedRouters;
+  Options.m_Seed = Holder.m_Incarnation ^ base::hash64(Holder.m_Vm);
+  Options.m_TargetChoice =
+      select(routing::TargetChoiceNames, Settings.m_TargetStrategy, Options.m_TargetChoice);
+  Options.m_QueueOrder =
+      select(admission::QueueOrderNames, Settings.m_QueueStrategy, Options.m_QueueOrder);
+  Options.m_LimitKind =
+      select(admission::LimitKindNames, Settings.m_LimitStrategy, Options.m_LimitKind);
+  return Options;
+}
+
+auto budgetOptions(const settings::Settings &Settings, const base::HolderId &Holder)
+    -> budget::BudgetOptions {
+  auto Options = budget::BudgetOptions();
+  Options.m_Holder = Holder;
+  Options.m_CommitInterval = Settings.m_CommitInterval;
+  Options.m_BillHold = Settings.m_BillHold;
+  Options.m_Strategy =
+      select(budget::GrantStrategyNames, Settings.m_GrantStrategy, Options.m_Strategy);
+  Options.m_ExpectedRouters = Settings.m_ExpectedRouters;
+  return Options;
+}
+
+} // namespace
+
+/// The modules in the order in which they are built; they are torn down in the opposite order.
+class Router::Implementation {
+public:
+  explicit Implementation(settings::Settings Settings)
+      : m_Settings(std::move(Settings)), m_Holder(holderOf(m_Settings, m_Clock)),
+        m_Tracer({m_Settings.m_TraceCollector, m_Settings.m_Vm}, m_Metrics),
+        m_KeyValues(endpoint(m_Settings.m_KeyValueUrl, m_Settings)),
+        m_VmList(endpoint(m_Settings.m_VmListUrl, m_Settings)),
+        m_Configuration(m_KeyValues, m_Scheduler, m_Clock,
+                        {.m_Vm = m_Settings.m_Vm, .m_Seed = m_Holder.m_Incarnation}),
+        m_Budgets(m_KeyValues, m_BudgetScheduler, m_Clock, budgetOptions(m_Settings, m_Holder)),
+        m_Claims(m_KeyValues, m_BudgetScheduler, m_Clock, {m_Holder}),
+        m_Dispatcher(dispatcherOptions(m_Settings, m_Holder)),
+        m_Targets({.m_ProgressTimeout = m_Settings.m_StreamProgressTimeout}, m_Clock, m_Metrics),
+        m_Vms({m_Settings.m_Vm}),
+        m_Peers(m_Settings, m_Holder,
+                {m_Clock, m_Scheduler, m_Configuration, m_Budgets, m_Metrics}),
+        m_Forwarder(m_Settings.m_PeersKey, m_Clock),
+        m_Gateway({m_Holder, m_Settings.m_EntryTimeToLive, m_Settings.m_RequestLimit},
+                  {m_Clock, m_Scheduler, m_Configuration, m_Budgets, m_Claims, m_Dispatcher,
+                   m_Targets, m_Peers, m_Forwarder, m_Metrics, m_Tracer}),
+        m_TargetMonitor(std::make_shared<TargetMonitor>(
+            m_Settings.m_LoadInterval,
+            TargetMonitorDependencies{m_Clock, m_Scheduler, m_Configuration, m_Targets, m_Gateway,
+                                      m_Vms})),
+        m_Reclaimer(std::make_shared<GrantReclaimer>(
+            m_Settings.m_VmListInterval,
+            GrantReclaimerDependencies{m_Clock, m_Scheduler, m_VmList, m_Peers, m_Budgets, m_Vms})),
+        m_Operators({m_Settings.m_OperatorsListen, m_Settings.m_BodyLimitBytes},
+                    [this](const std::shared_ptr<gateway::ICallerExchange> &Exchange) {
+                      m_OperatorHandler.handle(Exchange);
+                    }),
+        m_Callers({m_Settings.m_CallersListen, m_Settings.m_BodyLimitBytes},
+                  [this](std::shared_ptr<gateway::ICallerExchange> Exchange) {
+                    m_Gateway.handle(std::move(Exchange));
+                  }) {
+    addOperatorPages(m_OperatorHandler, {m_Settings, m_Holder, m_Configuration, m_Budgets,
+                                         m_KeyValues, m_VmList, m_Peers, m_Metrics, m_Draining});
+  }
+
+  auto start() -> absl::Status {
+    if (const auto Status = m_Peers.start(); !Status.ok()) {
+      return Status;
+    }
+    m_Configuration.subscribe([this](const configuration::SnapshotPointer &Snapshot) {
+      base::logEvent(base::LogLevel::Info, "configuration_adopted",
+                     {{"generation", Snapshot->m_Generation}});
+      m_Gateway.setConfiguration(Snapshot);
+    });
+    m_Configuration.start();
+    m_TargetMonitor->start();
+    m_Reclaimer->start();
+    for (auto *Server : {&m_Operators, &m_Callers}) {
+      if (const auto Status = Server->open(); !Status.ok()) {
+        return Status;
+      }
+    }
+    base::logEvent(base::LogLevel::Info, "started",
+                   {{"vm", m_Holder.m_Vm},
+                    {"incarnation", m_Holder.m_Incarnation},
+                    {"data_centre", m_Settings.m_DataCentre},
+                    {"callers", m_Settings.m_CallersListen}});
+    return absl::OkStatus();
+  }
+
+  auto drain() -> void {
+    m_Draining = true;
+    m_Peers.setDraining();
+    std::this_thread::sleep_for(m_Settings.m_EntryTimeToLive + DrainNoticeTime);
+    waitFor([this](std::function<void()> Done) { m_Gateway.whenIdle(std::move(Done)); });
+    m_Callers.close();
+    waitFor([this](std::function<void()> Done) { m_Gateway.whenIdle(std::move(Done)); });
+    waitFor([this](std::function<void()> Done) { m_Budgets.drain(std::move(Done)); });
+    m_Operators.close();
+  }
+
+private:
+  static auto waitFor(const std::function<void(std::function<void()>)> &Begin) -> void {
+    auto Finished = std::make_shared<std::promise<void>>();
+    auto Result = Finished->get_future();
+    Begin([Finished] { Finished->set_value(); });
+    Result.wait();
+  }
+
+  settings::Settings m_Settings;
+  base::SystemClock m_Clock;
+  base::HolderId m_Holder;
+  std::atomic<bool> m_Draining{false};
+  telemetry::Metrics m_Metrics;
+  telemetry::OtlpTracer m_Tracer;
+  platform::EtcdKeyValueStore m_KeyValues;
+  platform::HttpVmList m_VmList;
+
+  /// Budgets and claims have a thread of their own, so that a burst of events cannot delay bills.
+  base::AsioScheduler m_Scheduler;
+  base::AsioScheduler m_BudgetScheduler;
+  configuration::ConfigurationService m_Configuration;
+  budget::BudgetService m_Budgets;
+  claims::ClaimService m_Claims;
+  admission::Dispatcher m_Dispatcher;
+  targets::HttpTargetClient m_Targets;
+  vmwatch::VmTracker m_Vms;
+  PeerNetwork m_Peers;
+  gateway::HttpPeerForwarder m_Forwarder;
+  gateway::Gateway m_Gateway;
+  std::shared_ptr<TargetMonitor> m_TargetMonitor;
+  std::shared_ptr<GrantReclaimer> m_Reclaimer;
+  OperatorHandler m_OperatorHandler;
+  gateway::HttpServer m_Operators;
+  gateway::HttpServer m_Callers;
+};
+
+Router::Router(settings::Settings Settings)
+    : m_Implementation(std::make_unique<Implementation>(std::move(Settings))) {}
+
+Router::~Router() = default;
+
+auto Router::start() -> absl::Status { return m_Implementation->start(); }
+
+auto Router::drain() -> void { m_Implementation->drain(); }
+
+} // namespace geraniumlift::daemon
--- a/testing/process/childprocess.h
+++ b/testing/process/childprocess.h
@@ -25,6 +25,7 @@
   /// nothing if the program still runs after the timeout.
   auto waitForExit(std::chrono::seconds Timeout) -> std::optional<int>;
 
+  [[nodiscard]] auto pid() const -> pid_t { return m_Pid; }
   [[nodiscard]] auto logFile() const -> const std::string & { return m_LogFile; }
 
 private:
--- a/testing/process/fleet.cpp
+++ b/testing/process/fleet.cpp
@@ -32,6 +32,13 @@
   return Template;
 }
 
+/// A workspace with a budget and an API key named after it.
+auto workspaceObjects(const std::string &Name) -> std::string {
+  return fmt::format("[budget.{0}]\n[workspace.{0}]\nbudget = \"{0}\"\n"
+                     "priority_class = \"paid\"\nkey_hashes = [\"{1}\"]\n",
+                     Name, base::sha256Hex(ApiKeyPrefix + Name));
+}
+
 } // namespace
 
 Fleet::Fleet(FleetOptions Options)
@@ -129,7 +136,8 @@
   sendHttp({"PUT", keyValueUrl() + "/vms", "{\"vms\":[" + Rows + "]}"});
 }
 
-auto Fleet::completion(int Router, int Tokens, const std::string &Key) const -> HttpCall {
+auto Fleet::completion(int Router, int Tokens, const std::string &Key,
+                       const std::string &Workspace) const -> HttpCall {
   auto Request = HttpCall();
   Request.m_Method = "POST";
   Request.m_Url = callersUrl(Router) + "/v1/chat/completions";
@@ -137,7 +145,7 @@
       fmt::format(R"({{"model":"fern-7b","stream":true,"max_tokens":{0},"x_tokens":{0},)"
                   R"("messages":[{{"role":"user","content":"How often do I water a fern?"}}]}})",
                   Tokens);
-  Request.m_Headers = {{"Authorization", std::string("Bearer ") + ApiKeyPrefix + "office"}};
+  Request.m_Headers = {{"Authorization", std::string("Bearer ") + ApiKeyPrefix + Workspace}};
   if (!Key.empty()) {
     Request.m_Headers.emplace("Idempotency-Key", Key);
   }
@@ -214,10 +222,10 @@
             "[model_pool.advice]\nkind = \"engine\"\nmodels = [\"fern-7b\"]\n"
             "[model_pool.bookings]\nkind = \"service\"\nidempotent = false\ntokens_per_call = 5\n";
   for (const auto &Row : m_Options.m_Budgets) {
-    const auto &Name = Row.first;
-    Stream << fmt::format("[budget.{0}]\n[workspace.{0}]\nbudget = \"{0}\"\n"
-                          "priority_class = \"paid\"\nkey_hashes = [\"{1}\"]\n",
-                          Name, base::sha256Hex(ApiKeyPrefix + Name));
+    Stream << workspaceObjects(Row.first);
+  }
+  for (auto Index = 0; Index < m_Options.m_IdleWorkspaces; ++Index) {
+    Stream << workspaceObjects(fmt::format("idle-{}", Index));
   }
   for (std::size_t Index = 0; Index < m_EnginePorts.size(); ++Index) {
     Stream << fmt::format("[target.engine-{}]\npool = \"advice\"\nurl = \"{}\"\n"
--- a/testing/process/fleet.h
+++ b/testing/process/fleet.h
@@ -30,6 +30,9 @@
   int m_BillHoldMs = 2'000;
   int m_EntryTimeToLiveMs = 1'000;
 
+  /// Workspaces, each with a budget of its own, that nobody uses; they only take space.
+  int m_IdleWorkspaces = 0;
+
   /// The last routers, this many, reach the key-value service through a relay that can be cut, and
   /// have another peer key than the rest, so that the two sides do not hear each other.
   int m_FarRouters = 0;
@@ -69,8 +72,8 @@
   auto setVmList(const std::map<std::string, std::string> &StateByVm) const -> void;
 
   /// A completion request to a router; the answer has Tokens tokens.
-  [[nodiscard]] auto completion(int Router, int Tokens, const std::string &Key = "") const
-      -> HttpCall;
+  [[nodiscard]] auto completion(int Router, int Tokens, const std::string &Key = "",
+                                const std::string &Workspace = "office") const -> HttpCall;
 
   /// A booking with an idempotency key.
   [[nodiscard]] auto booking(int Router, const std::string &Key,
