--- a/cmake/geraniumlift.cmake
+++ b/cmake/geraniumlift.cmake
@@ -9,10 +9,11 @@
 set_target_properties(geraniumlift_cpprest PROPERTIES EXPORT_NAME cpprest)
 install(TARGETS geraniumlift_cpprest EXPORT geraniumliftTargets)
 
-# geraniumlift_module(<name> [SOURCES ...] [LINK ...])
-# Defines the library geraniumlift_<name>, header-only if it has no sources.
+# geraniumlift_module(<name> [INTERNAL] [SOURCES ...] [LINK ...])
+# Defines the library geraniumlift_<name>, header-only if it has no sources. INTERNAL ones are not
+# installed.
 function(geraniumlift_module Name)
-  cmake_parse_arguments(Arg "" "" "SOURCES;LINK" ${ARGN})
+  cmake_parse_arguments(Arg "INTERNAL" "" "SOURCES;LINK" ${ARGN})
   set(Target geraniumlift_${Name})
   if(Arg_SOURCES)
     add_library(${Target} STATIC ${Arg_SOURCES})
@@ -26,6 +27,9 @@
     ${Target} ${Scope} $<BUILD_INTERFACE:${CMAKE_SOURCE_DIR}/src>
                        $<INSTALL_INTERFACE:${CMAKE_INSTALL_INCLUDEDIR}/geraniumlift>)
   target_link_libraries(${Target} ${Scope} ${Arg_LINK})
+  if(Arg_INTERNAL)
+    return()
+  endif()
   set_target_properties(${Target} PROPERTIES EXPORT_NAME ${Name})
   install(TARGETS ${Target} EXPORT geraniumliftTargets)
   install(
--- a/src/geraniumliftd/router.cpp
+++ b/src/geraniumliftd/router.cpp
@@ -21,7 +21,9 @@
 #include "telemetry/metrics.h"
 #include "telemetry/otlptracer.h"
 
+#include <atomic>
 #include <future>
+#include <thread>
 
 namespace geraniumlift::daemon {
 
@@ -68,8 +70,9 @@
   Options.m_Holder = Holder;
   Options.m_CommitInterval = Settings.m_CommitInterval;
   Options.m_BillHold = Settings.m_BillHold;
-  Options.m_Strategy =
-      select(budget::GrantStrategyNames, Settings.m_GrantStrategy, Options.m_Strategy);
+  Options.m_GrantStrategy =
+      select(budget::GrantStrategyNames, Settings.m_GrantStrategy, Options.m_GrantStrategy);
+  Options.m_Seed = Holder.m_Incarnation;
   Options.m_ExpectedRouters = Settings.m_ExpectedRouters;
   return Options;
 }
@@ -81,12 +84,13 @@
 public:
   explicit Implementation(settings::Settings Settings)
       : m_Settings(std::move(Settings)), m_Holder(holderOf(m_Settings, m_Clock)),
-        m_Tracer({m_Settings.m_TraceCollector, m_Settings.m_Vm}, m_Metrics),
+        m_Tracer({.m_CollectorUrl = m_Settings.m_TraceCollector, .m_VmName = m_Settings.m_Vm},
+                 m_Metrics),
         m_KeyValues(endpoint(m_Settings.m_KeyValueUrl, m_Settings)),
         m_VmList(endpoint(m_Settings.m_VmListUrl, m_Settings)),
         m_Configuration(m_KeyValues, m_Scheduler, m_Clock,
                         {.m_Vm = m_Settings.m_Vm, .m_Seed = m_Holder.m_Incarnation}),
-        m_Budgets(m_KeyValues, m_BudgetScheduler, m_Clock, budgetOptions(m_Settings, m_Holder)),
+        m_Budgets(budgetOptions(m_Settings, m_Holder), m_KeyValues, m_BudgetScheduler, m_Clock),
         m_Claims(m_KeyValues, m_BudgetScheduler, m_Clock, {m_Holder}),
         m_Dispatcher(dispatcherOptions(m_Settings, m_Holder)),
         m_Targets({.m_ProgressTimeout = m_Settings.m_StreamProgressTimeout}, m_Clock, m_Metrics),
