Add the clients of the key-value service and the VM list

Cause: the modules need IKeyValueStore and IVmList over HTTP, with outcomes that stay truthful when answers are lost or connections go silent. Change: EtcdKeyValueStore and HttpVmList share JsonCaller, which gives each call one deadline, replaces the HTTP client after a failure, and sends bodies that the library cannot send again. FakeKeyValueStore serves other modules' tests. Conclusion: ready for use by budget, claims, configuration and orders.

--- /dev/null
+++ b/src/platform/etcdkeyvaluestore.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "platform/callcounter.h"
+#include "platform/ikeyvaluestore.h"
+#include "platform/platformendpoint.h"
+
+#include <memory>
+#include <vector>
+
+namespace geraniumlift::platform {
+
+class JsonCaller;
+
+/// The key-value service over etcd v3's JSON gateway. Thread-safe. Callbacks run on the HTTP
+/// library's threads; the destructor ends open calls with Cancelled.
+///
+/// Failed calls have the status Unavailable (no connection, broken connection, or a server that
+/// says so), DeadlineExceeded, or the code that the server gave. No call is repeated.
+class EtcdKeyValueStore final : public IKeyValueStore {
+public:
+  explicit EtcdKeyValueStore(PlatformEndpoint Endpoint);
+  ~EtcdKeyValueStore() override;
+
+  auto read(std::string Key, ReadCallback Done) -> void override;
+  auto list(std::string Prefix, ListCallback Done) -> void override;
+  auto compareAndSwap(CompareAndSwap Request, WriteCallback Done) -> void override;
+  auto compareAndErase(std::string Key, std::int64_t ExpectedModRevision, WriteCallback Done)
+      -> void override;
+  auto grantLease(std::chrono::seconds TimeToLive, LeaseCallback Done) -> void override;
+  auto keepAlive(LeaseId Lease, StatusCallback Done) -> void override;
+  auto revokeLease(LeaseId Lease, StatusCallback Done) -> void override;
+
+  /// Calls sent so far by kind.
+  [[nodiscard]] auto counts() const -> std::vector<CallCount> { return m_Counter.counts(); }
+
+private:
+  CallCounter m_Counter;
+  std::unique_ptr<JsonCaller> m_Caller;
+};
+
+} // namespace geraniumlift::platform
--- /dev/null
+++ b/src/platform/httpvmlist.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "platform/callcounter.h"
+#include "platform/ivmlist.h"
+#include "platform/platformendpoint.h"
+
+#include <memory>
+
+namespace geraniumlift::platform {
+
+class JsonCaller;
+
+/// The VM list over HTTP: GET /vms. Thread-safe. Callbacks run on the HTTP library's threads; the
+/// destructor ends open calls with Cancelled.
+class HttpVmList final : public IVmList {
+public:
+  explicit HttpVmList(PlatformEndpoint Endpoint);
+  ~HttpVmList() override;
+
+  auto read(Callback Done) -> void override;
+
+  /// Calls sent so far by kind; all of them are reads.
+  [[nodiscard]] auto counts() const -> std::vector<CallCount> { return m_Counter.counts(); }
+
+private:
+  CallCounter m_Counter;
+  std::unique_ptr<JsonCaller> m_Caller;
+};
+
+} // namespace geraniumlift::platform
--- /dev/null
+++ b/src/platform/internal/httpvmlist.cpp
@@ -0,0 +1,44 @@
+#include "platform/httpvmlist.h"
+
+#include "jsoncaller.h"
+
+#include <utility>
+
+namespace geraniumlift::platform {
+
+namespace {
+
+auto decodeVms(const web::json::value &Response) -> absl::StatusOr<std::vector<VmEntry>> {
+  auto Vms = std::vector<VmEntry>();
+  try {
+    for (const auto &Vm : Response.at("vms").as_array()) {
+      const auto State = base::valueOf(VmStateNames, Vm.at("state").as_string());
+      if (!State) {
+        return absl::InternalError("unknown state in the VM list");
+      }
+      Vms.push_back({Vm.at("name").as_string(), *State});
+    }
+  } catch (const web::json::json_exception &Exception) {
+    return absl::InternalError(Exception.what());
+  }
+  return Vms;
+}
+
+} // namespace
+
+HttpVmList::HttpVmList(PlatformEndpoint Endpoint)
+    : m_Caller(std::make_unique<JsonCaller>(std::move(Endpoint))) {}
+
+HttpVmList::~HttpVmList() = default;
+
+auto HttpVmList::read(Callback Done) -> void {
+  m_Counter.add(CallKind::Read);
+  m_Caller->get("/vms", [Done = std::move(Done)](const absl::StatusOr<web::json::value> &Response) {
+    if (!Response.ok()) {
+      return Done(Response.status());
+    }
+    Done(decodeVms(*Response));
+  });
+}
+
+} // namespace geraniumlift::platform
--- /dev/null
+++ b/src/platform/internal/jsoncaller.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "platform/platformendpoint.h"
+
+#include <absl/status/statusor.h>
+#include <cpprest/http_client.h>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace geraniumlift::platform {
+
+/// Sends HTTP requests with a deadline each and reads JSON responses. Thread-safe.
+class JsonCaller {
+public:
+  /// Runs exactly once, with the body of a response with status 200 or with the failure.
+  using Callback = std::function<void(absl::StatusOr<web::json::value>)>;
+
+  explicit JsonCaller(PlatformEndpoint Endpoint);
+
+  /// Ends open calls with Cancelled.
+  ~JsonCaller();
+
+  auto get(const std::string &Path, Callback Done) -> void;
+  auto post(const std::string &Path, const web::json::value &Body, Callback Done) -> void;
+
+private:
+  class Call;
+  struct State;
+
+  auto send(const web::http::http_request &Request, Callback Done) -> void;
+
+  std::shared_ptr<State> m_State;
+};
+
+} // namespace geraniumlift::platform
--- /dev/null
+++ b/src/platform/tests/fakekeyvaluestore_test.cpp
@@ -0,0 +1,67 @@
+#include "fakes/fakekeyvaluestore.h"
+
+#include "base/asioscheduler.h"
+
+#include <criterion/criterion.h>
+#include <future>
+
+using namespace geraniumlift;
+using platform::WriteOutcome;
+
+namespace {
+
+auto swap(fakes::FakeKeyValueStore &Store, std::int64_t Expected, const std::string &Value)
+    -> platform::WriteResult {
+  auto Result = platform::WriteResult();
+  Store.compareAndSwap({.m_Key = "k", .m_ExpectedModRevision = Expected, .m_Value = Value},
+                       [&](const platform::WriteResult &Given) { Result = Given; });
+  return Result;
+}
+
+} // namespace
+
+// Guards against a fake that differs from the service in what a compare sees.
+Test(fake, comparesRevisions) {
+  auto Store = fakes::FakeKeyValueStore();
+  const auto First = swap(Store, platform::AbsentRevision, "a");
+  cr_assert(First.m_Outcome == WriteOutcome::Landed);
+  const auto Second = swap(Store, platform::AbsentRevision, "b");
+  cr_assert(Second.m_Outcome == WriteOutcome::Conflict);
+  cr_assert_eq(Second.m_Current->m_Value, std::string("a"));
+  cr_assert(swap(Store, First.m_ModRevision, "c").m_Outcome == WriteOutcome::Landed);
+}
+
+// Guards against faults that lose the write instead of the answer, or the other way round.
+Test(fake, separatesLostAnswersFromLateWrites) {
+  auto Store = fakes::FakeKeyValueStore();
+  Store.loseAnswers(1);
+  cr_assert(swap(Store, platform::AbsentRevision, "a").m_Outcome == WriteOutcome::Unknown);
+  cr_assert_eq(Store.get("k")->m_Value, std::string("a"));
+  Store.delayWrites(1);
+  const auto Revision = Store.get("k")->m_ModRevision;
+  cr_assert(swap(Store, Revision, "b").m_Outcome == WriteOutcome::Unknown);
+  cr_assert(swap(Store, Revision, "c").m_Outcome == WriteOutcome::Landed);
+  Store.applyLateWrites();
+  cr_assert_eq(Store.get("k")->m_Value, std::string("c"));
+  Store.setDown(true);
+  cr_assert(swap(Store, Store.get("k")->m_ModRevision, "d").m_Outcome == WriteOutcome::Unknown);
+  cr_assert_eq(Store.get("k")->m_Value, std::string("c"));
+}
+
+// Guards against keys that outlive their lease, and against callbacks on the wrong thread.
+Test(fake, endsLeasesOnTheScheduler) {
+  auto Scheduler = base::AsioScheduler();
+  auto Store = fakes::FakeKeyValueStore(&Scheduler);
+  auto Lease = std::promise<platform::LeaseId>();
+  Store.setDelay(std::chrono::milliseconds{5});
+  Store.grantLease(std::chrono::seconds{1}, [&](const absl::StatusOr<platform::LeaseId> &Given) {
+    Lease.set_value(*Given);
+  });
+  const auto Id = Lease.get_future().get();
+  auto Written = std::promise<platform::WriteResult>();
+  Store.compareAndSwap({.m_Key = "k", .m_Value = "v", .m_Lease = Id},
+                       [&](const platform::WriteResult &Given) { Written.set_value(Given); });
+  cr_assert(Written.get_future().get().m_Outcome == WriteOutcome::Landed);
+  Store.expireLease(Id);
+  cr_assert(!Store.get("k"));
+}
