Erase chunks that no manifest refers to

Change: after an acceptance the publisher erases the chunks that only the replaced manifest listed, after a conflict those that it wrote itself. An erasure names a revision from before the manifest write, and a publication rewrites a chunk that exists but is not in its base manifest, so a chunk that is taken up again is not erased. A chunk that is gone while a set is read is now Unavailable, since a repeat finds the new manifest.

Conclusion: the service holds the manifest and its chunks only, apart from leftovers of publishers that die or lose the service between two writes.

--- a/src/configuration/internal/publication.cpp
+++ b/src/configuration/internal/publication.cpp
@@ -2,9 +2,24 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <iterator>
 
 namespace geraniumlift::configuration::internal {
 
+namespace {
+
+/// The hashes of the first list that the second one lacks.
+auto missingFrom(const std::vector<std::string> &Hashes, const std::vector<std::string> &Others)
+    -> std::vector<std::string> {
+  auto Missing = std::vector<std::string>();
+  std::copy_if(Hashes.begin(), Hashes.end(), std::back_inserter(Missing), [&](const auto &Hash) {
+    return std::find(Others.begin(), Others.end(), Hash) == Others.end();
+  });
+  return Missing;
+}
+
+} // namespace
+
 Publication::Publication(platform::IKeyValueStore &Store, base::IScheduler &Scheduler,
                          const base::IClock &Clock, PublisherOptions Options, PublicationWork Work,
                          PublishCallback Done)
@@ -37,6 +52,7 @@
     Hashes.push_back(Part.m_Hash);
   }
   m_Next = nextManifest(m_Base, m_Work.m_Id, std::move(Hashes));
+  m_RetiredToRead = missingFrom(m_Base.m_ChunkHashes, m_Next.m_ChunkHashes);
   writeNextChunk();
 }
 
@@ -63,7 +79,7 @@
     ++m_NextChunk;
   }
   if (m_NextChunk == m_Work.m_Chunks.size()) {
-    writeManifest();
+    readNextRetired();
     return;
   }
   const auto &Part = m_Work.m_Chunks[m_NextChunk];
@@ -79,21 +95,47 @@
     retry(&Publication::writeNextChunk, Result.m_Status);
     return;
   }
+  const auto &Part = m_Work.m_Chunks[m_NextChunk];
   if (Result.m_Outcome == platform::WriteOutcome::Conflict) {
     if (!Result.m_Current) {
       retry(&Publication::writeNextChunk, absl::UnavailableError("a chunk came and went"));
-      return;
-    }
-    if (Result.m_Current->m_Value != m_Work.m_Chunks[m_NextChunk].m_Text) {
+    } else if (Result.m_Current->m_Value != Part.m_Text) {
       finish(PublishOutcome::Rejected, 0,
              absl::DataLossError("the key-value service has another text under a chunk's hash"));
-      return;
+    } else {
+      rewriteChunk(*Result.m_Current);
     }
+    return;
   }
+  m_Written.push_back({.m_Hash = Part.m_Hash, .m_ModRevision = Result.m_ModRevision});
   ++m_NextChunk;
   writeNextChunk();
 }
 
+auto Publication::rewriteChunk(const platform::KeyValue &Found) -> void {
+  m_Store.compareAndSwap(
+      {.m_Key = Found.m_Key,
+       .m_ExpectedModRevision = Found.m_ModRevision,
+       .m_Value = Found.m_Value},
+      [Self = shared_from_this()](const auto &Result) { Self->onChunk(Result); });
+}
+
+auto Publication::readNextRetired() -> void {
+  if (m_RetiredToRead.empty()) {
+    writeManifest();
+    return;
+  }
+  auto Hash = std::move(m_RetiredToRead.back());
+  m_RetiredToRead.pop_back();
+  auto Key = chunkKey(Hash);
+  m_Store.read(std::move(Key), [Self = shared_from_this(), Hash](const ReadResult &Result) {
+    if (Result.ok() && Result->has_value()) {
+      Self->m_Retired.push_back({.m_Hash = Hash, .m_ModRevision = (*Result)->m_ModRevision});
+    }
+    Self->readNextRetired();
+  });
+}
+
 auto Publication::writeManifest() -> void {
   m_ManifestSent = true;
   m_Store.compareAndSwap(
@@ -173,11 +215,35 @@
 }
 
 auto Publication::finish(PublishOutcome Outcome, Generation Number, absl::Status Status) -> void {
-  m_Done({.m_Outcome = Outcome,
-          .m_Generation = Number,
-          .m_PublicationId = m_Work.m_Id,
-          .m_Errors = {},
-          .m_Status = std::move(Status)});
+  auto Unused = std::vector<StoredChunk>();
+  if (Outcome == PublishOutcome::Accepted) {
+    Unused = std::move(m_Retired);
+  } else if (Outcome == PublishOutcome::Conflict) {
+    Unused = std::move(m_Written);
+  }
+  eraseNext(std::move(Unused), {.m_Outcome = Outcome,
+                                .m_Generation = Number,
+                                .m_PublicationId = m_Work.m_Id,
+                                .m_Errors = {},
+                                .m_Status = std::move(Status)});
+}
+
+auto Publication::eraseNext(std::vector<StoredChunk> Chunks, PublishResult Result) -> void {
+  if (Chunks.empty()) {
+    m_Done(std::move(Result));
+    return;
+  }
+  const auto Last = std::move(Chunks.back());
+  Chunks.pop_back();
+  m_Store.compareAndErase(
+      chunkKey(Last.m_Hash), Last.m_ModRevision,
+      [Self = shared_from_this(), Chunks = std::move(Chunks),
+       Result = std::move(Result)](const platform::WriteResult &Erased) mutable {
+        if (Erased.m_Outcome == platform::WriteOutcome::Unknown) {
+          Chunks.clear();
+        }
+        Self->eraseNext(std::move(Chunks), std::move(Result));
+      });
 }
 
 } // namespace geraniumlift::configuration::internal
--- a/src/configuration/internal/publication.h
+++ b/src/configuration/internal/publication.h
@@ -8,6 +8,12 @@
 
 namespace geraniumlift::configuration::internal {
 
+/// A chunk in the key-value service at the revision at which it was last written.
+struct StoredChunk {
+  std::string m_Hash;
+  std::int64_t m_ModRevision = 0;
+};
+
 /// A checked and encoded set to publish.
 struct PublicationWork {
   std::string m_Id;
@@ -20,6 +26,14 @@
 /// is resolved by the publication ID: the manifest is read until it shows whether the write took
 /// effect, and a write that did not is repeated against the same revision, so that at most one of
 /// the attempts takes effect.
+///
+/// Chunks that nothing refers to any more are erased: after an acceptance those that the replaced
+/// manifest alone listed, after a conflict those that this publication wrote. Without this, 430
+/// changes a day of up to 256 KB each would fill the service. An erasure names the revision that
+/// the chunk had before the manifest was written, and every publication rewrites a chunk that
+/// exists but is not in the manifest it is based on. A chunk that another publication relies on
+/// therefore has another revision, and its erasure fails. Erasing stops at the first call without
+/// an answer.
 class Publication : public std::enable_shared_from_this<Publication> {
 public:
   Publication(platform::IKeyValueStore &Store, base::IScheduler &Scheduler,
@@ -39,6 +53,12 @@
   auto writeNextChunk() -> void;
   auto onChunk(const platform::WriteResult &Result) -> void;
 
+  /// Writes the chunk again at the revision found, with the same text.
+  auto rewriteChunk(const platform::KeyValue &Found) -> void;
+
+  /// Collects the revisions of the chunks that only the base lists, then writes the manifest.
+  auto readNextRetired() -> void;
+
   auto writeManifest() -> void;
   auto onManifest(const platform::WriteResult &Result) -> void;
 
@@ -52,6 +72,9 @@
   auto retry(Step Repeat, const absl::Status &Cause) -> void;
   auto finish(PublishOutcome Outcome, Generation Number, absl::Status Status) -> void;
 
+  /// Erases chunks one by one from the end of the list, then reports the result.
+  auto eraseNext(std::vector<StoredChunk> Chunks, PublishResult Result) -> void;
+
   platform::IKeyValueStore &m_Store;
   base::IScheduler &m_Scheduler;
   const base::IClock &m_Clock;
@@ -66,6 +89,13 @@
   Manifest m_Next;
   std::size_t m_NextChunk = 0;
 
+  /// Chunks that this publication wrote.
+  std::vector<StoredChunk> m_Written;
+
+  /// Hashes of the chunks that only the base lists and whose revision is still to be read.
+  std::vector<std::string> m_RetiredToRead;
+  std::vector<StoredChunk> m_Retired;
+
   /// Whether the manifest write was sent at least once, so that it may have taken effect.
   bool m_ManifestSent = false;
 };
--- a/src/configuration/internal/snapshotreader.cpp
+++ b/src/configuration/internal/snapshotreader.cpp
@@ -78,7 +78,8 @@
       return;
     }
     if (!Result->has_value()) {
-      m_Done(absl::NotFoundError("the key-value service lacks chunk " + Hash));
+      // A publication that came in the meantime has erased it, or the read lags.
+      m_Done(absl::UnavailableError("the key-value service lacks chunk " + Hash));
       return;
     }
     if (base::sha256Hex((*Result)->m_Value) != Hash) {
--- a/src/configuration/snapshotreader.h
+++ b/src/configuration/snapshotreader.h
@@ -23,7 +23,9 @@
   auto keepChunks(const ChunkTexts &Chunks) -> void;
 
   /// Reads the manifest, and the missing chunks if its generation is higher than the given one. The
-  /// callback runs once, on any thread. A failed read keeps the chunks it got for the next one.
+  /// callback runs once, on any thread. Unavailable also if a chunk is gone because another
+  /// publication came in between; a repeat then finds the new manifest. A failed read keeps the
+  /// chunks it got for the next one.
   auto readNewer(Generation Current, Callback Done) -> void;
 
 private:
--- a/src/configuration/tests/fakestore.h
+++ b/src/configuration/tests/fakestore.h
@@ -10,7 +10,7 @@
 /// What befalls one call.
 enum class Fault { None, Down, LostApplied, LostNotApplied };
 
-/// A key-value store in memory with faults chosen per call. Responses are posted on the scheduler.
+/// A key-value store in memory with faults chosen per call. Responses come through the scheduler.
 class FakeStore final : public platform::IKeyValueStore {
 public:
   explicit FakeStore(base::IScheduler &Scheduler) : m_Scheduler(Scheduler) {}
@@ -25,7 +25,7 @@
     } else if (const auto Found = m_Content.find(Key); Found != m_Content.end()) {
       Result = Found->second;
     }
-    m_Scheduler.post([Done = std::move(Done), Result] { Done(Result); });
+    m_Scheduler.after(m_Latency, [Done = std::move(Done), Result] { Done(Result); });
   }
 
   auto compareAndSwap(platform::CompareAndSwap Request, WriteCallback Done) -> void override {
@@ -38,12 +38,24 @@
       Result = {.m_Outcome = platform::WriteOutcome::Unknown,
                 .m_Status = absl::UnavailableError("lost")};
     }
-    m_Scheduler.post([Done = std::move(Done), Result] { Done(Result); });
+    m_Scheduler.after(m_Latency, [Done = std::move(Done), Result] { Done(Result); });
   }
 
   auto list(std::string /*Prefix*/, ListCallback /*Done*/) -> void override {}
-  auto compareAndErase(std::string /*Key*/, std::int64_t /*ExpectedModRevision*/,
-                       WriteCallback /*Done*/) -> void override {}
+  auto compareAndErase(std::string Key, std::int64_t ExpectedModRevision, WriteCallback Done)
+      -> void override {
+    m_Scheduler.after(m_EraseDelay, [this, Key, ExpectedModRevision, Done = std::move(Done)] {
+      const auto Found = m_Content.find(Key);
+      const auto IsSame =
+          Found != m_Content.end() && Found->second.m_ModRevision == ExpectedModRevision;
+      if (IsSame) {
+        m_Content.erase(Found);
+      }
+      Done({.m_Outcome =
+                IsSame ? platform::WriteOutcome::Landed : platform::WriteOutcome::Conflict});
+    });
+  }
+
   auto grantLease(std::chrono::seconds /*TimeToLive*/, LeaseCallback /*Done*/) -> void override {}
   auto keepAlive(platform::LeaseId /*Lease*/, StatusCallback /*Done*/) -> void override {}
   auto revokeLease(platform::LeaseId /*Lease*/, StatusCallback /*Done*/) -> void override {}
@@ -73,6 +85,12 @@
 
   std::map<std::string, platform::KeyValue> m_Content;
 
+  /// Time between a call's effect and its response.
+  std::chrono::milliseconds m_Latency{0};
+
+  /// Time between the call of an erasure and its effect.
+  std::chrono::milliseconds m_EraseDelay{0};
+
   /// Values that reads return instead of the newest ones.
   std::map<std::string, platform::KeyValue> m_Lagging;
   std::map<std::string, int> m_Reads;
--- a/src/configuration/tests/publisher_test.cpp
+++ b/src/configuration/tests/publisher_test.cpp
@@ -68,6 +68,26 @@
   }
 }
 
+// Guards against a conflict that is reported without proof, when the list of publications no longer
+// reaches back to the one in question.
+Test(publisher, tooManyOtherPublicationsGiveUnknown) {
+  auto Test = Fixture();
+  Test.failManifestWrite(Fault::LostApplied, 3s);
+  auto Result = std::optional<PublishResult>();
+  Test.m_Publisher.publish({.m_Objects = setNamed("mine")},
+                           [&](auto Given) { Result = std::move(Given); });
+  Test.m_Scheduler.runFor(1s);
+  for (std::size_t Index = 0; Index < KeptPublications; ++Index) {
+    const auto &Current = Test.m_Store.m_Content.at(std::string(ManifestKey));
+    const auto Next = nextManifest(Test.manifest(), "other-" + std::to_string(Index), {});
+    Test.m_Store.apply({.m_Key = Current.m_Key,
+                        .m_ExpectedModRevision = Current.m_ModRevision,
+                        .m_Value = encodeManifest(Next)});
+  }
+  Test.m_Scheduler.runFor(60s);
+  cr_assert(Result->m_Outcome == PublishOutcome::Unknown);
+}
+
 // Guards against a verdict without proof while the service stays silent, before and after the
 // write.
 Test(publisher, silentServiceGivesUnavailableOrUnknown) {
@@ -98,6 +118,41 @@
   cr_assert_eq(Result->m_Generation, 3U);
 }
 
+// Guards against chunks that stay forever: those of replaced sets and those of publications that
+// lost.
+Test(publisher, erasesUnusedChunks) {
+  auto Test = Fixture();
+  for (int Index = 0; Index < 5; ++Index) {
+    Test.publishNamed("set-" + std::to_string(Index));
+    const auto Outdated = Test.publish({.m_Objects = setNamed("x"), .m_ExpectedGeneration = 0});
+    cr_assert(Outdated->m_Outcome == PublishOutcome::Conflict);
+  }
+  for (const auto *Name : {"left", "right"}) {
+    Test.m_Publisher.publish({.m_Objects = setNamed(Name)}, [](auto) {});
+  }
+  Test.m_Scheduler.runFor(60s);
+  cr_assert_eq(Test.m_Store.m_Content.size(), 1 + Test.manifest().m_ChunkHashes.size());
+}
+
+// Guards against the erasure of a chunk that a concurrent publication takes up again. The
+// interleavings differ in when the second publication starts, in steps of the scheduler's queue.
+Test(publisher, keepsChunksThatAreTakenUpAgain) {
+  for (int Delay = 0; Delay < 12; ++Delay) {
+    auto Test = Fixture();
+    Test.m_Store.m_Latency = 1ms;
+    Test.m_Store.m_EraseDelay = 3ms;
+    Test.publishNamed("old");
+    Test.m_Publisher.publish({.m_Objects = setNamed("new")}, [](auto) {});
+    Test.m_Scheduler.runFor(std::chrono::milliseconds{Delay});
+    Test.m_Publisher.publish({.m_Objects = setNamed("old")}, [](auto) {});
+    Test.m_Scheduler.runFor(60s);
+    for (const auto &Hash : Test.manifest().m_ChunkHashes) {
+      cr_assert(Test.m_Store.m_Content.contains(chunkKey(Hash)), "delay %d", Delay);
+    }
+    cr_assert_eq(Test.m_Store.m_Content.size(), 1 + Test.manifest().m_ChunkHashes.size());
+  }
+}
+
 // Guards against a set with mistakes, or one based on an outdated generation, that reaches the
 // store.
 Test(publisher, refusedSetChangesNothing) {
