--- a/src/objects/internal/objectcodec.cpp
+++ b/src/objects/internal/objectcodec.cpp
@@ -1,6 +1,7 @@
 #include "objects/objectcodec.h"
 
 #include "base/hashing.h"
+#include "objects/internal/exactdocument.h"
 #include "objects/internal/objectjson.h"
 
 #include <algorithm>
@@ -102,12 +103,22 @@
   return absl::OkStatus();
 }
 
-/// Parses without recursion, so that deep nesting cannot exhaust the stack, and with exact numbers.
-auto parseJson(std::string_view Text, rapidjson::Document &Document) -> bool {
-  constexpr auto Flags = rapidjson::kParseIterativeFlag | rapidjson::kParseValidateEncodingFlag |
-                         rapidjson::kParseFullPrecisionFlag;
-  Document.Parse<Flags>(Text.data(), Text.size());
-  return !Document.HasParseError() && Document.IsObject();
+/// Reads kind and objects of a parsed chunk into the set.
+auto decodeDocument(const rapidjson::Document &Document, ObjectSet &Objects) -> absl::Status {
+  const auto Kind = Document.FindMember("kind");
+  const auto Content = Document.FindMember("objects");
+  auto KindName = std::string();
+  if (Kind == Document.MemberEnd() || !internal::readJson(Kind->value, KindName) ||
+      Content == Document.MemberEnd() || !Content->value.IsObject()) {
+    return absl::InvalidArgumentError("the chunk lacks its kind or its objects");
+  }
+  auto Status = absl::Status(absl::InvalidArgumentError("the chunk is of an unknown kind"));
+  internal::forEachKind([&]<typename Object>() {
+    if (KindName == internal::kindName<Object>()) {
+      Status = decodeObjects(Content->value, Objects.*internal::KindTraits<Object>::Objects);
+    }
+  });
+  return Status;
 }
 
 } // namespace
@@ -128,24 +139,11 @@
   if (Text.size() > MostChunkBytes) {
     return absl::InvalidArgumentError("the chunk exceeds 256 KB");
   }
-  auto Document = rapidjson::Document();
-  if (!parseJson(Text, Document)) {
+  auto Document = internal::ExactDocument();
+  if (!Document.parse(Text)) {
     return absl::InvalidArgumentError("the chunk is not a JSON object");
   }
-  const auto Kind = Document.FindMember("kind");
-  const auto Content = Document.FindMember("objects");
-  auto KindName = std::string();
-  if (Kind == Document.MemberEnd() || !internal::readJson(Kind->value, KindName) ||
-      Content == Document.MemberEnd() || !Content->value.IsObject()) {
-    return absl::InvalidArgumentError("the chunk lacks its kind or its objects");
-  }
-  auto Status = absl::Status(absl::InvalidArgumentError("the chunk is of an unknown kind"));
-  internal::forEachKind([&]<typename Object>() {
-    if (KindName == internal::kindName<Object>()) {
-      Status = decodeObjects(Content->value, Objects.*internal::KindTraits<Object>::Objects);
-    }
-  });
-  return Status;
+  return decodeDocument(Document, Objects);
 }
 
 auto decodeChunks(const std::vector<std::string> &Texts) -> absl::StatusOr<ObjectSet> {
--- a/src/objects/tests/objectcodec_test.cpp
+++ b/src/objects/tests/objectcodec_test.cpp
@@ -109,6 +109,23 @@
   cr_assert(absl::IsInvalidArgument(decodeChunk(std::string(MostChunkBytes + 1, ' '), Set)));
 }
 
+// Guards against undefined behaviour of the JSON library, found by fuzzing, and numbers that
+// change.
+Test(codec, readsNumbersExactly) {
+  const auto ShareOf = [](const std::string &Number) {
+    auto Set = ObjectSet();
+    const auto Status = decodeChunk("{\"kind\":\"priority_class\",\"objects\":{\"a\":"
+                                    "{\"guaranteed_share\":" +
+                                        Number + "}}}",
+                                    Set);
+    return Status.ok() ? Set.m_PriorityClasses["a"].m_GuaranteedShare : -1.0;
+  };
+  cr_assert_eq(ShareOf("0e91"), 0.0);
+  cr_assert_eq(ShareOf("1"), 1.0);
+  cr_assert_eq(ShareOf("0.30000000000000004"), 0.1 + 0.2);
+  cr_assert_eq(ShareOf("1e400"), -1.0);
+}
+
 // Guards against a crash on a chunk with arbitrary bytes changed.
 Test(codec, survivesChangedBytes) {
   const auto Text = std::string("{\"kind\":\"model_pool\",\"objects\":{\"p\":{\"kind\":\"service\","
