Add the budget service

Cause: the gateway needs IBudgetService over the key-value service. Change: BudgetService runs one ledger per budget on the scheduler thread; the key-value service's answers are posted there.

--- a/src/budget/budgetledger.h
+++ b/src/budget/budgetledger.h
@@ -97,7 +97,7 @@
   // Reservations.
   auto serveWaiters(LedgerTime Now) -> void;
   auto judgeWaiter(const Waiter &Request, LedgerTime Now) -> std::optional<base::Refusal>;
-  auto accept(const Waiter &Request) -> void;
+  auto accept(const Waiter &Request, LedgerTime Now) -> void;
 
   /// When a request no longer waits for those before it. Until then a large request at the front
   /// gets what comes back; after that a small one still has half its time to run.
@@ -120,7 +120,12 @@
   auto numberAttempt(Attempt &Next) -> void;
   auto sizeGrant(const BudgetRecord &Record, HolderEntry &Own, LedgerTime Now) -> void;
   auto noteCall(Call Kind, LedgerTime Now) -> void;
+
+  /// Worst cases of the waiting requests, from the first on, that fit in what is at hand and free.
   [[nodiscard]] auto coverableByDraw(Tokens Have, Tokens Free) const -> Tokens;
+
+  /// Worst cases of all waiting requests, at most MaxBudgetTokens.
+  [[nodiscard]] auto waitingTokens() const -> Tokens;
   [[nodiscard]] auto targetAllowance(Tokens Available, LedgerTime Now) const -> Tokens;
   auto finishDrain() -> void;
   auto answerBillHolds(LedgerTime Now) -> void;
--- a/src/budget/budgetrecord.h
+++ b/src/budget/budgetrecord.h
@@ -55,14 +55,14 @@
   Tokens m_ToppedUp = 0;
 
   /// IDs of recent top-ups, oldest first.
-  std::vector<std::string> m_TopUpIds;
+  std::vector<std::string> m_TopUpIds = {};
 
   /// Tokens settled by holders that are gone from the record.
   Tokens m_RetiredSettled = 0;
-  std::vector<HolderEntry> m_Holders;
+  std::vector<HolderEntry> m_Holders = {};
 
   /// Oldest first.
-  std::vector<RecentBill> m_RecentBills;
+  std::vector<RecentBill> m_RecentBills = {};
 
   auto operator==(const BudgetRecord &) const -> bool = default;
 };
--- a/src/budget/internal/budgetledger.cpp
+++ b/src/budget/internal/budgetledger.cpp
@@ -76,7 +76,6 @@
   }
   m_LastActivity = Now.m_Steady;
   const auto WorstCase = std::clamp(Event.m_WorstCase, Tokens{0}, MaxBudgetTokens);
-  m_ReserveRate.add(static_cast<double>(WorstCase), Now.m_Steady);
   m_Waiters.push_back({Event.m_Reservation, Event.m_RequestHash, WorstCase, Event.m_Deadline,
                        Now.m_Steady, m_CallsIssued});
 }
@@ -315,7 +314,8 @@
                   *m_UnansweredSince + m_Options.m_UnavailableAfter);
 }
 
-auto BudgetLedger::accept(const Waiter &Request) -> void {
+auto BudgetLedger::accept(const Waiter &Request, LedgerTime Now) -> void {
+  m_ReserveRate.add(static_cast<double>(Request.m_WorstCase), Now.m_Steady);
   m_Reserved += Request.m_WorstCase;
   m_Reservations.emplace(Request.m_Reservation,
                          Reservation{Request.m_RequestHash, Request.m_WorstCase});
@@ -361,7 +361,7 @@
     // A request that would be refused takes what those before it can't use.
     if (Request.m_WorstCase <= Left) {
       Left -= Request.m_WorstCase;
-      accept(Request);
+      accept(Request, Now);
     } else {
       m_Commands.emplace_back(ReserveAnswer{Request.m_Reservation, std::move(Refusal)});
     }
@@ -430,7 +430,8 @@
     return true;
   }
   const auto Target = targetAllowance(m_Free + allowance(), Now);
-  if (m_Free > 0 && allowance() < Target / 2 && isDue(m_LastCall + m_Spacing, Now)) {
+  if (m_Free > 0 && m_Waiters.empty() && allowance() < Target / 2 &&
+      isDue(m_LastCall + m_Spacing, Now)) {
     return true;
   }
   return isSurplusDue(Now);
@@ -535,6 +536,14 @@
   return Need;
 }
 
+auto BudgetLedger::waitingTokens() const -> Tokens {
+  Tokens Total = 0;
+  for (const auto &Request : m_Waiters) {
+    Total = std::min(MaxBudgetTokens, Total + Request.m_WorstCase);
+  }
+  return Total;
+}
+
 auto BudgetLedger::targetAllowance(Tokens Available, LedgerTime Now) const -> Tokens {
   const auto IsIdle =
       m_Reservations.empty() && m_LastActivity + m_Options.m_IdleReturn <= Now.m_Steady;
@@ -555,14 +564,15 @@
   const auto Need = coverableByDraw(Have, Free);
   const auto Target = targetAllowance(Free + Have, Now);
   const auto Spare = Have - Need;
-  if (Spare < 0 || Spare < Target / 2) {
-    Own.m_Granted += std::min(Free, std::max(Target, Tokens{0}) - Spare);
+  const auto IsSomeoneShort = Need < waitingTokens();
+  if (Spare < 0 || (!IsSomeoneShort && Spare < Target / 2)) {
+    // Nothing is held in reserve while a request waits for what others return.
+    Own.m_Granted += IsSomeoneShort ? -Spare : std::min(Free, Target - Spare);
     return;
   }
-  const auto IsHeadWaiting = Need == 0 && !m_Waiters.empty();
   const auto IsSurplusOld =
       m_SurplusSince && *m_SurplusSince + m_Options.m_IdleReturn <= Now.m_Steady;
-  if (Spare > 2 * Target && (!IsHeadWaiting || IsSurplusOld)) {
+  if (Spare > 2 * Target && (!IsSomeoneShort || IsSurplusOld)) {
     Own.m_Granted -= Spare - Target;
     m_SurplusSince.reset();
   }
--- /dev/null
+++ b/src/budget/internal/ledgerrunner.cpp
@@ -0,0 +1,165 @@
+#include "budget/internal/ledgerrunner.h"
+
+#include "base/log.h"
+
+#include <utility>
+
+namespace geraniumlift::budget::internal {
+
+LedgerRunner::LedgerRunner(std::string Budget, const BudgetOptions &Options, std::uint64_t Seed,
+                           platform::IKeyValueStore &Store, base::IScheduler &Scheduler,
+                           const base::IClock &Clock)
+    : m_Budget(std::move(Budget)), m_Store(Store), m_Scheduler(Scheduler), m_Clock(Clock),
+      m_Ledger(Options, Seed) {}
+
+auto LedgerRunner::reserve(ReservationId Id, const ReserveRequest &Request, ReserveCallback Done)
+    -> void {
+  m_ReserveCallbacks.emplace(Id, std::move(Done));
+  const auto Hash =
+      Request.m_HasIdempotencyKey ? hashOfRequest(Request.m_RequestId) : std::string();
+  deliver(ReserveEvent{Id, Hash, Request.m_WorstCase, Request.m_Deadline});
+}
+
+auto LedgerRunner::bill(ReservationId Id, Tokens Used, BillCallback Done) -> void {
+  m_BillCallbacks.emplace(Id, std::move(Done));
+  deliver(BillEvent{Id, Used});
+}
+
+auto LedgerRunner::release(ReservationId Id) -> void { deliver(ReleaseEvent{Id}); }
+
+auto LedgerRunner::holderGone(const base::HolderId &Holder) -> void {
+  deliver(HolderGoneEvent{Holder});
+}
+
+auto LedgerRunner::drain(std::function<void()> Done) -> void {
+  m_DrainCallbacks.push_back(std::move(Done));
+  deliver(DrainEvent{});
+}
+
+auto LedgerRunner::view() const -> BudgetView {
+  auto View = m_Ledger.view();
+  View.m_Budget = m_Budget;
+  return View;
+}
+
+auto LedgerRunner::deliver(const LedgerEvent &Event) -> void {
+  const auto UnixTime = m_Clock.systemNow().time_since_epoch();
+  const auto Now = LedgerTime{m_Clock.steadyNow(),
+                              std::chrono::duration_cast<std::chrono::seconds>(UnixTime).count()};
+  for (const auto &Command : m_Ledger.handle(Event, Now)) {
+    std::visit([this](const auto &Typed) { obey(Typed); }, Command);
+  }
+  armTimer();
+}
+
+auto LedgerRunner::decode(const std::optional<platform::KeyValue> &Found) const
+    -> absl::StatusOr<StoredRecord> {
+  if (!Found) {
+    return StoredRecord();
+  }
+  auto Record = decodeRecord(Found->m_Value);
+  if (!Record.ok()) {
+    base::logEvent(base::LogLevel::Error, "budget_record_unusable",
+                   {{"budget", m_Budget}, {"error", std::string(Record.status().message())}});
+    return Record.status();
+  }
+  return StoredRecord{Found->m_ModRevision, std::move(*Record)};
+}
+
+auto LedgerRunner::onRead(const absl::StatusOr<std::optional<platform::KeyValue>> &Found) -> void {
+  auto Stored = Found.ok() ? decode(*Found) : Found.status();
+  if (Stored.ok()) {
+    deliver(RecordReadEvent{std::move(*Stored)});
+  } else {
+    deliver(ReadFailedEvent{});
+  }
+}
+
+auto LedgerRunner::onWritten(const platform::WriteResult &Result) -> void {
+  if (Result.m_Outcome == platform::WriteOutcome::Landed) {
+    return deliver(WriteLandedEvent{Result.m_ModRevision});
+  }
+  if (Result.m_Outcome == platform::WriteOutcome::Conflict) {
+    auto Current = decode(Result.m_Current);
+    if (Current.ok()) {
+      return deliver(WriteConflictEvent{std::move(*Current)});
+    }
+  }
+  deliver(WriteUnknownEvent{});
+}
+
+auto LedgerRunner::obey(const ReadCommand & /*Command*/) -> void {
+  auto Done = [Weak = weak_from_this(), &Scheduler = m_Scheduler](auto Found) {
+    Scheduler.post([Weak, Found = std::move(Found)] {
+      if (const auto Self = Weak.lock()) {
+        Self->onRead(Found);
+      }
+    });
+  };
+  m_Store.read(keyOfBudget(m_Budget), std::move(Done));
+}
+
+auto LedgerRunner::obey(const WriteCommand &Command) -> void {
+  auto Done = [Weak = weak_from_this(), &Scheduler = m_Scheduler](platform::WriteResult Result) {
+    Scheduler.post([Weak, Result = std::move(Result)] {
+      if (const auto Self = Weak.lock()) {
+        Self->onWritten(Result);
+      }
+    });
+  };
+  m_Store.compareAndSwap({.m_Key = keyOfBudget(m_Budget),
+                          .m_ExpectedModRevision = Command.m_ExpectedRevision,
+                          .m_Value = encodeRecord(Command.m_Record)},
+                         std::move(Done));
+}
+
+auto LedgerRunner::obey(const ReserveAnswer &Answer) -> void {
+  auto Entry = m_ReserveCallbacks.extract(Answer.m_Reservation);
+  if (Entry.empty()) {
+    return;
+  }
+  if (Answer.m_Refusal) {
+    Entry.mapped()(*Answer.m_Refusal);
+  } else {
+    Entry.mapped()(Answer.m_Reservation);
+  }
+}
+
+auto LedgerRunner::obey(const BillAnswer &Answer) -> void {
+  auto Entry = m_BillCallbacks.extract(Answer.m_Reservation);
+  if (!Entry.empty()) {
+    Entry.mapped()(Answer.m_Outcome);
+  }
+}
+
+auto LedgerRunner::obey(const LossReport &Report) -> void {
+  base::logEvent(base::LogLevel::Error,
+                 Report.m_HolderIdReused ? "budget_holder_id_reused" : "budget_grant_lost",
+                 {{"budget", m_Budget}, {"tokens_not_billed", Report.m_Tokens}});
+}
+
+auto LedgerRunner::obey(const DrainedAnswer & /*Answer*/) -> void {
+  for (const auto &Done : std::exchange(m_DrainCallbacks, {})) {
+    Done();
+  }
+}
+
+auto LedgerRunner::armTimer() -> void {
+  const auto Wake = m_Ledger.nextWake();
+  if (!Wake || (m_ArmedFor && *m_ArmedFor <= *Wake)) {
+    return;
+  }
+  m_ArmedFor = Wake;
+  const auto Delay = std::chrono::ceil<std::chrono::milliseconds>(*Wake - m_Clock.steadyNow());
+  const auto Number = ++m_TimerNumber;
+  m_Scheduler.after(std::max(Delay, std::chrono::milliseconds{1}),
+                    [Weak = weak_from_this(), Number] {
+                      const auto Self = Weak.lock();
+                      if (Self && Self->m_TimerNumber == Number) {
+                        Self->m_ArmedFor.reset();
+                        Self->deliver(TickEvent{});
+                      }
+                    });
+}
+
+} // namespace geraniumlift::budget::internal
--- /dev/null
+++ b/src/budget/internal/ledgerrunner.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "base/ischeduler.h"
+#include "budget/budgetledger.h"
+#include "platform/ikeyvaluestore.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace geraniumlift::budget::internal {
+
+/// Runs the ledger of one budget: carries out its commands against the key-value service and the
+/// callers, and wakes it in time. Used on the scheduler thread only.
+class LedgerRunner final : public std::enable_shared_from_this<LedgerRunner> {
+public:
+  LedgerRunner(std::string Budget, const BudgetOptions &Options, std::uint64_t Seed,
+               platform::IKeyValueStore &Store, base::IScheduler &Scheduler,
+               const base::IClock &Clock);
+
+  auto reserve(ReservationId Id, const ReserveRequest &Request, ReserveCallback Done) -> void;
+  auto bill(ReservationId Id, Tokens Used, BillCallback Done) -> void;
+  auto release(ReservationId Id) -> void;
+  auto holderGone(const base::HolderId &Holder) -> void;
+  auto drain(std::function<void()> Done) -> void;
+  [[nodiscard]] auto view() const -> BudgetView;
+
+private:
+  auto deliver(const LedgerEvent &Event) -> void;
+  auto onRead(const absl::StatusOr<std::optional<platform::KeyValue>> &Found) -> void;
+  auto onWritten(const platform::WriteResult &Result) -> void;
+
+  /// The record that a key holds. An error if it can't be used.
+  auto decode(const std::optional<platform::KeyValue> &Found) const -> absl::StatusOr<StoredRecord>;
+
+  auto obey(const ReadCommand &Command) -> void;
+  auto obey(const WriteCommand &Command) -> void;
+  auto obey(const ReserveAnswer &Answer) -> void;
+  auto obey(const BillAnswer &Answer) -> void;
+  auto obey(const LossReport &Report) -> void;
+  auto obey(const DrainedAnswer &Answer) -> void;
+
+  auto armTimer() -> void;
+
+  std::string m_Budget;
+  platform::IKeyValueStore &m_Store;
+  base::IScheduler &m_Scheduler;
+  const base::IClock &m_Clock;
+  BudgetLedger m_Ledger;
+  std::map<ReservationId, ReserveCallback> m_ReserveCallbacks;
+  std::map<ReservationId, BillCallback> m_BillCallbacks;
+  std::vector<std::function<void()>> m_DrainCallbacks;
+  std::optional<base::SteadyTime> m_ArmedFor;
+  std::uint64_t m_TimerNumber = 0;
+};
+
+} // namespace geraniumlift::budget::internal
