--- a/src/gateway/tests/gateway_test.cpp
+++ b/src/gateway/tests/gateway_test.cpp
@@ -49,7 +49,7 @@
     auto Exchange = std::make_shared<FakeExchange>(
         CallerRequest{std::move(Method), Path, Path, std::move(Headers), std::move(Body)});
     m_Gateway->handle(Exchange);
-    m_Scheduler.runReady();
+    m_Scheduler.runFor(std::chrono::nanoseconds{0});
     return Exchange;
   }
 
@@ -66,26 +66,26 @@
   auto event(std::size_t Stream, std::uint64_t Offset, std::string Text) -> void {
     m_Targets.m_Streams.at(Stream)->onEvent(
         {Offset, R"({"choices":[{"delta":{"content":")" + Text + R"("}}]})"});
-    m_Scheduler.runReady();
+    m_Scheduler.runFor(std::chrono::nanoseconds{0});
   }
 
   auto end(std::size_t Stream, targets::StreamEnd End) -> void {
     m_Targets.m_Streams.at(Stream)->onEnd(std::move(End));
-    m_Scheduler.runReady();
+    m_Scheduler.runFor(std::chrono::nanoseconds{0});
   }
 
   auto answerService(std::size_t Index, targets::ServiceResult Result) -> void {
     m_Targets.m_ServiceCalls.at(Index)(std::move(Result));
-    m_Scheduler.runReady();
+    m_Scheduler.runFor(std::chrono::nanoseconds{0});
   }
 
   auto settle() -> void {
     m_Budgets.settleAll();
-    m_Scheduler.runReady();
+    m_Scheduler.runFor(std::chrono::nanoseconds{0});
   }
 
   base::ManualClock m_Clock;
-  testing::ManualScheduler m_Scheduler{m_Clock};
+  fakes::ManualScheduler m_Scheduler{m_Clock};
   FakeConfiguration m_Configuration;
   FakeBudgets m_Budgets;
   FakeClaims m_Claims;
@@ -166,12 +166,12 @@
   Test.event(0, 0, "a");
   Test.event(0, 1, "b");
   Exchange->m_Gone();
-  Test.m_Scheduler.runReady();
+  Test.m_Scheduler.runFor(std::chrono::nanoseconds{0});
   cr_assert_eq(Test.m_Budgets.m_Billed, 2);
   cr_assert_eq(Test.m_Dispatcher.m_Cancelled, 1);
   auto Idle = false;
   Test.m_Gateway->whenIdle([&] { Idle = true; });
-  Test.m_Scheduler.runReady();
+  Test.m_Scheduler.runFor(std::chrono::nanoseconds{0});
   cr_assert(Idle);
 }
 
--- a/testing/process/fleet.cpp
+++ b/testing/process/fleet.cpp
@@ -83,10 +83,10 @@
     Vms.emplace(vmOf(Index), "live");
   }
   setVmList(Vms);
+  Up = Up && ctl({"publish", writeObjects()}).m_ExitCode == 0;
   for (const auto &[Budget, Tokens] : m_Options.m_Budgets) {
     Up = Up && ctl({"top-up", Budget, std::to_string(Tokens), "--id=first"}).m_ExitCode == 0;
   }
-  Up = Up && ctl({"publish", writeObjects()}).m_ExitCode == 0;
   for (auto Index = 0; Index < m_Options.m_Routers; ++Index) {
     startRouter(Index);
   }
