Read request bodies by their stated length

Cause: the HTTP library's read() leaves the buffer at the size that was asked for, so that every body was padded with zeros to 1 MB and refused as malformed JSON. Change: read the stated length, cut the buffer to what was read.

--- a/src/budget/budgettypes.h
+++ b/src/budget/budgettypes.h
@@ -66,6 +66,9 @@
 
   /// What this router has reserved for requests in flight.
   Tokens m_Reserved = 0;
+
+  /// The other holders in the record, for whoever can prove that one of them has ended.
+  std::vector<base::HolderId> m_OtherHolders = {};
 };
 
 } // namespace geraniumlift::budget
--- a/src/gateway/internal/httpserver.cpp
+++ b/src/gateway/internal/httpserver.cpp
@@ -185,12 +185,19 @@
       refuseOversized(Http, "body", Limit);
       return;
     }
+    const auto Chunked = Http.headers().has(web::http::header_names::transfer_encoding);
+    const auto Expected = Chunked ? Limit + 1 : Http.headers().content_length();
+    if (Expected == 0) {
+      m_Handle(std::make_shared<HttpExchange>(Http, std::move(Request)));
+      return;
+    }
+    // read() reserves all it is asked for, hence the stated length where there is one.
     auto Body = concurrency::streams::container_buffer<std::string>();
     Http.body()
-        .read(Body, Limit + 1)
+        .read(Body, Expected)
         .then([this, Http, Body, Limit,
                Parsed = std::move(Request)](const pplx::task<std::size_t> &Read) mutable {
-          deliver(Http, Parsed, Body, Limit, Read);
+          deliver(Http, std::move(Parsed), Body, Limit, Read);
         });
   }
 
@@ -198,11 +205,13 @@
                concurrency::streams::container_buffer<std::string> &Body, std::size_t Limit,
                const pplx::task<std::size_t> &Read) -> void {
     try {
-      if (Read.get() > Limit) {
+      const auto Size = Read.get();
+      if (Size > Limit) {
         refuseOversized(Http, "body", Limit);
         return;
       }
       Request.m_Body = std::move(Body.collection());
+      Request.m_Body.resize(Size);
       m_Handle(std::make_shared<HttpExchange>(Http, std::move(Request)));
     } catch (const std::exception &Error) {
       base::logEvent(base::LogLevel::Info, "caller_read_failed", {{"error", Error.what()}});
--- a/src/geraniumliftd/router.cpp
+++ b/src/geraniumliftd/router.cpp
@@ -125,8 +125,6 @@
       return Status;
     }
     m_Configuration.subscribe([this](const configuration::SnapshotPointer &Snapshot) {
-      base::logEvent(base::LogLevel::Info, "configuration_adopted",
-                     {{"generation", Snapshot->m_Generation}});
       m_Gateway.setConfiguration(Snapshot);
     });
     m_Configuration.start();
