Show the other holders of a budget

Cause: whoever can prove that a router process has ended must know which ones hold grants. Change: BudgetView lists the other holders in the record.

--- a/src/budget/internal/budgetledger.cpp
+++ b/src/budget/internal/budgetledger.cpp
@@ -57,6 +57,11 @@
     View.m_ToppedUp = Record.m_ToppedUp;
     View.m_Settled = Record.m_ToppedUp - unsettledTokens(Record);
     View.m_Outstanding = unsettledTokens(Record) - freeTokens(Record);
+    for (const auto &Entry : Record.m_Holders) {
+      if (Entry.m_Holder != m_Options.m_Holder) {
+        View.m_OtherHolders.push_back(Entry.m_Holder);
+      }
+    }
   }
   View.m_Allowance = std::max(Tokens{0}, allowance());
   View.m_Reserved = m_Reserved;
