--- a/src/geraniumliftd/operatorpages.cpp
+++ b/src/geraniumliftd/operatorpages.cpp
@@ -32,6 +32,15 @@
   };
   Append("key_value", Sources.m_KeyValues.counts());
   Append("vm_list", Sources.m_VmList.counts());
+  const auto Traffic = Sources.m_Peers.traffic();
+  Text += fmt::format("# TYPE geraniumlift_peer_bytes_total counter\n"
+                      "geraniumlift_peer_bytes_total{{direction=\"sent\"}} {}\n"
+                      "geraniumlift_peer_bytes_total{{direction=\"received\"}} {}\n"
+                      "# TYPE geraniumlift_peer_rejected_total counter\n"
+                      "geraniumlift_peer_rejected_total{{reason=\"unauthenticated\"}} {}\n"
+                      "geraniumlift_peer_rejected_total{{reason=\"malformed\"}} {}\n",
+                      Traffic.m_BytesSent, Traffic.m_BytesReceived, Traffic.m_Unauthenticated,
+                      Traffic.m_Malformed);
   Text += fmt::format("# TYPE geraniumlift_configuration_generation gauge\n"
                       "geraniumlift_configuration_generation {}\n",
                       Sources.m_Configuration.current()->m_Generation);
--- a/src/geraniumliftd/peernetwork.cpp
+++ b/src/geraniumliftd/peernetwork.cpp
@@ -1,16 +1,130 @@
 #include "geraniumliftd/peernetwork.h"
 
+#include "base/log.h"
+#include "membership/membershipservice.h"
+
+#include <algorithm>
+#include <atomic>
+
 namespace geraniumlift::daemon {
 
-class PeerNetwork::Implementation {
+namespace {
+
+/// How often the other modules hear of the peers and the peers of this router's state.
+constexpr auto ExchangeInterval = std::chrono::milliseconds{500};
+
+} // namespace
+
+class PeerNetwork::Implementation : public std::enable_shared_from_this<Implementation> {
 public:
   Implementation(const settings::Settings &Settings, base::HolderId Self,
                  PeerNetworkDependencies Dependencies)
-      : m_Settings(Settings), m_Self(std::move(Self)), m_Services(Dependencies) {}
+      : m_Settings(Settings), m_Self(std::move(Self)), m_Services(Dependencies),
+        m_Membership(membershipOptions(), m_Services.m_Clock) {}
+
+  auto start() -> absl::Status {
+    m_Membership.setSnapshotProvider(
+        [&Configuration = m_Services.m_Configuration] { return Configuration.serialize(); });
+    m_Membership.onHigherGeneration([Weak = weak_from_this()](const membership::PeerEntry &Peer) {
+      if (const auto Self = Weak.lock()) {
+        Self->fetchSnapshot(Peer);
+      }
+    });
+    if (const auto Status = m_Membership.start(); !Status.ok()) {
+      return Status;
+    }
+    exchange();
+    return absl::OkStatus();
+  }
+
+  auto membership() -> membership::IMembership & { return m_Membership; }
+
+  [[nodiscard]] auto settings() const -> const settings::Settings & { return m_Settings; }
+  [[nodiscard]] auto self() const -> const base::HolderId & { return m_Self; }
+  [[nodiscard]] auto services() const -> const PeerNetworkDependencies & { return m_Services; }
+
+private:
+  [[nodiscard]] auto membershipOptions() const -> membership::MembershipOptions {
+    auto Options = membership::MembershipOptions();
+    Options.m_Self.m_Vm = m_Self.m_Vm;
+    Options.m_Self.m_Incarnation = m_Self.m_Incarnation;
+    Options.m_Self.m_DataCentre = m_Settings.m_DataCentre;
+    Options.m_Self.m_CallerUrl = m_Settings.m_CallersAdvertise;
+    Options.m_Self.m_PeerAddress = m_Settings.m_PeersListen;
+    Options.m_Seeds = m_Settings.m_PeersSeeds;
+    Options.m_Key = m_Settings.m_PeersKey;
+    return Options;
+  }
+
+  /// Passes state between membership and the other modules, then again after the interval.
+  auto exchange() -> void {
+    updatePollers();
+    m_Membership.setLocalGeneration(m_Services.m_Configuration.current()->m_Generation);
+    m_Services.m_Budgets.views(
+        [Weak = weak_from_this()](const std::vector<budget::BudgetView> &Views) {
+          if (const auto Self = Weak.lock()) {
+            Self->advertise(Views);
+          }
+        });
+    m_Services.m_Scheduler.after(ExchangeInterval, [Weak = weak_from_this()] {
+      if (const auto Self = Weak.lock()) {
+        Self->exchange();
+      }
+    });
+  }
+
+  auto updatePollers() -> void {
+    auto Pollers = std::vector<configuration::PollerSighting>();
+    for (const auto &Peer : m_Membership.peers()) {
+      if (!Peer.m_Suspected && Peer.m_Entry.m_DataCentre == m_Settings.m_DataCentre) {
+        Pollers.push_back({Peer.m_Entry.m_Vm, m_Services.m_Clock.steadyNow()});
+      }
+    }
+    m_Services.m_Configuration.updatePeers(std::move(Pollers));
+  }
+
+  /// Peers forward to whoever has most, so the largest allowances go first.
+  auto advertise(const std::vector<budget::BudgetView> &Views) -> void {
+    auto Budgets = std::vector<membership::AdvertisedBudget>();
+    for (const auto &View : Views) {
+      if (View.m_Allowance > 0) {
+        Budgets.push_back({View.m_Budget, View.m_Allowance});
+      }
+    }
+    std::sort(Budgets.begin(), Budgets.end(), [](const auto &Left, const auto &Right) {
+      return Left.m_Allowance > Right.m_Allowance;
+    });
+    m_Membership.setLocalBudgets(std::move(Budgets));
+  }
+
+  /// Reads a newer snapshot from the peer that announced it; one read at a time.
+  auto fetchSnapshot(const membership::PeerEntry &Peer) -> void {
+    if (m_Fetching.exchange(true)) {
+      return;
+    }
+    m_Membership.fetchSnapshot(Peer.m_PeerAddress,
+                               [Weak = weak_from_this()](const absl::StatusOr<std::string> &Bytes) {
+                                 if (const auto Self = Weak.lock()) {
+                                   Self->onSnapshot(Bytes);
+                                 }
+                               });
+  }
+
+  auto onSnapshot(const absl::StatusOr<std::string> &Bytes) -> void {
+    m_Fetching = false;
+    const auto Status =
+        Bytes.ok() ? m_Services.m_Configuration.adoptSerialized(*Bytes) : Bytes.status();
+    if (!Status.ok()) {
+      base::logEvent(base::LogLevel::Warning, "snapshot_fetch_failed",
+                     {{"detail", std::string(Status.message())}});
+    }
+  }
 
   settings::Settings m_Settings;
   base::HolderId m_Self;
   PeerNetworkDependencies m_Services;
+  std::atomic<bool> m_Fetching{false};
+  membership::MembershipService m_Membership;
 };
 
 PeerNetwork::PeerNetwork(const settings::Settings &Settings, base::HolderId Self,
@@ -19,26 +133,84 @@
 
 PeerNetwork::~PeerNetwork() = default;
 
-auto PeerNetwork::start() -> absl::Status { return absl::OkStatus(); }
+auto PeerNetwork::start() -> absl::Status { return m_Implementation->start(); }
 
-auto PeerNetwork::setDraining() -> void {}
+auto PeerNetwork::setDraining() -> void {
+  m_Implementation->membership().setLocalState(membership::PeerState::Draining);
+}
 
 auto PeerNetwork::entryList() const -> std::vector<gateway::EntryAddress> {
-  return {
-      {m_Implementation->m_Settings.m_CallersAdvertise, m_Implementation->m_Settings.m_DataCentre}};
+  auto Addresses = std::vector<gateway::EntryAddress>();
+  const auto &DataCentre = m_Implementation->settings().m_DataCentre;
+  for (const auto &Entry : m_Implementation->membership().entryList(DataCentre)) {
+    Addresses.push_back({Entry.m_Url, Entry.m_DataCentre});
+  }
+  return Addresses;
 }
 
-auto PeerNetwork::find(const base::HolderId &) const -> std::optional<gateway::PeerAddress> {
+auto PeerNetwork::find(const base::HolderId &Holder) const -> std::optional<gateway::PeerAddress> {
+  for (const auto &Peer : m_Implementation->membership().peers()) {
+    if (!Peer.m_Suspected && Peer.m_Entry.m_Vm == Holder.m_Vm &&
+        Peer.m_Entry.m_Incarnation == Holder.m_Incarnation) {
+      return gateway::PeerAddress{Holder, Peer.m_Entry.m_CallerUrl};
+    }
+  }
   return std::nullopt;
 }
 
-auto PeerNetwork::withAllowance(const std::string &, base::Tokens) const
+auto PeerNetwork::withAllowance(const std::string &Budget, base::Tokens Tokens) const
     -> std::vector<gateway::PeerAddress> {
-  return {};
+  auto Found = std::vector<std::pair<base::Tokens, gateway::PeerAddress>>();
+  for (const auto &Peer : m_Implementation->membership().peers()) {
+    for (const auto &Advertised : Peer.m_Entry.m_Budgets) {
+      if (!Peer.m_Suspected && Advertised.m_Name == Budget && Advertised.m_Allowance >= Tokens) {
+        Found.push_back(
+            {Advertised.m_Allowance,
+             {{Peer.m_Entry.m_Vm, Peer.m_Entry.m_Incarnation}, Peer.m_Entry.m_CallerUrl}});
+      }
+    }
+  }
+  std::stable_sort(Found.begin(), Found.end(),
+                   [](const auto &Left, const auto &Right) { return Left.first > Right.first; });
+  auto Peers = std::vector<gateway::PeerAddress>();
+  for (auto &Row : Found) {
+    Peers.push_back(std::move(Row.second));
+  }
+  return Peers;
 }
 
-auto PeerNetwork::heardRouters() const -> std::vector<HeardRouter> { return {}; }
+auto PeerNetwork::heardRouters() const -> std::vector<HeardRouter> {
+  auto Heard = std::vector<HeardRouter>();
+  const auto Now = m_Implementation->services().m_Clock.steadyNow();
+  for (const auto &Peer : m_Implementation->membership().peers()) {
+    if (!Peer.m_Suspected) {
+      Heard.push_back({{Peer.m_Entry.m_Vm, Peer.m_Entry.m_Incarnation}, Now});
+    }
+  }
+  Heard.push_back({m_Implementation->self(), Now});
+  return Heard;
+}
+
+auto PeerNetwork::traffic() const -> membership::TrafficCounts {
+  return m_Implementation->membership().traffic();
+}
 
-auto PeerNetwork::rows() const -> std::vector<RouterRow> { return {}; }
+auto PeerNetwork::rows() const -> std::vector<RouterRow> {
+  const auto &Settings = m_Implementation->settings();
+  const auto Generation = m_Implementation->services().m_Configuration.current()->m_Generation;
+  auto Rows = std::vector<RouterRow>{{m_Implementation->self(), Settings.m_DataCentre, "self",
+                                      Settings.m_CallersAdvertise, Generation}};
+  for (const auto &Peer : m_Implementation->membership().peers()) {
+    const auto State = Peer.m_Suspected
+                           ? std::string_view("suspected")
+                           : base::nameOf(membership::PeerStateNames, Peer.m_Entry.m_State);
+    Rows.push_back({{Peer.m_Entry.m_Vm, Peer.m_Entry.m_Incarnation},
+                    Peer.m_Entry.m_DataCentre,
+                    std::string(State),
+                    Peer.m_Entry.m_CallerUrl,
+                    Peer.m_Entry.m_Generation});
+  }
+  return Rows;
+}
 
 } // namespace geraniumlift::daemon
--- a/src/geraniumliftd/peernetwork.h
+++ b/src/geraniumliftd/peernetwork.h
@@ -5,8 +5,8 @@
 #include "budget/ibudgetservice.h"
 #include "configuration/configurationservice.h"
 #include "gateway/ipeerdirectory.h"
+#include "membership/membershiptypes.h"
 #include "settings/settingstypes.h"
-#include "telemetry/imetrics.h"
 
 #include <absl/status/status.h>
 #include <memory>
@@ -20,7 +20,6 @@
   base::IScheduler &m_Scheduler;
   configuration::ConfigurationService &m_Configuration;
   budget::IBudgetService &m_Budgets;
-  telemetry::IMetrics &m_Metrics;
 };
 
 /// Another router process and when it was heard last.
@@ -61,6 +60,8 @@
   /// All routers of which a heartbeat was heard, live or not.
   [[nodiscard]] auto heardRouters() const -> std::vector<HeardRouter>;
 
+  [[nodiscard]] auto traffic() const -> membership::TrafficCounts;
+
   /// All known routers including this one, for operators.
   [[nodiscard]] auto rows() const -> std::vector<RouterRow>;
 
