Add metrics and the OTLP tracer

Cause: routers report counters, distributions and trace spans. Conclusion: the other modules can report through IMetrics and ITracer.

--- /dev/null
+++ b/src/telemetry/internal/otlptracer.cpp
@@ -0,0 +1,150 @@
+#include "telemetry/otlptracer.h"
+
+#include "base/asioscheduler.h"
+#include "telemetry/internal/otlpencoding.h"
+
+#include <algorithm>
+#include <cpprest/http_client.h>
+#include <deque>
+#include <iterator>
+#include <mutex>
+#include <utility>
+
+namespace geraniumlift::telemetry {
+
+namespace {
+
+constexpr auto DroppedSpans = std::string_view{"geraniumlift_telemetry_dropped_spans_total"};
+
+} // namespace
+
+/// Buffer and transmission. Shared with the library's continuations, which hold weak pointers.
+class OtlpTracer::Sender : public std::enable_shared_from_this<OtlpTracer::Sender> {
+public:
+  Sender(OtlpOptions Options, IMetrics &Metrics)
+      : m_Options(std::move(Options)), m_Metrics(Metrics) {
+    if (m_Options.m_CollectorUrl.empty()) {
+      return;
+    }
+    auto Settings = web::http::client::http_client_config();
+    Settings.set_timeout(m_Options.m_SendTimeout);
+    m_Client = std::make_unique<web::http::client::http_client>(web::uri(m_Options.m_CollectorUrl),
+                                                                Settings);
+    m_Scheduler = std::make_unique<base::AsioScheduler>();
+  }
+
+  auto start() -> void {
+    if (m_Client) {
+      scheduleFlush();
+    }
+  }
+
+  /// Ends the thread. No call to the metrics is made after this.
+  auto stop() -> void {
+    m_Scheduler.reset();
+    const auto Lock = std::lock_guard(m_Mutex);
+    m_Stopped = true;
+  }
+
+  auto add(Span Finished) -> void {
+    if (!m_Client) {
+      return;
+    }
+    const auto Lock = std::lock_guard(m_Mutex);
+    if (m_Waiting.size() >= m_Options.m_BufferedSpans) {
+      m_Metrics.count(DroppedSpans);
+      return;
+    }
+    m_Waiting.push_back(std::move(Finished));
+  }
+
+private:
+  auto scheduleFlush() -> void {
+    m_Scheduler->after(m_Options.m_FlushInterval, [this] {
+      flush();
+      scheduleFlush();
+    });
+  }
+
+  auto takeBatch() -> std::vector<Span> {
+    const auto Lock = std::lock_guard(m_Mutex);
+    if (m_IsSending) {
+      return {};
+    }
+    const auto Count =
+        static_cast<std::ptrdiff_t>(std::min(m_Waiting.size(), m_Options.m_BatchSpans));
+    auto Batch = std::vector<Span>(std::make_move_iterator(m_Waiting.begin()),
+                                   std::make_move_iterator(m_Waiting.begin() + Count));
+    m_Waiting.erase(m_Waiting.begin(), m_Waiting.begin() + Count);
+    m_IsSending = !Batch.empty();
+    return Batch;
+  }
+
+  /// Sends one batch; the end of a successful one starts the next.
+  auto flush() -> void {
+    const auto Batch = takeBatch();
+    if (Batch.empty()) {
+      return;
+    }
+    try {
+      auto Request = web::http::http_request("POST");
+      Request.set_request_uri("/v1/traces");
+      Request.set_body(encodeSpans({m_Options.m_ServiceName, m_Options.m_VmName}, Batch),
+                       "application/json");
+      m_Client->request(Request).then([Weak = weak_from_this(), Count = Batch.size()](
+                                          const pplx::task<web::http::http_response> &Answer) {
+        const auto Accepted = wasAccepted(Answer);
+        if (const auto Self = Weak.lock()) {
+          Self->takeResult(Accepted, Count);
+        }
+      });
+    } catch (const std::exception &) {
+      takeResult(false, Batch.size());
+    }
+  }
+
+  static auto wasAccepted(const pplx::task<web::http::http_response> &Answer) -> bool {
+    try {
+      return Answer.get().status_code() == web::http::status_codes::OK;
+    } catch (const std::exception &) {
+      return false;
+    }
+  }
+
+  auto takeResult(bool Accepted, std::size_t Count) -> void {
+    {
+      const auto Lock = std::lock_guard(m_Mutex);
+      m_IsSending = false;
+      if (m_Stopped) {
+        return;
+      }
+      if (!Accepted) {
+        m_Metrics.count(DroppedSpans, {}, static_cast<double>(Count));
+        return;
+      }
+    }
+    flush();
+  }
+
+  OtlpOptions m_Options;
+  IMetrics &m_Metrics;
+  std::unique_ptr<web::http::client::http_client> m_Client;
+  std::mutex m_Mutex;
+  std::deque<Span> m_Waiting;
+  bool m_IsSending = false;
+  bool m_Stopped = false;
+
+  /// Last, so that its thread ends before the rest goes.
+  std::unique_ptr<base::AsioScheduler> m_Scheduler;
+};
+
+OtlpTracer::OtlpTracer(OtlpOptions Options, IMetrics &Metrics)
+    : m_Sender(std::make_shared<Sender>(std::move(Options), Metrics)) {
+  m_Sender->start();
+}
+
+OtlpTracer::~OtlpTracer() { m_Sender->stop(); }
+
+auto OtlpTracer::record(Span Finished) -> void { m_Sender->add(std::move(Finished)); }
+
+} // namespace geraniumlift::telemetry
