Add geraniumctl and the operators' manual

Cause: operators need to check, publish and inspect objects and to top up budgets, with exact answers when the platform fails.

Change: the command line with a table of commands, one file per command, exit codes for refused, usage, conflict and unreachable, text and JSON output. A top-up without an answer is resolved by its ID in the budget's record. A budget without a record must be published before its first top-up, so that a misspelt name is refused. docs/OPERATORS.md describes objects, commands, publishing, top-ups and exit codes. The service logs an adoption no longer itself, since its observers do.

--- a/src/configuration/internal/configurationservice.cpp
+++ b/src/configuration/internal/configurationservice.cpp
@@ -64,9 +64,6 @@
     }
     m_Loaded = Loaded;
     m_Reader.keepChunks(Loaded->m_Chunks);
-    base::logEvent(base::LogLevel::Info, "configuration_adopted",
-                   {{"generation", Loaded->m_Snapshot->m_Generation},
-                    {"publication", Loaded->m_Snapshot->m_PublicationId}});
     m_Scheduler.post([Weak = weak_from_this(), Adopted = Loaded->m_Snapshot] {
       if (const auto Self = Weak.lock()) {
         Self->notify(Adopted);
--- /dev/null
+++ b/src/geraniumctl/internal/publishcommand.cpp
@@ -0,0 +1,77 @@
+#include "configuration/publisher.h"
+#include "geraniumctl/internal/await.h"
+#include "geraniumctl/internal/commands.h"
+#include "geraniumctl/internal/jsonview.h"
+#include "geraniumctl/internal/objectfiles.h"
+
+#include <fmt/format.h>
+#include <ostream>
+
+namespace geraniumlift::geraniumctl::internal {
+
+namespace {
+
+using configuration::PublishOutcome;
+
+/// The exit code and the line of text for an outcome. The line is formatted with the generation,
+/// the publication ID and the reason.
+struct OutcomeView {
+  PublishOutcome m_Outcome;
+  ExitCode m_Exit;
+  const char *m_Line;
+};
+
+constexpr auto OutcomeViews = std::array{
+    OutcomeView{PublishOutcome::Accepted, ExitCode::Done, "accepted as generation {0}, ID {1}\n"},
+    OutcomeView{PublishOutcome::Conflict, ExitCode::Conflict,
+                "not published: {2}; generation {0} is in force\n"},
+    OutcomeView{PublishOutcome::Rejected, ExitCode::Refused, "not published: {2}\n"},
+    OutcomeView{PublishOutcome::Unavailable, ExitCode::Unreachable,
+                "not published: the key-value service does not answer: {2}\n"},
+    OutcomeView{PublishOutcome::Unknown, ExitCode::Unreachable,
+                "outcome unknown: {2}; repeat with --id={1} to learn it\n"},
+};
+
+auto viewOf(PublishOutcome Outcome) -> const OutcomeView & {
+  for (const auto &View : OutcomeViews) {
+    if (View.m_Outcome == Outcome) {
+      return View;
+    }
+  }
+  return OutcomeViews.back();
+}
+
+auto print(CommandContext &Context, const configuration::PublishResult &Result) -> void {
+  const auto Reason = std::string(Result.m_Status.message());
+  if (Context.m_Options.m_Output == OutputFormat::Json) {
+    Context.m_Out << fmt::format(
+        "{{\"outcome\":\"{}\",\"generation\":{},\"id\":{},\"reason\":{}}}\n",
+        base::nameOf(configuration::PublishOutcomeNames, Result.m_Outcome), Result.m_Generation,
+        quoted(Result.m_PublicationId), quoted(Reason));
+    return;
+  }
+  auto &Stream = Result.m_Outcome == PublishOutcome::Accepted ? Context.m_Out : Context.m_Error;
+  Stream << fmt::format(fmt::runtime(viewOf(Result.m_Outcome).m_Line), Result.m_Generation,
+                        Result.m_PublicationId, Reason);
+}
+
+} // namespace
+
+auto runPublish(CommandContext &Context) -> ExitCode {
+  auto Objects = readObjectFiles(Context);
+  if (!Objects) {
+    return ExitCode::Refused;
+  }
+  auto Publisher = configuration::Publisher(*Context.m_Store, Context.m_Scheduler, Context.m_Clock,
+                                            {.m_GiveUpAfter = Context.m_Options.m_Timeout});
+  auto Request =
+      configuration::PublishRequest{.m_Objects = *std::move(Objects),
+                                    .m_ExpectedGeneration = Context.m_Options.m_ExpectedGeneration,
+                                    .m_PublicationId = Context.m_Options.m_Id};
+  const auto Result = await<configuration::PublishResult>(
+      [&](auto Done) { Publisher.publish(std::move(Request), Done); });
+  print(Context, Result);
+  return viewOf(Result.m_Outcome).m_Exit;
+}
+
+} // namespace geraniumlift::geraniumctl::internal
--- /dev/null
+++ b/src/geraniumctl/internal/recordaccess.cpp
@@ -0,0 +1,70 @@
+#include "geraniumctl/internal/recordaccess.h"
+
+#include "geraniumctl/internal/await.h"
+#include "geraniumctl/internal/repeat.h"
+
+namespace geraniumlift::geraniumctl::internal {
+
+namespace {
+
+using ReadResult = absl::StatusOr<std::optional<platform::KeyValue>>;
+using ListResult = absl::StatusOr<std::vector<platform::KeyValue>>;
+
+auto decodeStored(std::string Name, const platform::KeyValue &Found)
+    -> absl::StatusOr<StoredRecord> {
+  auto Record = budget::decodeRecord(Found.m_Value);
+  if (!Record.ok()) {
+    return Record.status();
+  }
+  return StoredRecord{.m_Name = std::move(Name),
+                      .m_Record = *std::move(Record),
+                      .m_ModRevision = Found.m_ModRevision};
+}
+
+} // namespace
+
+auto readRecord(const CommandContext &Context, const std::string &Name)
+    -> absl::StatusOr<StoredRecord> {
+  const auto Found = repeatUntilAnswered(Context, [&] {
+    return await<ReadResult>(
+        [&](auto Done) { Context.m_Store->read(budget::keyOfBudget(Name), Done); });
+  });
+  if (!Found.ok()) {
+    return Found.status();
+  }
+  if (!Found->has_value()) {
+    return StoredRecord{.m_Name = Name, .m_Record = {}};
+  }
+  return decodeStored(Name, **Found);
+}
+
+auto readAllRecords(const CommandContext &Context) -> absl::StatusOr<std::vector<StoredRecord>> {
+  const auto Prefix = budget::keyOfBudget("");
+  const auto Found = repeatUntilAnswered(Context, [&] {
+    return await<ListResult>([&](auto Done) { Context.m_Store->list(Prefix, Done); });
+  });
+  if (!Found.ok()) {
+    return Found.status();
+  }
+  auto Records = std::vector<StoredRecord>();
+  for (const auto &Entry : *Found) {
+    auto Stored = decodeStored(Entry.m_Key.substr(Prefix.size()), Entry);
+    if (!Stored.ok()) {
+      return Stored.status();
+    }
+    Records.push_back(*std::move(Stored));
+  }
+  return Records;
+}
+
+auto writeRecord(const CommandContext &Context, const StoredRecord &Stored)
+    -> platform::WriteResult {
+  return await<platform::WriteResult>([&](auto Done) {
+    Context.m_Store->compareAndSwap({.m_Key = budget::keyOfBudget(Stored.m_Name),
+                                     .m_ExpectedModRevision = Stored.m_ModRevision,
+                                     .m_Value = budget::encodeRecord(Stored.m_Record)},
+                                    Done);
+  });
+}
+
+} // namespace geraniumlift::geraniumctl::internal
--- /dev/null
+++ b/src/geraniumctl/internal/repeat.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "geraniumctl/internal/statusexit.h"
+
+#include <algorithm>
+#include <thread>
+
+namespace geraniumlift::geraniumctl::internal {
+
+/// Pause before a call that got no answer is repeated.
+inline constexpr auto RepeatInterval = std::chrono::milliseconds{200};
+
+/// Calls a function that returns a StatusOr until the service answers or the timeout of the options
+/// has passed.
+template <typename Function>
+auto repeatUntilAnswered(const CommandContext &Context, Function Call) -> decltype(Call()) {
+  const auto End = Context.m_Clock.steadyNow() + Context.m_Options.m_Timeout;
+  while (true) {
+    auto Result = Call();
+    const auto Left = End - Context.m_Clock.steadyNow();
+    if (Result.ok() || !isUnreachable(Result.status()) || Left <= Left.zero()) {
+      return Result;
+    }
+    std::this_thread::sleep_for(std::min<std::chrono::nanoseconds>(RepeatInterval, Left));
+  }
+}
+
+} // namespace geraniumlift::geraniumctl::internal
