Keep RapidJSON apart from cereal's copy of it

Cause: cereal's JSON archives, which the budget record uses, compile RapidJSON with assertions that throw and other default flags. geraniumctl and the daemon link them with code that compiles the same functions with plain assertions. The linker keeps one of each, and with the plain one cereal reads past a wrong type instead of throwing.

Change: base/rapidjson.h puts our use of RapidJSON into a namespace of its own; all modules include it.

--- /dev/null
+++ b/src/base/rapidjson.h
@@ -0,0 +1,18 @@
+#pragma once
+
+// RapidJSON in a namespace of its own. cereal's JSON archives use RapidJSON in its usual namespace
+// with assertions that throw; the same functions with another meaning of the assertion in one
+// program would be merged by the linker, and cereal would then read past wrong types instead of
+// throwing.
+#define RAPIDJSON_NAMESPACE geraniumlift::rapidjson
+#define RAPIDJSON_NAMESPACE_BEGIN                                                                  \
+  namespace geraniumlift {                                                                         \
+  namespace rapidjson {
+#define RAPIDJSON_NAMESPACE_END                                                                    \
+  }                                                                                                \
+  }
+
+#include <rapidjson/document.h>
+#include <rapidjson/memorystream.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
--- a/src/configuration/internal/manifest.cpp
+++ b/src/configuration/internal/manifest.cpp
@@ -1,10 +1,9 @@
 #include "configuration/manifest.h"
 
+#include "base/rapidjson.h"
+
 #include <absl/strings/ascii.h>
 #include <algorithm>
-#include <rapidjson/document.h>
-#include <rapidjson/stringbuffer.h>
-#include <rapidjson/writer.h>
 #include <set>
 
 namespace geraniumlift::configuration {
--- a/src/geraniumctl/internal/jsonview.cpp
+++ b/src/geraniumctl/internal/jsonview.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 #include <fmt/format.h>
-#include <rapidjson/stringbuffer.h>
-#include <rapidjson/writer.h>
 
 namespace geraniumlift::geraniumctl::internal {
 
--- a/src/objects/internal/exactdocument.cpp
+++ b/src/objects/internal/exactdocument.cpp
@@ -1,7 +1,6 @@
 #include "objects/internal/exactdocument.h"
 
 #include <charconv>
-#include <rapidjson/memorystream.h>
 
 namespace geraniumlift::objects::internal {
 
--- a/src/objects/internal/exactdocument.h
+++ b/src/objects/internal/exactdocument.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include <rapidjson/document.h>
+#include "base/rapidjson.h"
+
 #include <string_view>
 
 namespace geraniumlift::objects::internal {
--- a/src/objects/internal/objectjson.h
+++ b/src/objects/internal/objectjson.h
@@ -1,11 +1,9 @@
 #pragma once
 
+#include "base/rapidjson.h"
 #include "objects/internal/objectfields.h"
 
 #include <absl/status/status.h>
-#include <rapidjson/document.h>
-#include <rapidjson/stringbuffer.h>
-#include <rapidjson/writer.h>
 #include <string>
 
 namespace geraniumlift::objects::internal {
