--- a/src/budget/budgetledger.h
+++ b/src/budget/budgetledger.h
@@ -84,8 +84,11 @@
   // Views of the record.
   auto noteAnswer() -> void;
   auto noteFailure(LedgerTime Now) -> void;
+
+  /// Another router wrote between this one's view and its write: writes come less often.
+  auto noteContention(LedgerTime Now) -> void;
   auto keepUnresolved() -> void;
-  auto adopt(const StoredRecord &Stored) -> void;
+  auto adopt(const StoredRecord &Stored, LedgerTime Now) -> void;
   auto resolveAttempts(const StoredRecord &Stored) -> void;
   auto setView(StoredRecord Stored) -> void;
   auto updateTotals() -> void;
@@ -112,6 +115,7 @@
   auto isReadDue(LedgerTime Now) -> bool;
   auto isSurplusDue(LedgerTime Now) -> bool;
   auto isDrainWriteDue() const -> bool;
+  [[nodiscard]] auto surplusTime() const -> std::chrono::milliseconds;
   auto issueRead(LedgerTime Now) -> void;
   auto issueWrite(LedgerTime Now) -> bool;
   auto composeAttempt(LedgerTime Now) -> Attempt;
@@ -177,6 +181,10 @@
   base::SteadyTime m_LastActivity;
   std::chrono::milliseconds m_Spacing;
   int m_Failures = 0;
+  int m_ConflictStreak = 0;
+  int m_ReadsFirst = 0;
+  bool m_WasViewFresh = false;
+  base::SteadyTime m_ViewTime;
 
   internal::RateMeter m_SpendRate;
   internal::RateMeter m_ReserveRate;
--- a/src/budget/budgetoptions.h
+++ b/src/budget/budgetoptions.h
@@ -26,7 +26,7 @@
   GrantStrategy m_GrantStrategy = GrantStrategy::Forecast;
 
   /// Time of demand that a grant covers (strategy `forecast`).
-  std::chrono::milliseconds m_GrantHorizon{10000};
+  std::chrono::milliseconds m_GrantHorizon{60000};
 
   /// Unused allowance goes back after this time.
   std::chrono::milliseconds m_IdleReturn{5000};
--- a/src/budget/internal/budgetledger.cpp
+++ b/src/budget/internal/budgetledger.cpp
@@ -17,6 +17,21 @@
 constexpr auto FirstBackoff = std::chrono::milliseconds{50};
 constexpr auto LongestBackoff = std::chrono::milliseconds{500};
 
+/// A write against a view older than this conflicts because of the view's age, not because the
+/// record is contended.
+constexpr auto FreshFor = std::chrono::milliseconds{20};
+
+/// After a conflict a read comes before each write until this many reads found no other writer. A
+/// conflict costs a write, of which the key-value service takes far fewer than reads.
+constexpr auto ReadsFirstAfterConflict = 8;
+
+/// Window of the random pause after a conflict over a fresh view; it doubles with each in a row.
+constexpr auto FirstConflictPause = std::chrono::milliseconds{4};
+
+/// A request that waits for tokens of others keeps what this router has for at most this long, so
+/// that two routers do not each hold what the other needs.
+constexpr auto ShortReturn = std::chrono::milliseconds{500};
+
 /// Longest stretch of the commit interval under conflicts. Thirty routers that write to one record
 /// every 50 ms would exceed what the key-value service takes.
 constexpr auto LongestSpacing = std::chrono::milliseconds{1000};
@@ -108,18 +123,20 @@
   }
 }
 
-auto BudgetLedger::on(const RecordReadEvent &Event, LedgerTime /*Now*/) -> void {
+auto BudgetLedger::on(const RecordReadEvent &Event, LedgerTime Now) -> void {
   noteAnswer();
-  adopt(Event.m_Stored);
+  adopt(Event.m_Stored, Now);
 }
 
 auto BudgetLedger::on(const ReadFailedEvent & /*Event*/, LedgerTime Now) -> void {
   noteFailure(Now);
 }
 
-auto BudgetLedger::on(const WriteLandedEvent &Event, LedgerTime /*Now*/) -> void {
+auto BudgetLedger::on(const WriteLandedEvent &Event, LedgerTime Now) -> void {
   noteAnswer();
+  m_ViewTime = Now.m_Steady;
   m_Spacing = std::max(m_Options.m_CommitInterval, m_Spacing * 9 / 10);
+  m_ConflictStreak = 0;
   auto Landed = std::move(*m_InFlight);
   m_InFlight.reset();
   // The others expected the revision that this write replaced, so they can't land any more.
@@ -130,11 +147,12 @@
 
 auto BudgetLedger::on(const WriteConflictEvent &Event, LedgerTime Now) -> void {
   noteAnswer();
-  m_Spacing =
-      std::min(std::max(LongestSpacing, m_Options.m_CommitInterval), m_Spacing + m_Spacing / 2);
-  m_NotBefore = Now.m_Steady + jitter(m_Spacing / 2);
+  if (m_WasViewFresh) {
+    noteContention(Now);
+  }
+  m_ReadsFirst = ReadsFirstAfterConflict;
   keepUnresolved();
-  adopt(Event.m_Current);
+  adopt(Event.m_Current, Now);
 }
 
 auto BudgetLedger::on(const WriteUnknownEvent & /*Event*/, LedgerTime Now) -> void {
@@ -169,6 +187,14 @@
   m_Failures = 0;
 }
 
+auto BudgetLedger::noteContention(LedgerTime Now) -> void {
+  const auto Longest = std::max(LongestSpacing, m_Options.m_CommitInterval);
+  m_Spacing = std::min(Longest, m_Spacing + m_Spacing / 2);
+  const auto Window = FirstConflictPause * (1 << std::min(m_ConflictStreak, 6));
+  m_NotBefore = Now.m_Steady + jitter(std::min(m_Spacing / 2, Window));
+  ++m_ConflictStreak;
+}
+
 auto BudgetLedger::noteFailure(LedgerTime Now) -> void {
   m_Call = Call::None;
   auto Backoff = FirstBackoff;
@@ -187,15 +213,17 @@
   m_MustRead = true;
 }
 
-auto BudgetLedger::adopt(const StoredRecord &Stored) -> void {
+auto BudgetLedger::adopt(const StoredRecord &Stored, LedgerTime Now) -> void {
   if (m_HasView && Stored.m_Record && Stored.m_Revision < m_View.m_Revision) {
     // A lagging read. Nothing may be concluded from it.
     m_MustRead = true;
     return;
   }
   m_MustRead = false;
+  m_ViewTime = Now.m_Steady;
   if (m_HasView && Stored.m_Revision == m_View.m_Revision) {
     m_ViewCall = m_CallsIssued;
+    m_ReadsFirst = std::max(0, m_ReadsFirst - 1);
     return;
   }
   resolveAttempts(Stored);
@@ -391,6 +419,11 @@
   if (!isDue(m_NotBefore, Now)) {
     return;
   }
+  const auto IsFresh = Now.m_Steady - m_ViewTime <= FreshFor;
+  if (MayWrite && m_ReadsFirst > 0 && !IsFresh) {
+    return issueRead(Now);
+  }
+  m_WasViewFresh = IsFresh;
   if (MayWrite && issueWrite(Now)) {
     return;
   }
@@ -439,7 +472,7 @@
 
 auto BudgetLedger::isSurplusDue(LedgerTime Now) -> bool {
   const auto Have = allowance();
-  const auto Target = targetAllowance(m_Free + Have, Now);
+  const auto Target = m_Waiters.empty() ? targetAllowance(m_Free + Have, Now) : Tokens{0};
   if (Have <= 0) {
     m_SurplusSince.reset();
     return false;
@@ -451,9 +484,13 @@
   }
   if (!m_SurplusSince) {
     // Jitter keeps two routers that each hold what the other waits for from swapping places.
-    m_SurplusSince = Now.m_Steady + jitter(m_Options.m_IdleReturn / 4);
+    m_SurplusSince = Now.m_Steady + jitter(ShortReturn);
   }
-  return isDue(*m_SurplusSince + m_Options.m_IdleReturn, Now);
+  return isDue(*m_SurplusSince + surplusTime(), Now);
+}
+
+auto BudgetLedger::surplusTime() const -> std::chrono::milliseconds {
+  return m_Waiters.empty() ? m_Options.m_IdleReturn : std::min(ShortReturn, m_Options.m_IdleReturn);
 }
 
 auto BudgetLedger::isDrainWriteDue() const -> bool {
@@ -562,16 +599,15 @@
   const auto Free = freeTokens(Record);
   const auto Have = Own.m_Granted - Own.m_Settled - m_Reserved;
   const auto Need = coverableByDraw(Have, Free);
-  const auto Target = targetAllowance(Free + Have, Now);
   const auto Spare = Have - Need;
   const auto IsSomeoneShort = Need < waitingTokens();
+  const auto Target = IsSomeoneShort ? Tokens{0} : targetAllowance(Free + Have, Now);
   if (Spare < 0 || (!IsSomeoneShort && Spare < Target / 2)) {
     // Nothing is held in reserve while a request waits for what others return.
     Own.m_Granted += IsSomeoneShort ? -Spare : std::min(Free, Target - Spare);
     return;
   }
-  const auto IsSurplusOld =
-      m_SurplusSince && *m_SurplusSince + m_Options.m_IdleReturn <= Now.m_Steady;
+  const auto IsSurplusOld = m_SurplusSince && *m_SurplusSince + surplusTime() <= Now.m_Steady;
   if (Spare > 2 * Target && (!IsSomeoneShort || IsSurplusOld)) {
     Own.m_Granted -= Spare - Target;
     m_SurplusSince.reset();
--- /dev/null
+++ b/src/claims/internal/claimcompletion.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "claims/internal/claimoperation.h"
+
+namespace geraniumlift::claims::internal {
+
+/// Stores the answer of a request in its claim.
+class ClaimCompletion final : public ClaimOperation {
+public:
+  ClaimCompletion(ClaimRecord Done, std::int64_t Revision, base::SteadyTime Deadline)
+      : ClaimOperation(std::move(Done), Deadline), m_Revision(Revision) {}
+
+  auto start() -> ClaimCommand override { return WriteClaim{m_Revision, record()}; }
+
+  auto onLanded(std::int64_t /*Revision*/) -> ClaimCommand override {
+    return FinishClaim{.m_Landed = true};
+  }
+
+  auto onFound(const std::optional<StoredClaim> &Found) -> ClaimCommand override {
+    if (!Found) {
+      // The claim was lost; what is stored now still keeps a retry from running.
+      return WriteClaim{0, record()};
+    }
+    if (!isOwn(*Found)) {
+      return FinishClaim{.m_Landed = false};
+    }
+    if (Found->m_Record.m_State == ClaimState::Done) {
+      return FinishClaim{.m_Landed = true};
+    }
+    return WriteClaim{Found->m_Revision, record()};
+  }
+
+  auto onDeadline() -> ClaimCommand override { return FinishClaim{.m_Landed = false}; }
+
+private:
+  std::int64_t m_Revision;
+};
+
+} // namespace geraniumlift::claims::internal
--- /dev/null
+++ b/src/claims/internal/leasecache.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "base/iclock.h"
+#include "base/ischeduler.h"
+#include "platform/ikeyvaluestore.h"
+
+#include <memory>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace geraniumlift::claims::internal {
+
+/// Hands out one lease for all claims of an interval. Used on the scheduler thread only.
+class LeaseCache final : public std::enable_shared_from_this<LeaseCache> {
+public:
+  using Callback = std::function<void(std::optional<platform::LeaseId>)>;
+
+  LeaseCache(std::chrono::seconds TimeToLive, std::chrono::seconds Shared,
+             platform::IKeyValueStore &Store, base::IScheduler &Scheduler,
+             const base::IClock &Clock)
+      : m_TimeToLive(TimeToLive), m_Shared(Shared), m_Store(Store), m_Scheduler(Scheduler),
+        m_Clock(Clock) {}
+
+  /// Calls back with the lease, or with nothing if none could be had.
+  auto get(Callback Done) -> void {
+    if (m_Lease && m_Clock.steadyNow() - m_AskedAt < m_Shared) {
+      return Done(m_Lease);
+    }
+    m_Waiting.push_back(std::move(Done));
+    if (m_Waiting.size() > 1) {
+      return;
+    }
+    m_AskedAt = m_Clock.steadyNow();
+    auto Answer = [Weak = weak_from_this(), &Scheduler = m_Scheduler](auto Granted) {
+      Scheduler.post([Weak, Granted = std::move(Granted)] {
+        if (const auto Self = Weak.lock()) {
+          Self->onGranted(Granted);
+        }
+      });
+    };
+    m_Store.grantLease(m_TimeToLive, std::move(Answer));
+  }
+
+  /// Forgets the lease, because the key-value service does not know it any more.
+  auto forget() -> void { m_Lease.reset(); }
+
+private:
+  auto onGranted(const absl::StatusOr<platform::LeaseId> &Granted) -> void {
+    m_Lease = Granted.ok() ? std::optional(*Granted) : std::nullopt;
+    for (const auto &Done : std::exchange(m_Waiting, {})) {
+      Done(m_Lease);
+    }
+  }
+
+  std::chrono::seconds m_TimeToLive;
+  std::chrono::seconds m_Shared;
+  platform::IKeyValueStore &m_Store;
+  base::IScheduler &m_Scheduler;
+  const base::IClock &m_Clock;
+  std::optional<platform::LeaseId> m_Lease;
+  base::SteadyTime m_AskedAt;
+  std::vector<Callback> m_Waiting;
+};
+
+} // namespace geraniumlift::claims::internal
--- /dev/null
+++ b/src/claims/internal/operationrunner.cpp
@@ -0,0 +1,115 @@
+#include "claims/internal/operationrunner.h"
+
+#include "base/log.h"
+
+namespace geraniumlift::claims::internal {
+
+OperationRunner::OperationRunner(std::string Key, std::unique_ptr<ClaimOperation> Operation,
+                                 base::SteadyTime LeaseBy, std::shared_ptr<LeaseCache> Leases,
+                                 platform::IKeyValueStore &Store, base::IScheduler &Scheduler,
+                                 const base::IClock &Clock, Callback Done)
+    : m_Key(std::move(Key)), m_Operation(std::move(Operation)), m_LeaseBy(LeaseBy),
+      m_Leases(std::move(Leases)), m_Store(Store), m_Scheduler(Scheduler), m_Clock(Clock),
+      m_Done(std::move(Done)) {}
+
+auto OperationRunner::start() -> void { obey(m_Operation->start()); }
+
+auto OperationRunner::obey(ClaimCommand Command) -> void {
+  std::visit([this](const auto &Typed) { carryOut(Typed); }, Command);
+}
+
+template <typename Result>
+auto OperationRunner::onThread(auto(OperationRunner::*Member)(const Result &)->void)
+    -> std::function<void(Result)> {
+  return [Self = shared_from_this(), Member](Result Value) {
+    Self->m_Scheduler.post([Self, Member, Value = std::move(Value)] {
+      if (Self->m_Done) {
+        ((*Self).*Member)(Value);
+      }
+    });
+  };
+}
+
+auto OperationRunner::carryOut(const WriteClaim &Command) -> void {
+  m_Leases->get([Self = shared_from_this(), Command](std::optional<platform::LeaseId> Lease) {
+    if (Lease) {
+      Self->write(Command, *Lease);
+    } else {
+      Self->onNoLease(Command);
+    }
+  });
+}
+
+auto OperationRunner::write(const WriteClaim &Command, platform::LeaseId Lease) -> void {
+  m_HasWritten = true;
+  m_Store.compareAndSwap({.m_Key = m_Key,
+                          .m_ExpectedModRevision = Command.m_ExpectedRevision,
+                          .m_Value = encodeClaim(Command.m_Record),
+                          .m_Lease = Lease},
+                         onThread(&OperationRunner::onWritten));
+}
+
+auto OperationRunner::onNoLease(const WriteClaim &Command) -> void {
+  constexpr auto Pause = std::chrono::milliseconds{100};
+  const auto Now = m_Clock.steadyNow();
+  if (Now >= m_Operation->deadline() || (!m_HasWritten && Now >= m_LeaseBy)) {
+    return obey(m_Operation->onDeadline());
+  }
+  m_Scheduler.after(Pause, [Self = shared_from_this(), Command] { Self->carryOut(Command); });
+}
+
+auto OperationRunner::carryOut(const EraseClaim &Command) -> void {
+  m_Store.compareAndErase(m_Key, Command.m_ExpectedRevision, onThread(&OperationRunner::onWritten));
+}
+
+auto OperationRunner::carryOut(const ReadClaim & /*Command*/) -> void {
+  m_Store.read(m_Key, onThread(&OperationRunner::onRead));
+}
+
+auto OperationRunner::carryOut(const WaitForRetry &Command) -> void {
+  m_Scheduler.after(Command.m_Delay, [Self = shared_from_this()] {
+    Self->obey(Self->m_Operation->onRetry(Self->m_Clock.steadyNow()));
+  });
+}
+
+auto OperationRunner::carryOut(const FinishClaim &Command) -> void {
+  std::exchange(m_Done, nullptr)(Command);
+}
+
+auto OperationRunner::onWritten(const platform::WriteResult &Result) -> void {
+  if (Result.m_Outcome == platform::WriteOutcome::Landed) {
+    return obey(m_Operation->onLanded(Result.m_ModRevision));
+  }
+  if (Result.m_Outcome == platform::WriteOutcome::Conflict && Result.m_Current) {
+    return onFound(Result.m_Current);
+  }
+  if (Result.m_Outcome == platform::WriteOutcome::Conflict || absl::IsNotFound(Result.m_Status)) {
+    // A conflict over a key that does not exist comes from a lease that has ended, or from a claim
+    // that was removed. The pause keeps either from becoming a busy loop.
+    m_Leases->forget();
+  }
+  obey(m_Operation->onUnknown(m_Clock.steadyNow()));
+}
+
+auto OperationRunner::onRead(const absl::StatusOr<std::optional<platform::KeyValue>> &Found)
+    -> void {
+  if (Found.ok()) {
+    return onFound(*Found);
+  }
+  obey(m_Operation->onUnknown(m_Clock.steadyNow()));
+}
+
+auto OperationRunner::onFound(const std::optional<platform::KeyValue> &Found) -> void {
+  if (!Found) {
+    return obey(m_Operation->onFound(std::nullopt));
+  }
+  auto Record = decodeClaim(Found->m_Value);
+  if (!Record.ok()) {
+    base::logEvent(base::LogLevel::Error, "claim_unusable",
+                   {{"key", m_Key}, {"error", std::string(Record.status().message())}});
+    return obey(m_Operation->onUnknown(m_Clock.steadyNow()));
+  }
+  obey(m_Operation->onFound(StoredClaim{Found->m_ModRevision, std::move(*Record)}));
+}
+
+} // namespace geraniumlift::claims::internal
--- /dev/null
+++ b/src/claims/internal/operationrunner.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "claims/internal/claimoperation.h"
+#include "claims/internal/leasecache.h"
+
+#include <functional>
+#include <memory>
+
+namespace geraniumlift::claims::internal {
+
+/// Carries out one operation against the key-value service. It keeps itself alive until the
+/// operation has finished. Used on the scheduler thread only.
+class OperationRunner final : public std::enable_shared_from_this<OperationRunner> {
+public:
+  using Callback = std::function<void(FinishClaim)>;
+
+  /// LeaseBy is the time at which an operation that could not write anything yet gives up.
+  OperationRunner(std::string Key, std::unique_ptr<ClaimOperation> Operation,
+                  base::SteadyTime LeaseBy, std::shared_ptr<LeaseCache> Leases,
+                  platform::IKeyValueStore &Store, base::IScheduler &Scheduler,
+                  const base::IClock &Clock, Callback Done);
+
+  auto start() -> void;
+
+private:
+  auto obey(ClaimCommand Command) -> void;
+  auto carryOut(const WriteClaim &Command) -> void;
+  auto carryOut(const EraseClaim &Command) -> void;
+  auto carryOut(const ReadClaim &Command) -> void;
+  auto carryOut(const WaitForRetry &Command) -> void;
+  auto carryOut(const FinishClaim &Command) -> void;
+
+  auto write(const WriteClaim &Command, platform::LeaseId Lease) -> void;
+  auto onNoLease(const WriteClaim &Command) -> void;
+  auto onWritten(const platform::WriteResult &Result) -> void;
+  auto onRead(const absl::StatusOr<std::optional<platform::KeyValue>> &Found) -> void;
+  auto onFound(const std::optional<platform::KeyValue> &Found) -> void;
+
+  /// A callback for the store that runs a member function on the scheduler thread.
+  template <typename Result>
+  auto onThread(auto(OperationRunner::*Member)(const Result &)->void)
+      -> std::function<void(Result)>;
+
+  std::string m_Key;
+  std::unique_ptr<ClaimOperation> m_Operation;
+  base::SteadyTime m_LeaseBy;
+  std::shared_ptr<LeaseCache> m_Leases;
+  platform::IKeyValueStore &m_Store;
+  base::IScheduler &m_Scheduler;
+  const base::IClock &m_Clock;
+  Callback m_Done;
+  bool m_HasWritten = false;
+};
+
+} // namespace geraniumlift::claims::internal
