--- a/src/admission/tests/admission_test.cpp
+++ b/src/admission/tests/admission_test.cpp
@@ -1,7 +1,9 @@
 #include "admission/dispatcher.h"
 #include "base/manualclock.h"
 
+#include <array>
 #include <criterion/criterion.h>
+#include <map>
 
 using namespace geraniumlift;
 
@@ -157,3 +159,136 @@
   cr_assert_eq(Second.m_Dispatches.size(), 1U);
   cr_assert_neq(Second.m_Dispatches[0].m_Target, First.m_Dispatches[1].m_Target);
 }
+
+namespace {
+
+/// Offers to a router that is alone in front of one target with one slot and plays the target: each
+/// request takes one second, the expectation of the router included.
+class OneSlot {
+public:
+  OneSlot() {
+    m_Test.setTargets({targetNamed("a", 1)});
+    // Teaches the router how long requests run.
+    for (auto Round = 0; Round < 200; ++Round) {
+      cr_assert_not(offer(std::chrono::seconds{60}));
+      finish();
+    }
+  }
+
+  auto offer(std::chrono::milliseconds TimeLeft) -> std::optional<base::Refusal> {
+    auto Item = m_Test.item(++m_LastId);
+    Item.m_Deadline = m_Test.m_Clock.steadyNow() + TimeLeft;
+    auto Refusal = m_Test.m_Dispatcher.offer(Item, m_Test.m_Clock.steadyNow());
+    start();
+    return Refusal;
+  }
+
+  /// Lets one second pass, at the end of which the running request ends.
+  auto finish() -> void {
+    m_Test.m_Clock.advance(std::chrono::seconds{1});
+    const auto Ended = m_Running;
+    m_Running = 0;
+    m_Test.m_Dispatcher.onEnd(Ended, {true}, false, m_Test.m_Clock.steadyNow());
+    start();
+  }
+
+  auto start() -> void {
+    const auto Result = m_Test.poll();
+    for (const auto &Dispatch : Result.m_Dispatches) {
+      cr_assert_eq(m_Running, 0U);
+      m_Running = Dispatch.m_Id;
+    }
+    m_Rejected += Result.m_Rejections.size();
+  }
+
+  Bench m_Test;
+  admission::WorkId m_LastId = 0;
+  admission::WorkId m_Running = 0;
+  std::size_t m_Rejected = 0;
+};
+
+} // namespace
+
+// Guards against a caller that waits for nothing, and against a Retry-After that is not true: a
+// second earlier the request is refused again, at the given time it is accepted and served in time.
+Test(dispatcher, refusesAtOnceWithATrueRetryAfter) {
+  auto Target = OneSlot();
+  for (auto Waiting = 0; Waiting < 10; ++Waiting) {
+    cr_assert_not(Target.offer(std::chrono::seconds{60}));
+  }
+  const auto TimeLeft = std::chrono::milliseconds{4400};
+  const auto Refusal = Target.offer(TimeLeft);
+  cr_assert(Refusal && Refusal->m_Code == base::RefusalCode::DeadlineUnreachable);
+  cr_assert(Refusal->m_RetryAfter.has_value());
+  const auto Seconds = std::chrono::ceil<std::chrono::seconds>(*Refusal->m_RetryAfter).count();
+  cr_assert(Seconds >= 5 && Seconds <= 7, "Retry-After is %ld s", static_cast<long>(Seconds));
+  for (auto Passed = std::int64_t{0}; Passed < Seconds - 1; ++Passed) {
+    Target.finish();
+  }
+  cr_assert(Target.offer(TimeLeft).has_value());
+  Target.finish();
+  cr_assert_not(Target.offer(TimeLeft));
+  const auto Accepted = Target.m_LastId;
+  for (auto Passed = 0; Passed < 3 || Target.m_Running != Accepted; ++Passed) {
+    cr_assert_lt(Passed, 5);
+    Target.finish();
+  }
+  cr_assert_eq(Target.m_Rejected, 0U);
+}
+
+// Guards against a class or a workspace that starves behind heavier traffic.
+Test(dispatcher, everyClassAndWorkspaceGetsItsShare) {
+  auto Target = OneSlot();
+  auto &Test = Target.m_Test;
+  auto Id = admission::WorkId{10000};
+  auto Served = std::map<std::string, int>();
+  auto Owner = std::map<admission::WorkId, std::string>();
+  const auto OfferFor = [&](const char *Workspace, const char *Class, std::int64_t Level,
+                            double Share, double Weight) {
+    auto Item = Test.item(++Id);
+    Item.m_Workspace = Workspace;
+    Item.m_WorkspaceWeight = Weight;
+    Item.m_PriorityClass = Class;
+    Item.m_PriorityLevel = Level;
+    Item.m_ClassGuaranteedShare = Share;
+    Item.m_Deadline = Test.m_Clock.steadyNow() + std::chrono::hours{1};
+    Owner[Id] = Workspace;
+    cr_assert_not(Test.m_Dispatcher.offer(Item, Test.m_Clock.steadyNow()));
+  };
+  for (auto Round = 0; Round < 300; ++Round) {
+    OfferFor("heavy", "paid", 0, 0.5, 3.0);
+    OfferFor("light", "paid", 0, 0.5, 1.0);
+    OfferFor("chat", "chat", 1, 0.2, 1.0);
+  }
+  Target.start();
+  for (auto Round = 0; Round < 200; ++Round) {
+    ++Served[Owner[Target.m_Running]];
+    Target.finish();
+  }
+  cr_assert(Served["chat"] >= 34 && Served["chat"] <= 46, "chat %d", Served["chat"]);
+  cr_assert(Served["light"] >= 34 && Served["light"] <= 46, "light %d", Served["light"]);
+  cr_assert_geq(Served["heavy"], 108);
+}
+
+// Guards against decisions that depend on anything but the calls and the seed.
+Test(dispatcher, sameCallsGiveTheSameDecisions) {
+  auto Logs = std::array<std::string, 2>();
+  for (auto &Log : Logs) {
+    auto Test = Bench(admission::DispatcherOptions());
+    Test.setTargets({targetNamed("a", 4), targetNamed("b", 4), targetNamed("c", 4)});
+    for (auto Id = admission::WorkId{1}; Id <= 300; ++Id) {
+      Test.offer(Id);
+      Test.m_Clock.advance(std::chrono::milliseconds{37});
+      Test.m_Dispatcher.onLoadReport({"b", 3, 1, std::chrono::milliseconds{200}},
+                                     Test.m_Clock.steadyNow());
+      for (const auto &Dispatch : Test.poll().m_Dispatches) {
+        Log += Dispatch.m_Target + std::to_string(Dispatch.m_Id) + " ";
+      }
+      if (Id > 5 && Id % 2 == 0) {
+        Test.m_Dispatcher.onEnd(Id - 5, {Id % 3 != 0}, true, Test.m_Clock.steadyNow());
+      }
+    }
+  }
+  cr_assert_not(Logs[0].empty());
+  cr_assert(Logs[0] == Logs[1]);
+}
--- a/src/routing/tests/routing_test.cpp
+++ b/src/routing/tests/routing_test.cpp
@@ -1,6 +1,8 @@
 #include "base/manualclock.h"
 #include "routing/itargetchooser.h"
+#include "routing/slowdetector.h"
 
+#include <algorithm>
 #include <criterion/criterion.h>
 
 using namespace geraniumlift;
@@ -69,3 +71,50 @@
   cr_assert_eq(Chooser->choose({&Second, &Third}, {}, Clock.steadyNow(), Random), 0U);
   cr_assert_eq(Chooser->choose({&First, &Second, &Third}, {}, Clock.steadyNow(), Random), 2U);
 }
+
+// Guards against an ejection that empties the pool when most targets slow down in an overload, and
+// against a target that stays ejected after it recovered.
+Test(routing, ejectionIsBoundedAndEnds) {
+  auto Clock = base::ManualClock();
+  auto Detector = routing::SlowDetector();
+  const auto Names = std::vector<std::string>{"a", "b", "c", "d", "e", "f"};
+  Detector.setTargets(Names);
+  const auto Sample = [&](std::size_t SlowCount) {
+    for (auto Round = 0; Round < 20; ++Round) {
+      for (auto Place = std::size_t{0}; Place < Names.size(); ++Place) {
+        Detector.onSample(Names[Place], Place < SlowCount ? 0.1 : 0.02, Clock.steadyNow());
+      }
+    }
+  };
+  const auto Ejected = [&] {
+    return std::count_if(Names.begin(), Names.end(),
+                         [&](const auto &Name) { return Detector.isEjected(Name); });
+  };
+  Sample(1);
+  cr_assert_eq(Ejected(), 1);
+  Sample(3);
+  cr_assert_eq(Ejected(), 2);
+  cr_assert_not(Detector.mayProbe("a", Clock.steadyNow()));
+  Clock.advance(std::chrono::seconds{5});
+  cr_assert(Detector.mayProbe("a", Clock.steadyNow()));
+  Detector.onProbe("a", Clock.steadyNow());
+  cr_assert_not(Detector.mayProbe("a", Clock.steadyNow()));
+  Sample(0);
+  cr_assert_eq(Ejected(), 0);
+}
+
+// Guards against prefix affinity that piles work on a loaded target.
+Test(routing, prefixAffinityIsBoundedByLoad) {
+  auto Clock = base::ManualClock();
+  auto Random = base::RandomEngine(7);
+  auto First = targetNamed("a");
+  auto Second = targetNamed("b");
+  const auto Chooser = routing::makeTargetChooser(routing::TargetChoice::ExpectedWait, {"here", 1});
+  First.onPrefix(42, true);
+  const auto Request = routing::ChoiceRequest{1.0, 4000, 42};
+  cr_assert_eq(Chooser->choose({&First, &Second}, Request, Clock.steadyNow(), Random), 0U);
+  for (auto Count = 0; Count < 24; ++Count) {
+    First.onDispatch(4.0, Clock.steadyNow());
+  }
+  cr_assert_eq(Chooser->choose({&First, &Second}, Request, Clock.steadyNow(), Random), 1U);
+}
