--- a/src/geraniumliftd/peernetwork.cpp
+++ b/src/geraniumliftd/peernetwork.cpp
@@ -1,7 +1,7 @@
 #include "geraniumliftd/peernetwork.h"
 
 #include "base/log.h"
-#include "membership/membershipservice.h"
+#include "membership/gossipmembership.h"
 
 #include <algorithm>
 #include <atomic>
@@ -19,25 +19,26 @@
 public:
   Implementation(const settings::Settings &Settings, base::HolderId Self,
                  PeerNetworkDependencies Dependencies)
-      : m_Settings(Settings), m_Self(std::move(Self)), m_Services(Dependencies),
-        m_Membership(membershipOptions(), m_Services.m_Clock) {}
+      : m_Settings(Settings), m_Self(std::move(Self)), m_Services(Dependencies) {}
 
   auto start() -> absl::Status {
-    m_Membership.setSnapshotProvider(
+    auto Started = membership::GossipMembership::start(membershipOptions());
+    if (!Started.ok()) {
+      return Started.status();
+    }
+    m_Membership = std::move(*Started);
+    m_Membership->setSnapshotProvider(
         [&Configuration = m_Services.m_Configuration] { return Configuration.serialize(); });
-    m_Membership.onHigherGeneration([Weak = weak_from_this()](const membership::PeerEntry &Peer) {
+    m_Membership->onHigherGeneration([Weak = weak_from_this()](const membership::PeerEntry &Peer) {
       if (const auto Self = Weak.lock()) {
         Self->fetchSnapshot(Peer);
       }
     });
-    if (const auto Status = m_Membership.start(); !Status.ok()) {
-      return Status;
-    }
     exchange();
     return absl::OkStatus();
   }
 
-  auto membership() -> membership::IMembership & { return m_Membership; }
+  auto membership() -> membership::IMembership & { return *m_Membership; }
 
   [[nodiscard]] auto settings() const -> const settings::Settings & { return m_Settings; }
   [[nodiscard]] auto self() const -> const base::HolderId & { return m_Self; }
@@ -46,20 +47,20 @@
 private:
   [[nodiscard]] auto membershipOptions() const -> membership::MembershipOptions {
     auto Options = membership::MembershipOptions();
-    Options.m_Self.m_Vm = m_Self.m_Vm;
-    Options.m_Self.m_Incarnation = m_Self.m_Incarnation;
-    Options.m_Self.m_DataCentre = m_Settings.m_DataCentre;
-    Options.m_Self.m_CallerUrl = m_Settings.m_CallersAdvertise;
-    Options.m_Self.m_PeerAddress = m_Settings.m_PeersListen;
+    Options.m_Vm = m_Self.m_Vm;
+    Options.m_Incarnation = m_Self.m_Incarnation;
+    Options.m_DataCentre = m_Settings.m_DataCentre;
+    Options.m_CallerUrl = m_Settings.m_CallersAdvertise;
+    Options.m_PeerAddress = m_Settings.m_PeersListen;
     Options.m_Seeds = m_Settings.m_PeersSeeds;
-    Options.m_Key = m_Settings.m_PeersKey;
+    Options.m_PeerKey = m_Settings.m_PeersKey;
     return Options;
   }
 
   /// Passes state between membership and the other modules, then again after the interval.
   auto exchange() -> void {
     updatePollers();
-    m_Membership.setLocalGeneration(m_Services.m_Configuration.current()->m_Generation);
+    m_Membership->setLocalGeneration(m_Services.m_Configuration.current()->m_Generation);
     m_Services.m_Budgets.views(
         [Weak = weak_from_this()](const std::vector<budget::BudgetView> &Views) {
           if (const auto Self = Weak.lock()) {
@@ -75,7 +76,7 @@
 
   auto updatePollers() -> void {
     auto Pollers = std::vector<configuration::PollerSighting>();
-    for (const auto &Peer : m_Membership.peers()) {
+    for (const auto &Peer : m_Membership->peers()) {
       if (!Peer.m_Suspected && Peer.m_Entry.m_DataCentre == m_Settings.m_DataCentre) {
         Pollers.push_back({Peer.m_Entry.m_Vm, m_Services.m_Clock.steadyNow()});
       }
@@ -94,7 +95,7 @@
     std::sort(Budgets.begin(), Budgets.end(), [](const auto &Left, const auto &Right) {
       return Left.m_Allowance > Right.m_Allowance;
     });
-    m_Membership.setLocalBudgets(std::move(Budgets));
+    m_Membership->setLocalBudgets(std::move(Budgets));
   }
 
   /// Reads a newer snapshot from the peer that announced it; one read at a time.
@@ -102,12 +103,12 @@
     if (m_Fetching.exchange(true)) {
       return;
     }
-    m_Membership.fetchSnapshot(Peer.m_PeerAddress,
-                               [Weak = weak_from_this()](const absl::StatusOr<std::string> &Bytes) {
-                                 if (const auto Self = Weak.lock()) {
-                                   Self->onSnapshot(Bytes);
-                                 }
-                               });
+    m_Membership->fetchSnapshot(
+        Peer.m_PeerAddress, [Weak = weak_from_this()](const absl::StatusOr<std::string> &Bytes) {
+          if (const auto Self = Weak.lock()) {
+            Self->onSnapshot(Bytes);
+          }
+        });
   }
 
   auto onSnapshot(const absl::StatusOr<std::string> &Bytes) -> void {
@@ -124,7 +125,7 @@
   base::HolderId m_Self;
   PeerNetworkDependencies m_Services;
   std::atomic<bool> m_Fetching{false};
-  membership::MembershipService m_Membership;
+  std::unique_ptr<membership::GossipMembership> m_Membership;
 };
 
 PeerNetwork::PeerNetwork(const settings::Settings &Settings, base::HolderId Self,
--- a/testing/process/fleet.cpp
+++ b/testing/process/fleet.cpp
@@ -175,7 +175,7 @@
 auto Fleet::executions(const std::string &Key) const -> std::int64_t {
   const auto Counts = sendHttp({"GET", serviceUrl() + "/counts"});
   const auto Json = web::json::value::parse(Counts.m_Body);
-  const auto &Keys = Json.at("executions");
+  const auto &Keys = Json.at("by_key");
   return Keys.has_field(Key) ? Keys.at(Key).as_number().to_int64() : 0;
 }
 
