--- /dev/null
+++ b/src/membership/internal/sealing.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace geraniumlift::membership {
+
+/// Bytes of the code in front of each message.
+inline constexpr std::size_t SealBytes = 32;
+
+/// What a sealed message is; a message of one kind is never accepted as another.
+enum class SealKind : char { Heartbeat = 'H', SnapshotRequest = 'Q', SnapshotAnswer = 'S' };
+
+/// Puts the HMAC-SHA256 of kind and payload under the peer key in front of the payload.
+auto seal(std::string_view Key, SealKind Kind, std::string_view Payload) -> std::string;
+
+/// Returns the payload of a sealed message, nothing if the code does not match.
+auto unseal(std::string_view Key, SealKind Kind, std::string_view Sealed)
+    -> std::optional<std::string_view>;
+
+} // namespace geraniumlift::membership
