Add the planner of orders to engines

Cause: orders must not cross those of a former issuer, also at targets that ignore fencing numbers, and must not overload the weight store. Change: OrderPlanner decides from the lease, the targets' states and the time. A target that ignores the number gets an order only after the longest order's time since the takeover, with a state read after that. Conclusion: the decisions are done; the driver that holds the lease, reads states and sends orders is not written yet.

--- /dev/null
+++ b/src/orders/ordertypes.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "base/iclock.h"
+
+#include <chrono>
+#include <cstdint>
+#include <set>
+#include <string>
+
+namespace geraniumlift::orders {
+
+/// The creation revision of the lease key. A later issuer has a higher one.
+using FencingNumber = std::int64_t;
+
+/// What an engine serves.
+struct EngineState {
+  std::set<std::string> m_Models;
+  std::string m_Role;
+
+  auto operator==(const EngineState &) const -> bool = default;
+};
+
+/// What the operators want of a target.
+struct WantedTarget {
+  std::string m_Target;
+
+  /// Whether the target refuses orders with an old fencing number.
+  bool m_ChecksFencing = false;
+  EngineState m_Wanted;
+};
+
+/// Asks a target to reach an end state. Carrying it out twice does no harm.
+struct Order {
+  std::string m_Target;
+  FencingNumber m_Fencing = 0;
+  EngineState m_Wanted;
+
+  /// Models that the target has to read from the weight store.
+  std::int64_t m_Loads = 0;
+};
+
+/// Limits of the planner.
+struct OrderLimits {
+  /// Longest time from the sending of an order to the end of its effect.
+  std::chrono::milliseconds m_LongestOrder{120'000};
+
+  /// Time kept between the last moment of sending and the end of the lease, for the differences of
+  /// clock rates and the way to the target.
+  std::chrono::milliseconds m_LeaseMargin{2'000};
+
+  /// A state that was read longer ago is read again before an order.
+  std::chrono::milliseconds m_MaxStateAge{5'000};
+
+  /// Reads from the weight store per second, for the whole pool.
+  double m_LoadsPerSecond = 1.0;
+};
+
+} // namespace geraniumlift::orders
--- /dev/null
+++ b/src/orders/tests/orderplanner_test.cpp
@@ -0,0 +1,138 @@
+#include "orders/orderplanner.h"
+
+#include "base/manualclock.h"
+
+#include <criterion/criterion.h>
+
+using namespace geraniumlift;
+using namespace geraniumlift::orders;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr auto LongestOrder = seconds{60};
+
+auto wantedOf(const std::string &Name, bool ChecksFencing) -> WantedTarget {
+  return {Name, ChecksFencing, {{"model-a"}, "mixed"}};
+}
+
+/// A planner with a lease of ten minutes and fencing number 5.
+class Issuer {
+public:
+  explicit Issuer(std::vector<WantedTarget> Wanted) {
+    m_Planner.setWanted(std::move(Wanted));
+    m_Planner.onLease(5, now() + seconds{600}, now());
+  }
+
+  auto now() const -> base::SteadyTime { return m_Clock.steadyNow(); }
+  auto pass(milliseconds Time) -> void { m_Clock.advance(Time); }
+
+  /// Plans, answers the reads with the given state, and plans again. Returns the orders of both.
+  auto readAndPlan(const EngineState &State) -> OrderPlan {
+    auto First = m_Planner.plan(now());
+    for (const auto &Target : First.m_Reads) {
+      m_Planner.onState(Target, State, now());
+    }
+    auto Second = m_Planner.plan(now());
+    First.m_Orders.insert(First.m_Orders.end(), Second.m_Orders.begin(), Second.m_Orders.end());
+    First.m_Reads = Second.m_Reads;
+    return First;
+  }
+
+  OrderPlanner m_Planner{OrderLimits{.m_LongestOrder = LongestOrder}};
+
+private:
+  base::ManualClock m_Clock;
+};
+
+} // namespace
+
+// Guards against orders to a target whose state was not read, and against a repeated order.
+Test(orders, readsBeforeOrderingAndOrdersOnce) {
+  auto Router = Issuer({wantedOf("engine-1", true)});
+  Router.pass(seconds{1});
+  const auto First = Router.m_Planner.plan(Router.now());
+  cr_assert(First.m_Orders.empty());
+  cr_assert_eq(First.m_Reads.size(), 1U);
+  const auto Second = Router.readAndPlan({});
+  cr_assert_eq(Second.m_Orders.size(), 1U);
+  cr_assert_eq(Second.m_Orders[0].m_Fencing, 5);
+  cr_assert(Router.readAndPlan({}).m_Orders.empty());
+  Router.m_Planner.onOrderEnd("engine-1");
+  Router.pass(seconds{2});
+  cr_assert(Router.readAndPlan({{"model-a"}, "mixed"}).m_Orders.empty());
+}
+
+// Guards against a paused issuer that wakes after its lease has ended and goes on ordering.
+Test(orders, pausedIssuerThatWakesOrdersNothing) {
+  auto Router = Issuer({wantedOf("engine-1", true)});
+  Router.pass(seconds{1});
+  Router.m_Planner.plan(Router.now());
+  Router.m_Planner.onState("engine-1", {}, Router.now());
+  Router.pass(seconds{700});
+  const auto Plan = Router.readAndPlan({});
+  cr_assert(Plan.m_Orders.empty() && Plan.m_Reads.empty());
+  Router.m_Planner.onLease(9, Router.now() + seconds{600}, Router.now());
+  Router.pass(seconds{1});
+  cr_assert_eq(Router.readAndPlan({}).m_Orders.at(0).m_Fencing, 9);
+}
+
+// Guards against orders sent so shortly before the end of the lease that they arrive after it.
+Test(orders, noOrderWithinTheLeaseMargin) {
+  auto Router = Issuer({wantedOf("engine-1", true)});
+  Router.pass(seconds{599});
+  cr_assert(Router.readAndPlan({}).m_Orders.empty());
+  Router.m_Planner.onLeaseRenewed(Router.now() + seconds{600});
+  cr_assert_eq(Router.readAndPlan({}).m_Orders.size(), 1U);
+  Router.m_Planner.onLeaseLost();
+  cr_assert(Router.readAndPlan({}).m_Orders.empty());
+}
+
+// Guards against crossing an order of the former issuer at a target that ignores fencing numbers,
+// and against trusting a state that was read before that order had ended.
+Test(orders, targetThatIgnoresFencingWaitsAfterATakeover) {
+  auto Router = Issuer({wantedOf("checks", true), wantedOf("ignores", false)});
+  Router.pass(seconds{1});
+  const auto Early = Router.readAndPlan({});
+  cr_assert_eq(Early.m_Orders.size(), 1U);
+  cr_assert_eq(Early.m_Orders[0].m_Target, std::string("checks"));
+  Router.m_Planner.onState("ignores", {}, Router.now());
+  Router.pass(LongestOrder - milliseconds{1500});
+  cr_assert(Router.m_Planner.plan(Router.now()).m_Orders.empty());
+  Router.pass(seconds{1});
+  const auto Late = Router.m_Planner.plan(Router.now());
+  cr_assert(Late.m_Orders.empty());
+  cr_assert(Late.m_Reads == std::vector<std::string>{"ignores"});
+  cr_assert_eq(Router.readAndPlan({}).m_Orders.at(0).m_Target, std::string("ignores"));
+}
+
+// Guards against a target that stays without its model because an order or its answer was lost.
+Test(orders, lostOrderIsRepeatedAfterTheLongestTime) {
+  auto Router = Issuer({wantedOf("engine-1", true)});
+  Router.pass(seconds{1});
+  cr_assert_eq(Router.readAndPlan({}).m_Orders.size(), 1U);
+  Router.pass(LongestOrder - seconds{1});
+  cr_assert(Router.readAndPlan({}).m_Orders.empty());
+  Router.pass(seconds{1});
+  cr_assert_eq(Router.readAndPlan({}).m_Orders.size(), 1U);
+}
+
+// Guards against loads that overrun the weight store when many targets need a model at once.
+Test(orders, loadsKeepToTheRateOfTheWeightStore) {
+  auto Wanted = std::vector<WantedTarget>();
+  for (auto Number = 0; Number < 30; ++Number) {
+    Wanted.push_back(wantedOf("engine-" + std::to_string(Number), true));
+  }
+  auto Router = Issuer(Wanted);
+  auto Loads = std::int64_t{0};
+  for (auto Step = 0; Step < 100; ++Step) {
+    Router.pass(milliseconds{100});
+    for (const auto &Sent : Router.readAndPlan({}).m_Orders) {
+      Loads += Sent.m_Loads;
+    }
+  }
+  cr_assert(Loads <= 10);
+  cr_assert(Loads >= 9);
+}
