Draw for a small request that may pass a large one

Cause: a request that may pass those before it after half its time was served only from tokens at hand; nothing was drawn for it, so it expired behind a large request. The new test found it. Change: the draw counts waiting requests whose time to pass has come. Conclusion: small requests are served after half their time at the latest if the record has enough free tokens.

--- a/src/budget/budgetledger.h
+++ b/src/budget/budgetledger.h
@@ -125,8 +125,8 @@
   auto sizeGrant(const BudgetRecord &Record, HolderEntry &Own, LedgerTime Now) -> void;
   auto noteCall(Call Kind, LedgerTime Now) -> void;
 
-  /// Worst cases of the waiting requests, from the first on, that fit in what is at hand and free.
-  [[nodiscard]] auto coverableByDraw(Tokens Have, Tokens Free) const -> Tokens;
+  /// Worst cases of the waiting requests whose turn it is that fit in what is at hand and free.
+  [[nodiscard]] auto coverableByDraw(Tokens Have, Tokens Free, LedgerTime Now) const -> Tokens;
 
   /// Worst cases of all waiting requests, at most MaxBudgetTokens.
   [[nodiscard]] auto waitingTokens() const -> Tokens;
--- a/src/budget/internal/budgetledger.cpp
+++ b/src/budget/internal/budgetledger.cpp
@@ -456,7 +456,7 @@
   if (m_Draining) {
     return isDrainWriteDue();
   }
-  if (!m_Waiters.empty() && coverableByDraw(allowance(), m_Free) > 0) {
+  if (!m_Waiters.empty() && coverableByDraw(allowance(), m_Free, Now) > 0) {
     return true;
   }
   if (!m_Pending.empty() && isDue(m_Pending.front().m_Submitted + m_Spacing, Now)) {
@@ -560,15 +560,16 @@
   }
 }
 
-auto BudgetLedger::coverableByDraw(Tokens Have, Tokens Free) const -> Tokens {
+auto BudgetLedger::coverableByDraw(Tokens Have, Tokens Free, LedgerTime Now) const -> Tokens {
   Tokens Need = 0;
+  auto IsSomeoneShort = false;
   for (const auto &Request : m_Waiters) {
     // A part of what a request needs is not drawn: two routers could each hold what the other
     // needs.
-    if (Need + Request.m_WorstCase - Have > Free) {
-      break;
-    }
-    Need += Request.m_WorstCase;
+    const auto Fits = Need + Request.m_WorstCase - Have <= Free;
+    const auto IsInTurn = !IsSomeoneShort || bypassAt(Request) <= Now.m_Steady;
+    Need += Fits && IsInTurn ? Request.m_WorstCase : 0;
+    IsSomeoneShort = IsSomeoneShort || !Fits;
   }
   return Need;
 }
@@ -598,7 +599,7 @@
 auto BudgetLedger::sizeGrant(const BudgetRecord &Record, HolderEntry &Own, LedgerTime Now) -> void {
   const auto Free = freeTokens(Record);
   const auto Have = Own.m_Granted - Own.m_Settled - m_Reserved;
-  const auto Need = coverableByDraw(Have, Free);
+  const auto Need = coverableByDraw(Have, Free, Now);
   const auto Spare = Have - Need;
   const auto IsSomeoneShort = Need < waitingTokens();
   const auto Target = IsSomeoneShort ? Tokens{0} : targetAllowance(Free + Have, Now);
--- a/src/budget/tests/budgetservice_test.cpp
+++ b/src/budget/tests/budgetservice_test.cpp
@@ -83,6 +83,22 @@
   cr_assert(std::holds_alternative<ReservationId>(Router.m_Reserved.at(1)));
 }
 
+// Guards against a small request that expires behind a large one, and against a large one that is
+// passed by all small ones.
+Test(budgetservice, smallRequestPassesAfterHalfItsTime) {
+  auto Router = Fixture(1000);
+  Router.store({.m_ToppedUp = 1000, .m_Holders = {{{"vm-b", 1}, 500, 0, 1}}});
+  Router.reserve(800, 30s);
+  Router.reserve(100, 10s);
+  Router.m_Scheduler.runFor(4900ms);
+  cr_assert(Router.m_Reserved.empty());
+  Router.m_Scheduler.runFor(1s);
+  cr_assert_eq(Router.m_Reserved.size(), 1U);
+  cr_assert(std::holds_alternative<ReservationId>(Router.m_Reserved[0]));
+  Router.m_Scheduler.runFor(25s);
+  cr_assert_eq(Router.codeOf(1), base::RefusalCode::BudgetUnavailable);
+}
+
 // Guards against a request that waits, or runs, while the key-value service is down.
 Test(budgetservice, refusesWithinASecondWhileTheServiceIsDown) {
   auto Router = Fixture(1000);
