Test that the target client can be destroyed with open streams

Cause: a router that stops at once destroys the client while streams run. Change: one test. Conclusion: no callback after the destructor.

--- a/src/targets/tests/httptargetclient_test.cpp
+++ b/src/targets/tests/httptargetclient_test.cpp
@@ -144,6 +144,21 @@
   cr_assert(waitUntil([&] { return Engine.count("cancelled") == 1; }));
 }
 
+// Guards against a shutdown that hangs on an open stream or calls an observer after it.
+Test(stream, clientIsDestroyedWithOpenStreams) {
+  auto Engine = StandinProcess(STANDIN_ENGINE, {"--ttft_ms=5", "--token_ms=5"});
+  const auto Observer = std::make_shared<RecordingObserver>();
+  auto Handle = std::shared_ptr<IEngineStream>();
+  auto Setup = std::make_unique<Fixture>();
+  Handle = Setup->stream(Engine.url(), body(1000), Observer);
+  cr_assert(Observer->waitForEvents(2));
+  Setup.reset();
+  const auto Seen = Observer->events().size();
+  Handle->cancel();
+  cr_assert(waitUntil([&] { return Engine.count("total") == 1; }));
+  cr_assert_eq(Observer->events().size(), Seen);
+}
+
 // Guards against a stream that hangs when its connection goes silent, and against gaps or repeats
 // after the resumption.
 Test(stream, silentConnectionIsResumed) {
