Do not follow redirects of targets

Cause: cpprestsdk follows up to 10 redirects by default, so a target that answered 302 or 307 to a non-idempotent call made the client send it a second time, to any host. Change: no redirects in the target client and the tracer; a test that counts executions at the redirect's destination. Conclusion: a call is sent once, to the target the router chose.

--- a/src/targets/internal/httpexchange.cpp
+++ b/src/targets/internal/httpexchange.cpp
@@ -83,6 +83,8 @@
   const auto IsVersion6 = Address.host().starts_with('[');
   auto Settings = web::http::client::http_client_config();
   Settings.set_timeout(LibraryTimeout);
+  // A redirect would send a call a second time, to a host that the operator did not name.
+  Settings.set_max_redirects(0);
   Settings.set_nativehandle_options([IsVersion6, ConnectTimeout](void *Handle) {
     prepareSocket(*static_cast<tcp::socket *>(Handle), IsVersion6, ConnectTimeout);
   });
--- a/src/targets/tests/httptargetclient_test.cpp
+++ b/src/targets/tests/httptargetclient_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
+#include <fmt/format.h>
 #include <future>
 #include <thread>
 
@@ -274,6 +275,22 @@
   cr_assert_eq(Service.count("by_key", "k1"), 1);
 }
 
+// Guards against the library following a redirect, which would send a call a second time, and to a
+// host that is no target.
+Test(service, redirectIsNotFollowed) {
+  auto Service = StandinProcess(STANDIN_SERVICE);
+  auto Setup = Fixture();
+  for (const auto *Status : {"302 Found", "307 Temporary Redirect"}) {
+    auto Server = RawServer(fmt::format("HTTP/1.1 {}\r\nLocation: {}/book\r\n"
+                                        "Content-Length: 0\r\n\r\n",
+                                        Status, Service.url()));
+    const auto Result = Setup.call(Server.url(), "POST", false);
+    cr_assert(Result.m_Verdict == base::Verdict::Ran);
+    cr_assert_eq(std::to_string(Result.m_Status), std::string(Status, 3));
+  }
+  cr_assert_eq(Service.count("total"), 0);
+}
+
 // Guards against headers that get lost, and against calls over a connection that went silent.
 Test(service, callsSurviveASilentPooledConnection) {
   auto Service = StandinProcess(STANDIN_SERVICE);
--- a/src/telemetry/internal/otlptracer.cpp
+++ b/src/telemetry/internal/otlptracer.cpp
@@ -28,6 +28,7 @@
     }
     auto Settings = web::http::client::http_client_config();
     Settings.set_timeout(m_Options.m_SendTimeout);
+    Settings.set_max_redirects(0);
     m_Client = std::make_unique<web::http::client::http_client>(web::uri(m_Options.m_CollectorUrl),
                                                                 Settings);
     m_Scheduler = std::make_unique<base::AsioScheduler>();
