--- a/src/targets/tests/httptargetclient_test.cpp
+++ b/src/targets/tests/httptargetclient_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
+#include <fmt/format.h>
 #include <future>
 #include <thread>
 
@@ -144,6 +145,21 @@
   cr_assert(waitUntil([&] { return Engine.count("cancelled") == 1; }));
 }
 
+// Guards against a shutdown that hangs on an open stream or calls an observer after it.
+Test(stream, clientIsDestroyedWithOpenStreams) {
+  auto Engine = StandinProcess(STANDIN_ENGINE, {"--ttft_ms=5", "--token_ms=5"});
+  const auto Observer = std::make_shared<RecordingObserver>();
+  auto Handle = std::shared_ptr<IEngineStream>();
+  auto Setup = std::make_unique<Fixture>();
+  Handle = Setup->stream(Engine.url(), body(1000), Observer);
+  cr_assert(Observer->waitForEvents(2));
+  Setup.reset();
+  const auto Seen = Observer->events().size();
+  Handle->cancel();
+  cr_assert(waitUntil([&] { return Engine.count("total") == 1; }));
+  cr_assert_eq(Observer->events().size(), Seen);
+}
+
 // Guards against a stream that hangs when its connection goes silent, and against gaps or repeats
 // after the resumption.
 Test(stream, silentConnectionIsResumed) {
@@ -259,6 +275,22 @@
   cr_assert_eq(Service.count("by_key", "k1"), 1);
 }
 
+// Guards against the library following a redirect, which would send a call a second time, and to a
+// host that is no target.
+Test(service, redirectIsNotFollowed) {
+  auto Service = StandinProcess(STANDIN_SERVICE);
+  auto Setup = Fixture();
+  for (const auto *Status : {"302 Found", "307 Temporary Redirect"}) {
+    auto Server = RawServer(fmt::format("HTTP/1.1 {}\r\nLocation: {}/book\r\n"
+                                        "Content-Length: 0\r\n\r\n",
+                                        Status, Service.url()));
+    const auto Result = Setup.call(Server.url(), "POST", false);
+    cr_assert(Result.m_Verdict == base::Verdict::Ran);
+    cr_assert_eq(std::to_string(Result.m_Status), std::string(Status, 3));
+  }
+  cr_assert_eq(Service.count("total"), 0);
+}
+
 // Guards against headers that get lost, and against calls over a connection that went silent.
 Test(service, callsSurviveASilentPooledConnection) {
   auto Service = StandinProcess(STANDIN_SERVICE);
