Poll at least every 250 ms while requests wait

Cause: poll() asked to be called again at the next deadline or end of a backoff only. Without load reports, a waiting request did not pass as urgent and an old report was not given up until some other event. Change: NextPoll is at most 250 ms away while a queue is not empty. The test of the rejection at the deadline follows NextPoll repeatedly and now also checks that the rejection comes exactly at the deadline.

--- a/src/admission/dispatcher.h
+++ b/src/admission/dispatcher.h
@@ -99,7 +99,7 @@
   /// Whether a request must start soon to meet its deadline.
   auto isUrgent(const Work &Work, base::SteadyTime Now) const -> bool;
   auto isShort(const Work &Work) const -> bool;
-  auto nextPoll() const -> std::optional<base::SteadyTime>;
+  auto nextPoll(base::SteadyTime Now) const -> std::optional<base::SteadyTime>;
 
   DispatcherOptions m_Options;
   base::RandomEngine m_Random;
--- a/src/admission/internal/dispatcher.cpp
+++ b/src/admission/internal/dispatcher.cpp
@@ -9,6 +9,10 @@
 
 namespace {
 
+/// Longest time between polls while requests wait: they become urgent, reports become old and
+/// probes become due without an event.
+constexpr auto WaitingPollInterval = std::chrono::milliseconds{250};
+
 /// Shortest pause suggested to a caller; shorter ones would only bring the same answer again.
 constexpr auto ShortestRetryAfter = std::chrono::milliseconds{50};
 
@@ -116,7 +120,7 @@
   for (auto &[Name, Pool] : m_Pools) {
     dispatchPool(Pool, Now, Result);
   }
-  Result.m_NextPoll = nextPoll();
+  Result.m_NextPoll = nextPoll(Now);
   return Result;
 }
 
@@ -527,8 +531,14 @@
   return Work.m_Expected.m_AnswerTokens <= static_cast<double>(m_Options.m_ShortTokens);
 }
 
-auto Dispatcher::nextPoll() const -> std::optional<base::SteadyTime> {
+auto Dispatcher::nextPoll(base::SteadyTime Now) const -> std::optional<base::SteadyTime> {
   auto Next = std::optional<base::SteadyTime>();
+  const auto Waits = std::any_of(m_Pools.begin(), m_Pools.end(), [](const auto &Entry) {
+    return Entry.second.m_Queue->size() > 0;
+  });
+  if (Waits) {
+    Next = Now + WaitingPollInterval;
+  }
   for (const auto *Dues : {&m_Deadlines, &m_Backoffs}) {
     if (!Dues->empty() && (!Next || Dues->begin()->m_Time < *Next)) {
       Next = Dues->begin()->m_Time;
--- a/src/admission/tests/admission_test.cpp
+++ b/src/admission/tests/admission_test.cpp
@@ -136,8 +136,14 @@
   cr_assert_not(Test.offer(2));
   const auto First = Test.poll();
   cr_assert(First.m_NextPoll.has_value());
-  Test.m_Clock.advance(*First.m_NextPoll - Test.m_Clock.steadyNow());
-  const auto Result = Test.poll();
+  auto Result = First;
+  const auto Deadline = Test.item(0).m_Deadline;
+  while (Result.m_Rejections.empty()) {
+    cr_assert(Result.m_NextPoll && *Result.m_NextPoll <= Deadline);
+    Test.m_Clock.advance(*Result.m_NextPoll - Test.m_Clock.steadyNow());
+    Result = Test.poll();
+  }
+  cr_assert(Test.m_Clock.steadyNow() == Deadline);
   cr_assert_eq(Result.m_Rejections.size(), 1U);
   cr_assert(Result.m_Rejections[0].m_Refusal.m_Code == base::RefusalCode::DeadlineUnreachable);
 }
