--- a/src/budget/grantstrategy.h
+++ b/src/budget/grantstrategy.h
@@ -18,7 +18,8 @@
   EvenSplit,
   /// The first router to draw takes all that is free.
   FirstCome,
-  /// The forecast demand over a horizon, bounded by a share of what is left.
+  /// An even share while that lasts long at the forecast demand; nearer to the end the forecast
+  /// demand over a horizon, bounded by a part of the share.
   Forecast,
 };
 
--- a/src/budget/internal/grantstrategy.cpp
+++ b/src/budget/internal/grantstrategy.cpp
@@ -11,8 +11,13 @@
 /// commit intervals; unused parts of worst cases come back only when the request is billed.
 constexpr auto DrawAheadSeconds = 1.0;
 
-/// A router holds at most this part of its even share of what is left, so that a router whose
-/// demand rises finds something to draw.
+/// While an even share of what is left lasts longer than this at the current rate, a router holds
+/// all of its share: it can then serve on when it is cut off. In the experiment of decision 0001
+/// this lowered refusals of routers cut off for an hour from 50.7% to 0.26%.
+constexpr auto PlentySeconds = 20.0;
+
+/// Nearer to the end of the budget a router holds at most this part of its even share, so that a
+/// router whose demand rises finds something to draw.
 constexpr Tokens ShareDivisor = 2;
 
 class PerRequestStrategy final : public IGrantStrategy {
@@ -42,6 +47,10 @@
     const auto Horizon = std::chrono::duration<double>(Demand.m_Horizon).count();
     const auto Forecast =
         std::max(Demand.m_SpendRate * Horizon, Demand.m_ReserveRate * DrawAheadSeconds);
+    const auto EvenShare = Demand.m_Unsettled / Demand.m_ExpectedRouters;
+    if (Demand.m_SpendRate * PlentySeconds < static_cast<double>(EvenShare)) {
+      return std::min(EvenShare, Demand.m_Available);
+    }
     const auto Share = Demand.m_Unsettled / (Demand.m_ExpectedRouters * ShareDivisor);
     const auto Bound = std::max(Tokens{0}, std::min(Share, Demand.m_Available));
     return Forecast < static_cast<double>(Bound) ? static_cast<Tokens>(Forecast) : Bound;
