Pass the dispatcher's priority on, scope request IDs by body, follow no redirects

Cause: the dispatcher chooses the priority at the target (short work first) but the gateway sent the class level; one idempotency key for different requests gave one bill; the HTTP library follows redirects and would send a request twice. Change: Dispatch's target priority goes to the engine; the request ID covers target and body; the forwarder and the platform client follow no redirects.

--- a/src/gateway/internal/completioncall.cpp
+++ b/src/gateway/internal/completioncall.cpp
@@ -65,9 +65,9 @@
 
 auto CompletionCall::giveUp(const base::Refusal &Refusal) -> void { refuse(Refusal); }
 
-auto CompletionCall::onDispatch(const std::string &Target) -> void {
+auto CompletionCall::onDispatch(const admission::Dispatch &Decision) -> void {
   closeSpan(m_StepSpan, true);
-  const auto *Found = findTarget(Target);
+  const auto *Found = findTarget(Decision.m_Target);
   if (Found == nullptr) {
     const auto End = admission::AttemptEnd{false, base::Verdict::DidNotRun, true};
     if (!m_State.m_Loop->onEnd(*m_Work, End, true)) {
@@ -78,14 +78,14 @@
     return;
   }
   m_StepSpan = openSpan("target.stream");
-  m_StepSpan->attribute("geraniumlift.target", Target);
+  m_StepSpan->attribute("geraniumlift.target", Decision.m_Target);
   auto Request = targets::StreamRequest();
   Request.m_RequestId = m_Head.m_RequestId;
   Request.m_Url = Found->m_Url;
   Request.m_Body = m_Body.m_EngineBody;
   Request.m_TraceParent = telemetry::formatTraceParent(m_StepSpan->context());
   Request.m_Deadline = m_Head.m_Deadline;
-  Request.m_Priority = m_Item.m_PriorityLevel;
+  Request.m_Priority = Decision.m_TargetPriority;
   ++m_Attempt;
   const auto Self = std::static_pointer_cast<CompletionCall>(shared_from_this());
   m_Stream = m_State.m_Services.m_Targets.startStream(
--- a/src/gateway/internal/completioncall.h
+++ b/src/gateway/internal/completioncall.h
@@ -13,7 +13,7 @@
 
   auto start() -> void override;
   auto onCallerGone() -> void override;
-  auto onDispatch(const std::string &Target) -> void override;
+  auto onDispatch(const admission::Dispatch &Decision) -> void override;
 
   /// Takes an event of the given attempt; events of earlier attempts are dropped.
   auto onStreamEvent(std::uint64_t Attempt, const targets::StreamEvent &Event) -> void;
--- a/src/gateway/internal/dispatchloop.cpp
+++ b/src/gateway/internal/dispatchloop.cpp
@@ -95,7 +95,7 @@
     const auto Found = m_Clients.find(Dispatched.m_Id);
     const auto Client = Found == m_Clients.end() ? nullptr : Found->second.lock();
     if (Client) {
-      Client->onDispatch(Dispatched.m_Target);
+      Client->onDispatch(Dispatched);
     } else {
       m_Dispatcher.cancel(Dispatched.m_Id, m_Clock.steadyNow());
     }
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -125,11 +125,14 @@
     return readDeadline(Request, Head);
   }
 
-  /// A key that the caller chose is scoped by the workspace, so that workspaces cannot collide. The
+  /// A key that the caller chose is scoped by the workspace, so that workspaces cannot collide, and
+  /// by the body, so that a key used for several requests does not make them one bill. The
   /// identifier goes into paths, hence the hash.
   static auto requestId(const CallerRequest &Request, const CallHead &Head) -> base::RequestId {
     if (!Head.m_IdempotencyKey.empty()) {
-      return base::sha256Hex(Head.m_Workspace.m_Name + "/" + Head.m_IdempotencyKey).substr(0, 32);
+      const auto Scoped = Head.m_Workspace.m_Name + "/" + Head.m_IdempotencyKey + "/" +
+                          base::sha256Hex(Request.m_Target + "\n" + Request.m_Body);
+      return base::sha256Hex(Scoped).substr(0, 32);
     }
     const auto Forwarded = Head.m_Forwarded ? Request.header("x-request-id") : std::string();
     return Forwarded.empty() ? base::randomHex(RandomRequestIdBytes) : Forwarded;
--- a/src/gateway/internal/httppeerforwarder.cpp
+++ b/src/gateway/internal/httppeerforwarder.cpp
@@ -137,6 +137,7 @@
   // A new client opens a fresh connection, so that a refused one proves that nothing was sent.
   auto Options = web::http::client::http_client_config();
   Options.set_timeout(Remaining);
+  Options.set_max_redirects(0); // A followed redirect would send the request twice.
   auto Client = std::make_shared<web::http::client::http_client>(web::uri(Peer.m_Url), Options);
   Client->request(Request).then([Client, Exchange,
                                  Done](const pplx::task<web::http::http_response> &Sent) {
--- a/src/gateway/internal/idispatchclient.h
+++ b/src/gateway/internal/idispatchclient.h
@@ -10,7 +10,7 @@
   virtual ~IDispatchClient() = default;
 
   /// Tells the request to start on a target. May come again after a retry was queued.
-  virtual auto onDispatch(const std::string &Target) -> void = 0;
+  virtual auto onDispatch(const admission::Dispatch &Decision) -> void = 0;
 
   /// Tells that the request was given up. The last call.
   virtual auto onRejection(const base::Refusal &Refusal) -> void = 0;
--- a/src/gateway/internal/servicecall.cpp
+++ b/src/gateway/internal/servicecall.cpp
@@ -160,9 +160,9 @@
       });
 }
 
-auto ServiceCall::onDispatch(const std::string &Target) -> void {
+auto ServiceCall::onDispatch(const admission::Dispatch &Decision) -> void {
   closeSpan(m_StepSpan, true);
-  const auto *Found = findTarget(Target);
+  const auto *Found = findTarget(Decision.m_Target);
   if (Found == nullptr) {
     onServiceResult({base::Verdict::DidNotRun, 0, "", "", true,
                      "The target was removed from the configuration."});
@@ -170,7 +170,7 @@
   }
   const auto &Received = m_Head.m_Exchange->request();
   m_StepSpan = openSpan("target.call");
-  m_StepSpan->attribute("geraniumlift.target", Target);
+  m_StepSpan->attribute("geraniumlift.target", Decision.m_Target);
   auto Request = targets::ServiceRequest();
   Request.m_RequestId = m_Head.m_RequestId;
   Request.m_Url = Found->m_Url;
--- a/src/gateway/internal/servicecall.h
+++ b/src/gateway/internal/servicecall.h
@@ -14,7 +14,7 @@
 
   auto start() -> void override;
   auto onCallerGone() -> void override;
-  auto onDispatch(const std::string &Target) -> void override;
+  auto onDispatch(const admission::Dispatch &Decision) -> void override;
 
 protected:
   auto onReserved() -> void override;
--- a/src/gateway/tests/gateway_test.cpp
+++ b/src/gateway/tests/gateway_test.cpp
@@ -291,3 +291,18 @@
     cr_assert_eq(Span.m_Context.m_TraceId, Trace);
   }
 }
+
+// Guards against one idempotency key that turns several different requests into a single bill.
+Test(gateway, keyReusedWithAnotherBodyIsAnotherRequest) {
+  auto Test = Fixture();
+  const auto Ask = [&](const char *Message) {
+    Test.send("POST", "/v1/chat/completions",
+              std::string(R"({"model":"fern","messages":[")") + Message + "\"]}",
+              {{"idempotency-key", "k1"}});
+  };
+  Ask("water");
+  Ask("water");
+  Ask("light");
+  cr_assert_eq(Test.m_Budgets.m_RequestIds[0], Test.m_Budgets.m_RequestIds[1]);
+  cr_assert_neq(Test.m_Budgets.m_RequestIds[0], Test.m_Budgets.m_RequestIds[2]);
+}
--- a/src/platform/internal/jsoncaller.cpp
+++ b/src/platform/internal/jsoncaller.cpp
@@ -127,6 +127,7 @@
   auto replaceClient() -> void {
     auto Configuration = web::http::client::http_client_config();
     Configuration.set_timeout(m_Endpoint.m_CallTimeout);
+    Configuration.set_max_redirects(0); // A followed redirect would repeat the call.
     Configuration.set_nativehandle_options(disableNagle);
     const auto &Url = m_Endpoint.m_BaseUrls[m_NextUrl++ % m_Endpoint.m_BaseUrls.size()];
     m_Client = std::make_shared<http_client>(Url, Configuration);
