Make the daemon and the process tests lint clean

Change: the reported lines; the fleet's engines take a number of slots, and the capacity benchmark prints the processor time a token.

--- a/bench/capacity/main.cpp
+++ b/bench/capacity/main.cpp
@@ -194,11 +194,12 @@
   for (const auto Streams : {20, 80, 300}) {
     auto Options = FleetOptions();
     Options.m_Engines = 4;
+    Options.m_EngineSlots = 400;
     Options.m_Budgets = {{"office", LargeTopUp}};
     auto Fleet = testing::Fleet(Options);
     Fleet.start();
     for (auto Index = 0; Index < Options.m_Engines; ++Index) {
-      Fleet.control(Fleet.engineUrl(Index), R"({"slots":100,"ttft_ms":50,"token_ms":30})");
+      Fleet.control(Fleet.engineUrl(Index), R"({"ttft_ms":50,"token_ms":30})");
     }
     auto Direct = StreamTotals();
     auto Next = std::atomic<int>(0);
@@ -212,12 +213,16 @@
         },
         Direct);
     auto Routed = StreamTotals();
+    const auto CpuBefore = bench::readUsage(Fleet.router(0).pid()).m_CpuTime;
     measure("streams", Streams, Fleet, [&] {
       runStreams(
           Streams, [&] { return Fleet.completion(0, TokensPerStream); }, Routed);
     });
-    fmt::print("streams={} whole={} direct_first_byte_ms={:.1f} routed_first_byte_ms={:.1f}\n",
-               Streams, Routed.m_Whole.load(),
+    const auto Cpu = bench::readUsage(Fleet.router(0).pid()).m_CpuTime - CpuBefore;
+    fmt::print("streams={} whole={} tokens={} cpu_us_per_token={:.0f} direct_first_byte_ms={:.1f} "
+               "routed_first_byte_ms={:.1f}\n",
+               Streams, Routed.m_Whole.load(), Streams * TokensPerStream,
+               1e3 * static_cast<double>(Cpu.count()) / (Streams * TokensPerStream),
                static_cast<double>(Direct.m_FirstByteMicroseconds) / 1e3 / Streams,
                static_cast<double>(Routed.m_FirstByteMicroseconds) / 1e3 / Streams);
   }
--- a/src/gateway/tests/gateway_test.cpp
+++ b/src/gateway/tests/gateway_test.cpp
@@ -42,7 +42,7 @@
                                           m_Metrics, m_Tracer});
   }
 
-  auto send(std::string Method, std::string Path, std::string Body,
+  auto send(std::string Method, const std::string &Path, std::string Body,
             std::map<std::string, std::string, std::less<>> Headers = {})
       -> std::shared_ptr<FakeExchange> {
     Headers.emplace("authorization", "Bearer key");
@@ -63,7 +63,7 @@
     return send("POST", "/services/bookings/refill", "{}", {{"idempotency-key", Key}});
   }
 
-  auto event(std::size_t Stream, std::uint64_t Offset, std::string Text) -> void {
+  auto event(std::size_t Stream, std::uint64_t Offset, const std::string &Text) -> void {
     m_Targets.m_Streams.at(Stream)->onEvent(
         {Offset, R"({"choices":[{"delta":{"content":")" + Text + R"("}}]})"});
     m_Scheduler.runFor(std::chrono::nanoseconds{0});
--- a/src/geraniumliftd/router.cpp
+++ b/src/geraniumliftd/router.cpp
@@ -120,7 +120,7 @@
   }
 
   auto start() -> absl::Status {
-    if (const auto Status = m_Peers.start(); !Status.ok()) {
+    if (auto Status = m_Peers.start(); !Status.ok()) {
       return Status;
     }
     m_Configuration.subscribe([this](const configuration::SnapshotPointer &Snapshot) {
@@ -130,7 +130,7 @@
     m_TargetMonitor->start();
     m_Reclaimer->start();
     for (auto *Server : {&m_Operators, &m_Callers}) {
-      if (const auto Status = Server->open(); !Status.ok()) {
+      if (auto Status = Server->open(); !Status.ok()) {
         return Status;
       }
     }
--- a/testing/process/childprocess.cpp
+++ b/testing/process/childprocess.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <spawn.h>
 #include <sstream>
@@ -69,7 +70,7 @@
 
 auto runProgram(const std::string &Program, const std::vector<std::string> &Arguments,
                 const std::string &LogFile) -> ProgramResult {
-  std::ofstream(LogFile, std::ios::trunc);
+  std::filesystem::remove(LogFile);
   auto Child = ChildProcess(Program, Arguments, LogFile);
   const auto ExitCode = Child.waitForExit(ProgramTimeout);
   auto Text = std::ostringstream();
--- a/testing/process/fleet.cpp
+++ b/testing/process/fleet.cpp
@@ -69,8 +69,10 @@
   m_Service = std::make_unique<ChildProcess>(m_Programs.m_Service, Listen(m_ServicePort),
                                              m_Folder + "/service.log");
   for (const auto Port : m_EnginePorts) {
+    auto Arguments = Listen(Port);
+    Arguments.push_back(fmt::format("--slots={}", m_Options.m_EngineSlots));
     m_Engines.push_back(std::make_unique<ChildProcess>(
-        m_Programs.m_Engine, Listen(Port), fmt::format("{}/engine-{}.log", m_Folder, Port)));
+        m_Programs.m_Engine, Arguments, fmt::format("{}/engine-{}.log", m_Folder, Port)));
   }
   const auto IsUp = [](const std::string &Url) { return sendHttp({"GET", Url}).m_Status == 200; };
   auto Up = waitFor([&] { return IsUp(keyValueUrl() + "/counts"); }, StartTimeout) &&
@@ -180,7 +182,7 @@
 }
 
 auto Fleet::writeSettings(int Index) const -> std::string {
-  const auto File = fmt::format("{}/{}.toml", m_Folder, vmOf(Index));
+  auto File = fmt::format("{}/{}.toml", m_Folder, vmOf(Index));
   const auto &Ports = m_RouterPorts.at(Index);
   const auto KeyValue = isFar(Index) ? loopback(m_RelayPort) : keyValueUrl();
   auto Seeds = std::string();
@@ -216,7 +218,7 @@
 }
 
 auto Fleet::writeObjects() const -> std::string {
-  const auto File = m_Folder + "/objects.toml";
+  auto File = m_Folder + "/objects.toml";
   auto Stream = std::ofstream(File);
   Stream << "[priority_class.paid]\nlevel = 1\nguaranteed_share = 0.6\n"
             "[model_pool.advice]\nkind = \"engine\"\nmodels = [\"fern-7b\"]\n"
@@ -229,9 +231,9 @@
   }
   for (std::size_t Index = 0; Index < m_EnginePorts.size(); ++Index) {
     Stream << fmt::format("[target.engine-{}]\npool = \"advice\"\nurl = \"{}\"\n"
-                          "data_centre = \"{}\"\nslots = 8\n",
+                          "data_centre = \"{}\"\nslots = {}\n",
                           Index + 1, engineUrl(static_cast<int>(Index)),
-                          DataCentres.at(Index % DataCentres.size()));
+                          DataCentres.at(Index % DataCentres.size()), m_Options.m_EngineSlots);
   }
   Stream << fmt::format("[target.bookings-1]\npool = \"bookings\"\nurl = \"{}\"\n"
                         "data_centre = \"{}\"\nslots = 8\n",
--- a/testing/process/fleet.h
+++ b/testing/process/fleet.h
@@ -24,6 +24,9 @@
   int m_Routers = 3;
   int m_Engines = 2;
 
+  /// Requests that each engine runs side by side.
+  int m_EngineSlots = 8;
+
   /// Budget name and its first top-up.
   std::map<std::string, std::int64_t> m_Budgets = {{"office", 100'000}};
   int m_CommitIntervalMs = 50;
--- a/testing/process/proofs_test.cpp
+++ b/testing/process/proofs_test.cpp
@@ -264,7 +264,7 @@
   Fleet.start();
   auto Billed = std::int64_t{0};
   const auto Send = [&](int Router) {
-    const auto Answer = sendHttp(impatient(Fleet.completion(Router, 100)));
+    auto Answer = sendHttp(impatient(Fleet.completion(Router, 100)));
     Billed += Answer.contains(Done) ? reportedTokens(Answer) : 0;
     return Answer;
   };
