--- a/src/budget/budgetledger.h
+++ b/src/budget/budgetledger.h
@@ -153,6 +153,7 @@
   std::map<ReservationId, Reservation> m_Reservations;
   std::vector<internal::PendingBill> m_Pending;
   Tokens m_Reserved = 0;
+  std::optional<Tokens> m_MaxGrantTokens;
   Tokens m_PendingTokens = 0;
   std::set<base::HolderId> m_Gone;
 
--- a/src/budget/budgetoptions.h
+++ b/src/budget/budgetoptions.h
@@ -21,7 +21,7 @@
 
   /// A reservation that needs a write is refused when the key-value service has not answered for
   /// this long. Two lost answers in a row and a third call fit in.
-  std::chrono::milliseconds m_UnavailableAfter{1500};
+  std::chrono::milliseconds m_UnavailableAfter{1000};
 
   GrantStrategy m_GrantStrategy = GrantStrategy::Forecast;
 
--- a/src/budget/budgettypes.h
+++ b/src/budget/budgettypes.h
@@ -29,6 +29,9 @@
 
   /// The reservation waits for tokens to come back until this time, then it is refused.
   base::SteadyTime m_Deadline;
+
+  /// The operators' limit on what one router holds of this budget beyond its reservations.
+  std::optional<Tokens> m_MaxGrantTokens = std::nullopt;
 };
 
 using ReserveResult = std::variant<ReservationId, base::Refusal>;
--- a/src/budget/internal/budgetledger.cpp
+++ b/src/budget/internal/budgetledger.cpp
@@ -95,6 +95,7 @@
     return;
   }
   m_LastActivity = Now.m_Steady;
+  m_MaxGrantTokens = Event.m_MaxGrantTokens;
   const auto WorstCase = std::clamp(Event.m_WorstCase, Tokens{0}, MaxBudgetTokens);
   m_Waiters.push_back({Event.m_Reservation, Event.m_RequestHash, WorstCase, Event.m_Deadline,
                        Now.m_Steady, m_CallsIssued});
@@ -595,12 +596,14 @@
   if (m_Draining || IsIdle) {
     return 0;
   }
-  return m_Strategy->targetAllowance({.m_Unsettled = m_Unsettled,
-                                      .m_Available = std::max(Tokens{0}, Available),
-                                      .m_SpendRate = m_SpendRate.rate(Now.m_Steady),
-                                      .m_ReserveRate = m_ReserveRate.rate(Now.m_Steady),
-                                      .m_Horizon = m_Options.m_GrantHorizon,
-                                      .m_ExpectedRouters = m_Options.m_ExpectedRouters});
+  const auto Target =
+      m_Strategy->targetAllowance({.m_Unsettled = m_Unsettled,
+                                   .m_Available = std::max(Tokens{0}, Available),
+                                   .m_SpendRate = m_SpendRate.rate(Now.m_Steady),
+                                   .m_ReserveRate = m_ReserveRate.rate(Now.m_Steady),
+                                   .m_Horizon = m_Options.m_GrantHorizon,
+                                   .m_ExpectedRouters = m_Options.m_ExpectedRouters});
+  return m_MaxGrantTokens ? std::min(Target, *m_MaxGrantTokens) : Target;
 }
 
 auto BudgetLedger::sizeGrant(const BudgetRecord &Record, HolderEntry &Own, LedgerTime Now) -> void {
--- a/src/budget/internal/ledgerrunner.cpp
+++ b/src/budget/internal/ledgerrunner.cpp
@@ -17,7 +17,8 @@
   m_ReserveCallbacks.emplace(Id, std::move(Done));
   const auto Hash =
       Request.m_HasIdempotencyKey ? hashOfRequest(Request.m_RequestId) : std::string();
-  deliver(ReserveEvent{Id, Hash, Request.m_WorstCase, Request.m_Deadline});
+  deliver(
+      ReserveEvent{Id, Hash, Request.m_WorstCase, Request.m_Deadline, Request.m_MaxGrantTokens});
 }
 
 auto LedgerRunner::bill(ReservationId Id, Tokens Used, BillCallback Done) -> void {
--- a/src/budget/ledgertypes.h
+++ b/src/budget/ledgertypes.h
@@ -32,6 +32,9 @@
   std::string m_RequestHash;
   Tokens m_WorstCase = 0;
   base::SteadyTime m_Deadline;
+
+  /// The limit on the allowance that is in force from now on.
+  std::optional<Tokens> m_MaxGrantTokens = std::nullopt;
 };
 
 /// A request ended and used the given tokens.
--- a/src/budget/tests/repeatedbill_test.cpp
+++ b/src/budget/tests/ledgercases_test.cpp
@@ -65,3 +65,14 @@
   cr_assert(Test.m_LastBill->m_Outcome == BillOutcome::AlreadyBilled);
   cr_assert_eq(Test.m_Second.pendingTokens(), 0);
 }
+
+// Guards against a router that holds more of a budget than the operators allow.
+Test(budgetledger, allowanceStaysWithinTheOperatorsLimit) {
+  auto Test = Fixture();
+  Test.m_Stored.m_Record->m_ToppedUp = 1'000'000;
+  const auto Deadline = Test.m_Now.m_Steady + std::chrono::seconds{30};
+  Test.feed(Test.m_First, ReserveEvent{1, "hash", 20, Deadline, 50});
+  Test.feed(Test.m_Second, ReserveEvent{1, "hash", 20, Deadline});
+  cr_assert_leq(Test.m_First.view().m_Allowance, 50);
+  cr_assert_gt(Test.m_Second.view().m_Allowance, 50);
+}
--- a/src/gateway/internal/call.cpp
+++ b/src/gateway/internal/call.cpp
@@ -57,6 +57,10 @@
   auto Request =
       budget::ReserveRequest{m_Head.m_Workspace.m_Budget, m_Head.m_RequestId,
                              !m_Head.m_IdempotencyKey.empty(), WorstCase, m_Head.m_Deadline};
+  const auto &Budgets = m_Snapshot->m_Objects.m_Budgets;
+  if (const auto Found = Budgets.find(Request.m_Budget); Found != Budgets.end()) {
+    Request.m_MaxGrantTokens = Found->second.m_MaxGrantTokens;
+  }
   // The callback runs even if the request has finished meanwhile: its reservation must be freed.
   m_State.m_Services.m_Budgets.reserve(
       std::move(Request), [Self = shared_from_this()](const budget::ReserveResult &Result) {
--- a/src/geraniumliftd/main.cpp
+++ b/src/geraniumliftd/main.cpp
@@ -2,6 +2,7 @@
 #include "base/log.h"
 #include "geraniumliftd/exitcode.h"
 #include "geraniumliftd/router.h"
+#include "geraniumliftd/strategynames.h"
 #include "settings/settingsfile.h"
 
 #include <absl/flags/flag.h>
@@ -64,7 +65,10 @@
 }
 
 auto run() -> ExitCode {
-  const auto Result = settings::readSettings(absl::GetFlag(FLAGS_settings));
+  const auto FileName = absl::GetFlag(FLAGS_settings);
+  auto Result = settings::readSettings(FileName);
+  const auto UnknownNames = daemon::checkStrategyNames(Result.m_Settings, FileName);
+  Result.m_Errors.insert(Result.m_Errors.end(), UnknownNames.begin(), UnknownNames.end());
   reportErrors(Result.m_Errors);
   if (!Result.m_Errors.empty()) {
     return ExitCode::StartFailed;
--- /dev/null
+++ b/src/geraniumliftd/strategynames.cpp
@@ -0,0 +1,41 @@
+#include "geraniumliftd/strategynames.h"
+
+#include "admission/dispatcheroptions.h"
+#include "budget/grantstrategy.h"
+
+#include <fmt/format.h>
+
+namespace geraniumlift::daemon {
+
+namespace {
+
+template <typename Table>
+auto checkName(const Table &Names, const std::string &Name, const std::string &Key,
+               const std::string &FileName, std::vector<settings::SettingsError> &Errors) -> void {
+  if (base::valueOf(Names, Name)) {
+    return;
+  }
+  auto Known = std::string();
+  for (const auto &Row : Names) {
+    Known += fmt::format("{}{}", Known.empty() ? "" : ", ", Row.m_Name);
+  }
+  Errors.push_back({FileName, 0, Key, fmt::format("the value must be one of {}", Known)});
+}
+
+} // namespace
+
+auto checkStrategyNames(const settings::Settings &Settings, const std::string &FileName)
+    -> std::vector<settings::SettingsError> {
+  auto Errors = std::vector<settings::SettingsError>();
+  checkName(budget::GrantStrategyNames, Settings.m_GrantStrategy, "budget.grant_strategy", FileName,
+            Errors);
+  checkName(routing::TargetChoiceNames, Settings.m_TargetStrategy, "dispatch.target_strategy",
+            FileName, Errors);
+  checkName(admission::QueueOrderNames, Settings.m_QueueStrategy, "dispatch.queue_strategy",
+            FileName, Errors);
+  checkName(admission::LimitKindNames, Settings.m_LimitStrategy, "dispatch.limit_strategy",
+            FileName, Errors);
+  return Errors;
+}
+
+} // namespace geraniumlift::daemon
--- a/src/objects/objecttypes.h
+++ b/src/objects/objecttypes.h
@@ -22,7 +22,7 @@
 struct Budget {
   std::string m_Name;
 
-  /// The most that one router may hold ungranted work for; bounds what a lost router strands.
+  /// The most that one router holds beyond its reservations; bounds what a lost router strands.
   std::optional<base::Tokens> m_MaxGrantTokens = std::nullopt;
 
   auto operator==(const Budget &) const -> bool = default;
--- a/src/settings/settingstypes.h
+++ b/src/settings/settingstypes.h
@@ -44,7 +44,7 @@
   std::string m_KeyValueUrl;
   std::string m_VmListUrl;
   /// The service answers in milliseconds; a lost answer is noticed after this time.
-  std::chrono::milliseconds m_PlatformCallTimeout{400};
+  std::chrono::milliseconds m_PlatformCallTimeout{300};
   std::chrono::milliseconds m_VmListInterval{2'000};
 
   std::chrono::milliseconds m_CommitInterval{50};
