Test that unknown strategy names are refused

Cause: an unknown name in the settings was silently replaced by the default; the fix had no test. Measured: settingsCheckNamesUnknownStrategies passes; it was not run against the version before the fix.

--- a/testing/process/fleet.cpp
+++ b/testing/process/fleet.cpp
@@ -125,6 +125,13 @@
   }
 }
 
+auto Fleet::checkSettings(const std::string &MoreLines) const -> ProgramResult {
+  const auto File = writeSettings(0);
+  std::ofstream(File, std::ios::app) << MoreLines;
+  return runProgram(m_Programs.m_Router, {"--check", "--settings=" + File},
+                    m_Folder + "/check.log");
+}
+
 auto Fleet::ctl(std::vector<std::string> Arguments) const -> ProgramResult {
   Arguments.push_back("--kv=" + keyValueUrl());
   return runProgram(m_Programs.m_Control, Arguments, m_Folder + "/ctl.log");
--- a/testing/process/fleet.h
+++ b/testing/process/fleet.h
@@ -68,6 +68,9 @@
   /// Sends faults to a stand-in's /control.
   auto control(const std::string &Url, const std::string &Json) const -> void;
 
+  /// Runs geraniumliftd --check on the first router's settings with more lines at their end.
+  [[nodiscard]] auto checkSettings(const std::string &MoreLines) const -> ProgramResult;
+
   /// Runs geraniumctl against the stand-in.
   auto ctl(std::vector<std::string> Arguments) const -> ProgramResult;
 
--- a/testing/process/proofs_test.cpp
+++ b/testing/process/proofs_test.cpp
@@ -323,6 +323,15 @@
   cr_assert(InForce("moss-7b"), "a lagging read brought an older configuration back");
 }
 
+// Guards against a misspelt strategy that is silently replaced by the default.
+Test(process, settingsCheckNamesUnknownStrategies) {
+  const auto Fleet = geraniumlift::testing::Fleet();
+  cr_assert_eq(Fleet.checkSettings("").m_ExitCode, 0);
+  const auto Checked = Fleet.checkSettings("[dispatch]\nqueue_strategy = \"fair\"\n");
+  cr_assert_eq(Checked.m_ExitCode, 1);
+  cr_assert(Checked.m_Output.find("dispatch.queue_strategy") != std::string::npos);
+}
+
 // Guards against a router that cannot start while the key-value service is down, although its peers
 // have the configuration.
 Test(process, routerStartsDuringAnOutage) {
