Judge a failed forward by the rule of the target client

Cause: the forwarder had a second rule for connections that were not opened, by error codes. The HTTP library gives host_unreachable for a failed write too (see verdictrules), so a request that a peer may have received could have been called not sent, and refused as did_not_run. Found by reading the change. Change: verdictrules.h is at the top of the targets module and the forwarder calls it. The failed write to a peer was not brought about in a test; the rule has its own test in targets.

--- a/src/gateway/internal/httppeerforwarder.cpp
+++ b/src/gateway/internal/httppeerforwarder.cpp
@@ -2,12 +2,12 @@
 
 #include "base/hashing.h"
 #include "base/log.h"
+#include "targets/verdictrules.h"
 
 #include <absl/strings/escaping.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
 #include <cpprest/http_client.h>
-#include <system_error>
 
 namespace geraniumlift::gateway {
 
@@ -97,10 +97,10 @@
   std::function<void(ForwardOutcome)> m_Done;
 };
 
-auto isConnectFailure(const web::http::http_exception &Error) -> bool {
-  return Error.error_code() == std::errc::connection_refused ||
-         Error.error_code() == std::errc::host_unreachable ||
-         Error.error_code() == std::errc::network_unreachable;
+/// The client is used once, so its connection is fresh.
+auto outcomeOfFailure(const web::http::http_exception &Error) -> ForwardOutcome {
+  const auto Verdict = targets::verdictOfFailure({true, Error.what()});
+  return Verdict == base::Verdict::DidNotRun ? ForwardOutcome::NotSent : ForwardOutcome::Lost;
 }
 
 auto buildRequest(const CallerRequest &Source) -> web::http::http_request {
@@ -146,7 +146,7 @@
         Done(Outcome);
       })->run();
     } catch (const web::http::http_exception &Error) {
-      Done(isConnectFailure(Error) ? ForwardOutcome::NotSent : ForwardOutcome::Lost);
+      Done(outcomeOfFailure(Error));
     } catch (const std::exception &) {
       Done(ForwardOutcome::Lost);
     }
--- a/src/targets/internal/httpexchange.cpp
+++ b/src/targets/internal/httpexchange.cpp
@@ -1,6 +1,6 @@
 #include "targets/internal/httpexchange.h"
 
-#include "targets/internal/verdictrules.h"
+#include "targets/verdictrules.h"
 
 #include <algorithm>
 #include <array>
--- a/src/targets/internal/verdictrules.cpp
+++ b/src/targets/internal/verdictrules.cpp
@@ -1,4 +1,4 @@
-#include "targets/internal/verdictrules.h"
+#include "targets/verdictrules.h"
 
 namespace geraniumlift::targets {
 
--- a/src/targets/tests/streamstate_test.cpp
+++ b/src/targets/tests/streamstate_test.cpp
@@ -1,7 +1,7 @@
 #include "targets/internal/jsonfields.h"
 #include "targets/internal/streamstate.h"
 #include "targets/internal/urltext.h"
-#include "targets/internal/verdictrules.h"
+#include "targets/verdictrules.h"
 
 #include <criterion/criterion.h>
 
