--- a/testing/fakes/memorykeyvaluedata.h
+++ b/testing/fakes/memorykeyvaluedata.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/platformtypes.h"
+#include "keyvalue/keyvaluetypes.h"
 
 #include <map>
 #include <set>
@@ -9,24 +9,24 @@
 
 /// What the fake key-value service stores, shared by the clients of all routers.
 struct MemoryKeyValueData {
-  std::map<std::string, platform::KeyValue> m_Keys;
-  std::map<std::string, platform::LeaseId> m_LeaseOfKey;
-  std::set<platform::LeaseId> m_Leases;
+  std::map<std::string, keyvalue::KeyValue> m_Keys;
+  std::map<std::string, keyvalue::LeaseId> m_LeaseOfKey;
+  std::set<keyvalue::LeaseId> m_Leases;
   std::int64_t m_Revision = 0;
-  platform::LeaseId m_LastLease = 0;
+  keyvalue::LeaseId m_LastLease = 0;
   std::int64_t m_Reads = 0;
   std::int64_t m_Writes = 0;
   std::int64_t m_Conflicts = 0;
 
   /// Applies a write if the revision is as expected; an empty value erases the key.
-  auto apply(const platform::CompareAndSwap &Request, bool Erase) -> platform::WriteResult {
+  auto apply(const keyvalue::CompareAndSwap &Request, bool Erase) -> keyvalue::WriteResult {
     ++m_Writes;
     const auto Found = m_Keys.find(Request.m_Key);
     const auto Current = Found == m_Keys.end() ? std::nullopt : std::optional(Found->second);
     const auto HasLease = !Request.m_Lease || m_Leases.contains(*Request.m_Lease);
     if ((Current ? Current->m_ModRevision : 0) != Request.m_ExpectedModRevision || !HasLease) {
       ++m_Conflicts;
-      return {.m_Outcome = platform::WriteOutcome::Conflict, .m_Current = Current};
+      return {.m_Outcome = keyvalue::WriteOutcome::Conflict, .m_Current = Current};
     }
     ++m_Revision;
     if (Erase) {
@@ -35,7 +35,7 @@
       const auto Created = Current ? Current->m_CreateRevision : m_Revision;
       m_Keys[Request.m_Key] = {Request.m_Key, Request.m_Value, Created, m_Revision};
     }
-    return {.m_Outcome = platform::WriteOutcome::Landed, .m_ModRevision = m_Revision};
+    return {.m_Outcome = keyvalue::WriteOutcome::Landed, .m_ModRevision = m_Revision};
   }
 };
 
--- a/testing/fakes/memorykeyvaluestore.h
+++ b/testing/fakes/memorykeyvaluestore.h
@@ -2,7 +2,7 @@
 
 #include "fakes/manualscheduler.h"
 #include "fakes/memorykeyvaluedata.h"
-#include "platform/ikeyvaluestore.h"
+#include "keyvalue/ikeyvaluestore.h"
 
 #include <deque>
 
@@ -12,7 +12,7 @@
 enum class WriteFault { None, LostAnswer, LostWrite, LateWrite };
 
 /// One router's connection to the fake key-value service.
-class MemoryKeyValueStore final : public platform::IKeyValueStore {
+class MemoryKeyValueStore final : public keyvalue::IKeyValueStore {
 public:
   MemoryKeyValueStore(MemoryKeyValueData &Data, ManualScheduler &Scheduler)
       : m_Data(Data), m_Scheduler(Scheduler) {}
@@ -38,7 +38,7 @@
     Done(absl::UnimplementedError("the fake does not list"));
   }
 
-  auto compareAndSwap(platform::CompareAndSwap Request, WriteCallback Done) -> void override {
+  auto compareAndSwap(keyvalue::CompareAndSwap Request, WriteCallback Done) -> void override {
     write(Request, false, Done);
   }
 
@@ -57,7 +57,7 @@
     });
   }
 
-  auto keepAlive(platform::LeaseId Lease, StatusCallback Done) -> void override {
+  auto keepAlive(keyvalue::LeaseId Lease, StatusCallback Done) -> void override {
     call([this, Lease, Done](bool IsCut) {
       const auto Known = m_Data.m_Leases.contains(Lease);
       Done(IsCut ? absl::UnavailableError("cut off")
@@ -65,7 +65,7 @@
     });
   }
 
-  auto revokeLease(platform::LeaseId Lease, StatusCallback Done) -> void override {
+  auto revokeLease(keyvalue::LeaseId Lease, StatusCallback Done) -> void override {
     call([this, Lease, Done](bool IsCut) {
       m_Data.m_Leases.erase(Lease);
       Done(IsCut ? absl::UnavailableError("cut off") : absl::OkStatus());
@@ -83,7 +83,7 @@
     m_Scheduler.after(IsCut ? CallTimeout : 2 * OneWay, [=] { Answer(IsCut); });
   }
 
-  auto write(const platform::CompareAndSwap &Request, bool Erase, const WriteCallback &Done)
+  auto write(const keyvalue::CompareAndSwap &Request, bool Erase, const WriteCallback &Done)
       -> void {
     auto Fault = m_IsCut ? WriteFault::LostWrite : WriteFault::None;
     if (!m_IsCut && !m_Faults.empty()) {
@@ -101,7 +101,7 @@
     }
     if (Fault != WriteFault::None) {
       m_Scheduler.after(CallTimeout, [=] {
-        Done({.m_Outcome = platform::WriteOutcome::Unknown,
+        Done({.m_Outcome = keyvalue::WriteOutcome::Unknown,
               .m_Status = absl::UnavailableError("no answer")});
       });
     }
