Let holdings of a budget shrink with its free tokens

Change: a router holds at most a part of its even share of the free tokens; one standard deviation of margin; a new process counts the grants of the former one on its VM as used; a log line for each change of a grant.

--- a/src/budget/grantbook.h
+++ b/src/budget/grantbook.h
@@ -135,6 +135,9 @@
                   const std::map<std::string, Versioned<GrantPool>> &Pools) -> void;
   auto updateLowerBounds() -> void;
 
+  /// Counts what the former process on this VM held as used.
+  auto writeOff(const HolderRecord &Former) -> void;
+
   GrantOptions m_Options;
   std::map<std::string, Line> m_Lines;
   std::deque<Waiter> m_Waiters;
--- a/src/budget/granttypes.h
+++ b/src/budget/granttypes.h
@@ -34,6 +34,9 @@
   /// Granted to this incarnation in all, less what it returned, for each budget.
   std::map<std::string, Tokens> m_Granted;
 
+  /// Used of it, as the budgets' records have been told.
+  std::map<std::string, Tokens> m_Settled;
+
   auto operator==(const HolderRecord &) const -> bool = default;
 };
 
@@ -43,10 +46,28 @@
   std::int64_t m_Revision = 0;
 };
 
+/// Why a router changes its grant of a budget, in tokens.
+struct GrantReason {
+  Tokens m_Change = 0;
+  Tokens m_Prepaid = 0;
+
+  /// Held by this router and neither used nor reserved.
+  Tokens m_Unused = 0;
+
+  /// What it wants to hold.
+  Tokens m_Wanted = 0;
+
+  /// Asked for by requests that wait.
+  Tokens m_Waiting = 0;
+};
+
 /// One write for several budgets at once: it lands as a whole, and only if all revisions are current.
 struct GrantWrite {
   Versioned<HolderRecord> m_Holder;
   std::map<std::string, Versioned<GrantPool>> m_Pools;
+
+  /// What decided the change of each budget, for the log.
+  std::map<std::string, GrantReason> m_Reasons;
 };
 
 /// What a router asks of the store next.
@@ -59,6 +80,10 @@
   /// Demand that a grant covers. Cuts from the store last 7 to 9 s on the users' standard days.
   std::chrono::milliseconds m_Horizon{9000};
 
+  /// Part of its even share of the free tokens that a router holds in reserve. At 1, about half of
+  /// what nobody has used is held.
+  double m_ReserveShare = 1.2;
+
   /// Time over which demand is averaged.
   std::chrono::milliseconds m_RateWindow{5000};
 
--- a/src/budget/internal/grantbook.cpp
+++ b/src/budget/internal/grantbook.cpp
@@ -83,15 +83,17 @@
   if (m_IsDraining || m_IsClosed) {
     return 0;
   }
-  const auto Share =
-      (std::max<Tokens>(0, Item.m_Prepaid - Item.m_Pool.m_Value.m_Granted) + unused(Item)) /
-      m_Routers;
+  // A part of what is free, and of the own holding, so that holdings shrink with the free tokens: the
+  // rest stays there for routers that need it now, and is not lost if all processes are killed.
+  const auto Free = std::max<Tokens>(0, Item.m_Prepaid - Item.m_Pool.m_Value.m_Granted);
+  const auto Share = static_cast<Tokens>(static_cast<double>(Free + unused(Item)) *
+                                         m_Options.m_ReserveShare / static_cast<double>(m_Routers));
   const auto Decay =
       std::exp(-asMs(Now - Item.m_RateTime) / static_cast<double>(m_Options.m_RateWindow.count()));
   const auto Demand =
       Item.m_RatePerMs * Decay * static_cast<double>(m_Options.m_Horizon.count());
-  // Arrivals vary; two standard deviations of a Poisson process keep most cuts covered.
-  const auto Margin = 2.0 * std::sqrt(Demand * Item.m_MeanSize);
+  // Arrivals vary; one standard deviation of a Poisson process is held on top.
+  const auto Margin = std::sqrt(Demand * Item.m_MeanSize);
   const auto Forecast = static_cast<Tokens>(Demand + Margin);
   return std::min(Share, std::max(Forecast, m_Options.m_FirstHolding));
 }
@@ -252,6 +254,7 @@
   for (const auto &[Name, Item] : m_Lines) {
     if (Item.m_Granted != 0) {
       Next.m_Holder.m_Granted[Name] = Item.m_Granted;
+      Next.m_Holder.m_Settled[Name] = std::max<Tokens>(0, Item.m_Told);
     }
     if (const auto Delta = change(Item, Now); Delta != 0) {
       Changes.emplace_back(&Name, Delta);
@@ -271,9 +274,11 @@
     Pool.m_Value.m_Granted += Delta;
     Pool.m_Value.m_Settled += Item.m_Used - Item.m_Told;
     Next.m_Holder.m_Granted[*Name] = Item.m_Granted + Delta;
+    Next.m_Holder.m_Settled[*Name] = Item.m_Used;
     Next.m_Told[*Name] = Item.m_Used;
     Next.m_Pools[*Name] = Pool.m_Value;
     Write.m_Pools[*Name] = Pool;
+    Write.m_Reasons[*Name] = {Delta, Item.m_Prepaid, unused(Item), wanted(Item, Now), Item.m_Waiting};
   }
   Write.m_Holder = {Next.m_Holder, m_HolderRevision};
   m_InFlight = std::move(Next);
@@ -283,6 +288,19 @@
   return Write;
 }
 
+auto GrantBook::writeOff(const HolderRecord &Former) -> void {
+  for (const auto &[Name, Granted] : Former.m_Granted) {
+    const auto Found = m_Lines.find(Name);
+    if (Found == m_Lines.end()) {
+      continue;
+    }
+    const auto Told = Former.m_Settled.find(Name);
+    const auto Settled = Told == Former.m_Settled.end() ? Tokens{0} : Told->second;
+    // The former process may have used all of it, so the next write tells it as used.
+    Found->second.m_Told = -(Granted - Settled);
+  }
+}
+
 auto GrantBook::updateLowerBounds() -> void {
   for (auto &[Name, Item] : m_Lines) {
     Item.m_GrantedAtLeast.reset();
@@ -334,6 +352,7 @@
     if (!m_HasIncarnation) {
       // The time of day may have gone back across the restart; the incarnation must not.
       m_Options.m_Incarnation = std::max(m_Options.m_Incarnation, Record.m_Incarnation + 1);
+      writeOff(Record);
     } else if (Record.m_Incarnation > m_Options.m_Incarnation) {
       m_IsClosed = true;
     }
--- a/src/budget/internal/grantcodec.cpp
+++ b/src/budget/internal/grantcodec.cpp
@@ -23,6 +23,32 @@
   return true;
 }
 
+auto writeAmounts(Writer &Out, const char *Key, const std::map<std::string, Tokens> &Amounts)
+    -> void {
+  Out.Key(Key);
+  Out.StartObject();
+  for (const auto &[Name, Amount] : Amounts) {
+    Out.Key(Name.c_str());
+    Out.Int64(Amount);
+  }
+  Out.EndObject();
+}
+
+auto readAmounts(const rapidjson::Value &Object, const char *Key,
+                 std::map<std::string, Tokens> &Into) -> bool {
+  const auto Found = Object.FindMember(Key);
+  if (Found == Object.MemberEnd() || !Found->value.IsObject()) {
+    return false;
+  }
+  for (const auto &Member : Found->value.GetObject()) {
+    if (!Member.value.IsInt64()) {
+      return false;
+    }
+    Into[Member.name.GetString()] = Member.value.GetInt64();
+  }
+  return true;
+}
+
 } // namespace
 
 auto encodePool(const GrantPool &Pool) -> std::string {
@@ -55,13 +81,8 @@
   Out.Uint64(Holder.m_Incarnation);
   Out.Key("sequence");
   Out.Uint64(Holder.m_Sequence);
-  Out.Key("granted");
-  Out.StartObject();
-  for (const auto &[Name, Amount] : Holder.m_Granted) {
-    Out.Key(Name.c_str());
-    Out.Int64(Amount);
-  }
-  Out.EndObject();
+  writeAmounts(Out, "granted", Holder.m_Granted);
+  writeAmounts(Out, "settled", Holder.m_Settled);
   Out.EndObject();
   return Buffer.GetString();
 }
@@ -69,20 +90,11 @@
 auto decodeHolder(std::string_view Text) -> absl::StatusOr<HolderRecord> {
   auto Document = rapidjson::Document();
   auto Holder = HolderRecord();
-  const auto Invalid = absl::InvalidArgumentError("not the record of a router");
   if (!parse(Text, Document) || !readNumber(Document, "incarnation", Holder.m_Incarnation) ||
-      !readNumber(Document, "sequence", Holder.m_Sequence)) {
-    return Invalid;
-  }
-  const auto Granted = Document.FindMember("granted");
-  if (Granted == Document.MemberEnd() || !Granted->value.IsObject()) {
-    return Invalid;
-  }
-  for (const auto &Member : Granted->value.GetObject()) {
-    if (!Member.value.IsInt64()) {
-      return Invalid;
-    }
-    Holder.m_Granted[Member.name.GetString()] = Member.value.GetInt64();
+      !readNumber(Document, "sequence", Holder.m_Sequence) ||
+      !readAmounts(Document, "granted", Holder.m_Granted) ||
+      !readAmounts(Document, "settled", Holder.m_Settled)) {
+    return absl::InvalidArgumentError("not the record of a router");
   }
   return Holder;
 }
--- a/src/budget/internal/grantservice.cpp
+++ b/src/budget/internal/grantservice.cpp
@@ -105,6 +105,18 @@
     const auto Key = keyOfGrantPool(Name);
     Request.m_Conditions.push_back({Key, Pool.m_Revision});
     Request.m_Writes.push_back({Key, internal::encodePool(Pool.m_Value)});
+    const auto &Reason = Write.m_Reasons.at(Name);
+    m_Log.record(base::LogLevel::Debug, "budget_change",
+                 {{"budget", Name},
+                  {"sequence", Write.m_Holder.m_Value.m_Sequence},
+                  {"change", Reason.m_Change},
+                  {"prepaid", Reason.m_Prepaid},
+                  {"granted", Pool.m_Value.m_Granted},
+                  {"settled", Pool.m_Value.m_Settled},
+                  {"unused", Reason.m_Unused},
+                  {"wanted", Reason.m_Wanted},
+                  {"waiting", Reason.m_Waiting},
+                  {"based_on", Pool.m_Revision}});
   }
   m_Store.transact(std::move(Request), [this, Sequence = Write.m_Holder.m_Value.m_Sequence,
                                         Budgets = Write.m_Pools.size()](
