--- a/src/base/boundedlog.h
+++ b/src/base/boundedlog.h
@@ -18,7 +18,7 @@
   double m_ReservedForFailures = 100.0;
 
   /// Bytes that wait for a slow reader; further lines are dropped.
-  std::size_t m_MaxPendingBytes = 256 * 1024;
+  std::size_t m_MaxPendingBytes = std::size_t{256} * 1024;
 };
 
 /// Writes one line of key=value pairs for each event to a file descriptor, never blocking. Lines
--- a/src/base/itimers.h
+++ b/src/base/itimers.h
@@ -10,8 +10,8 @@
 /// Names a started timer; 0 names none.
 using TimerId = std::uint64_t;
 
-/// Runs functions at given times on one thread. Unlike IScheduler, a timer can be cancelled, so that
-/// one that is not needed any more costs no wake-up.
+/// Runs functions at given times on one thread. Unlike IScheduler, a timer can be cancelled, so
+/// that one that is not needed any more costs no wake-up.
 class ITimers {
 public:
   virtual ~ITimers() = default;
--- a/src/budget/grantbook.h
+++ b/src/budget/grantbook.h
@@ -10,16 +10,17 @@
 
 namespace geraniumlift::budget {
 
-/// Keeps this router's grants of all budgets and decides what to read and write. It does no input or
-/// output; at most one call is in flight. It spends only what a write that is known to have landed
-/// has granted, and nothing that it has offered to return.
+/// Keeps this router's grants of all budgets and decides what to read and write. It does no input
+/// or output; at most one call is in flight. It spends only what a write that is known to have
+/// landed has granted, and nothing that it has offered to return.
 class GrantBook {
 public:
   using Answer = std::function<void(GrantAnswer)>;
 
   explicit GrantBook(GrantOptions Options) : m_Options(Options) {}
 
-  /// Sets what is prepaid for each budget. Where that is less than before, unused grants are returned.
+  /// Sets what is prepaid for each budget. Where that is less than before, unused grants are
+  /// returned.
   auto setPrepaid(const std::map<std::string, Tokens> &Prepaid, base::SteadyTime Now) -> void;
 
   /// Number of routers that draw on the budgets, at least 1.
@@ -70,7 +71,8 @@
 
   /// The records as read from the store.
   auto onRead(const Versioned<HolderRecord> &Holder,
-              const std::map<std::string, Versioned<GrantPool>> &Pools, base::SteadyTime Now) -> void;
+              const std::map<std::string, Versioned<GrantPool>> &Pools, base::SteadyTime Now)
+      -> void;
   auto onReadFailed(base::SteadyTime Now) -> void;
 
   /// A newer state of a budget, learnt without a read.
@@ -129,7 +131,8 @@
   [[nodiscard]] auto isWriteDue(base::SteadyTime Now) const -> bool;
   auto noteDemand(Line &Item, Tokens WorstCase, base::SteadyTime Now) const -> void;
   auto serveWaiters() -> void;
-  auto answerWaiters(const std::function<std::optional<GrantAnswer>(const Waiter &)> &Judge) -> void;
+  auto answerWaiters(const std::function<std::optional<GrantAnswer>(const Waiter &)> &Judge)
+      -> void;
   auto adopt(const Attempt &Landed) -> void;
   auto adoptViews(const Versioned<HolderRecord> &Holder,
                   const std::map<std::string, Versioned<GrantPool>> &Pools) -> void;
--- a/src/budget/granttypes.h
+++ b/src/budget/granttypes.h
@@ -12,8 +12,8 @@
 
 using base::Tokens;
 
-/// One budget as the store holds it. What was granted and not returned never exceeds what is prepaid
-/// when a grant is made; a router that died keeps its grant for good.
+/// One budget as the store holds it. What was granted and not returned never exceeds what is
+/// prepaid when a grant is made; a router that died keeps its grant for good.
 struct GrantPool {
   /// Granted to routers, less what they returned.
   Tokens m_Granted = 0;
@@ -24,8 +24,9 @@
   auto operator==(const GrantPool &) const -> bool = default;
 };
 
-/// What one router holds, as the store has it. Every write of a router changes its own record under a
-/// condition, so that its writes land one after the other and each can be recognised by its number.
+/// What one router holds, as the store has it. Every write of a router changes its own record under
+/// a condition, so that its writes land one after the other and each can be recognised by its
+/// number.
 struct HolderRecord {
   /// Start of the router's process; a newer one takes the record over with nothing granted.
   std::uint64_t m_Incarnation = 0;
@@ -41,7 +42,8 @@
 };
 
 /// A value with the revision at which it was read; revision 0 if the key does not exist.
-template <typename Value> struct Versioned {
+template <typename Value>
+struct Versioned {
   Value m_Value;
   std::int64_t m_Revision = 0;
 };
@@ -61,7 +63,8 @@
   Tokens m_Waiting = 0;
 };
 
-/// One write for several budgets at once: it lands as a whole, and only if all revisions are current.
+/// One write for several budgets at once: it lands as a whole, and only if all revisions are
+/// current.
 struct GrantWrite {
   Versioned<HolderRecord> m_Holder;
   std::map<std::string, Versioned<GrantPool>> m_Pools;
--- a/src/budget/ibudgetgate.h
+++ b/src/budget/ibudgetgate.h
@@ -8,8 +8,8 @@
 
 namespace geraniumlift::budget {
 
-/// Result of a reservation. Exhausted is given only where the store's record shows that what is left
-/// does not cover the request.
+/// Result of a reservation. Exhausted is given only where the store's record shows that what is
+/// left does not cover the request.
 enum class GrantAnswer { Granted, Exhausted, Unavailable };
 
 /// Reserves tokens of budgets before requests are sent.
@@ -18,9 +18,8 @@
   virtual ~IBudgetGate() = default;
 
   /// Reserves tokens. The callback runs once, at once or later, but not after the deadline.
-  virtual auto reserve(const std::string &Budget, base::Tokens WorstCase,
-                       base::SteadyTime Deadline, std::function<void(GrantAnswer)> Done)
-      -> void = 0;
+  virtual auto reserve(const std::string &Budget, base::Tokens WorstCase, base::SteadyTime Deadline,
+                       std::function<void(GrantAnswer)> Done) -> void = 0;
 
   /// Ends a granted reservation with what was used of it.
   virtual auto settle(const std::string &Budget, base::Tokens WorstCase, base::Tokens Used)
--- a/src/budget/internal/grantbook.cpp
+++ b/src/budget/internal/grantbook.cpp
@@ -75,7 +75,8 @@
   Item.m_RatePerMs = Item.m_RatePerMs * Decay + Size / Window;
   Item.m_RateTime = Now;
   Item.m_MeanSize = Item.m_HasDemand ? 0.9 * Item.m_MeanSize + 0.1 * Size : Size;
-  Item.m_Largest = std::max(WorstCase, static_cast<Tokens>(static_cast<double>(Item.m_Largest) * 0.95));
+  Item.m_Largest =
+      std::max(WorstCase, static_cast<Tokens>(static_cast<double>(Item.m_Largest) * 0.95));
   Item.m_HasDemand = true;
 }
 
@@ -83,15 +84,14 @@
   if (m_IsDraining || m_IsClosed) {
     return 0;
   }
-  // A part of what is free, and of the own holding, so that holdings shrink with the free tokens: the
-  // rest stays there for routers that need it now, and is not lost if all processes are killed.
+  // A part of what is free, and of the own holding, so that holdings shrink with the free tokens:
+  // the rest stays there for routers that need it now, and is not lost if all processes are killed.
   const auto Free = std::max<Tokens>(0, Item.m_Prepaid - Item.m_Pool.m_Value.m_Granted);
   const auto Share = static_cast<Tokens>(static_cast<double>(Free + unused(Item)) *
                                          m_Options.m_ReserveShare / static_cast<double>(m_Routers));
   const auto Decay =
       std::exp(-asMs(Now - Item.m_RateTime) / static_cast<double>(m_Options.m_RateWindow.count()));
-  const auto Demand =
-      Item.m_RatePerMs * Decay * static_cast<double>(m_Options.m_Horizon.count());
+  const auto Demand = Item.m_RatePerMs * Decay * static_cast<double>(m_Options.m_Horizon.count());
   // Arrivals vary; one standard deviation of a Poisson process is held on top.
   const auto Margin = std::sqrt(Demand * Item.m_MeanSize);
   const auto Forecast = static_cast<Tokens>(Demand + Margin);
@@ -163,9 +163,10 @@
 }
 
 auto GrantBook::isDrained() const -> bool {
-  return m_IsClosed || (!m_IsCalling && std::all_of(m_Lines.begin(), m_Lines.end(), [this](const auto &Item) {
-                          return unused(Item.second) == 0;
-                        }));
+  return m_IsClosed ||
+         (!m_IsCalling && std::all_of(m_Lines.begin(), m_Lines.end(), [this](const auto &Item) {
+           return unused(Item.second) == 0;
+         }));
 }
 
 auto GrantBook::answerWaiters(
@@ -239,7 +240,8 @@
   }
   if (!m_IsCalling && !m_IsClosed && !m_Lines.empty()) {
     const auto Call = std::max({m_NotBefore, m_LastWrite + m_Options.m_WriteInterval, Now + 1ms});
-    const auto Earliest = m_MustRead || !m_Waiters.empty() ? std::max(m_NotBefore, Now + 1ms) : Call;
+    const auto Earliest =
+        m_MustRead || !m_Waiters.empty() ? std::max(m_NotBefore, Now + 1ms) : Call;
     Wake = std::min(Wake.value_or(Earliest), Earliest);
   }
   return Wake;
@@ -278,7 +280,8 @@
     Next.m_Told[*Name] = Item.m_Used;
     Next.m_Pools[*Name] = Pool.m_Value;
     Write.m_Pools[*Name] = Pool;
-    Write.m_Reasons[*Name] = {Delta, Item.m_Prepaid, unused(Item), wanted(Item, Now), Item.m_Waiting};
+    Write.m_Reasons[*Name] = {Delta, Item.m_Prepaid, unused(Item), wanted(Item, Now),
+                              Item.m_Waiting};
   }
   Write.m_Holder = {Next.m_Holder, m_HolderRevision};
   m_InFlight = std::move(Next);
@@ -395,8 +398,8 @@
 }
 
 auto GrantBook::onRead(const Versioned<HolderRecord> &Holder,
-                       const std::map<std::string, Versioned<GrantPool>> &Pools, base::SteadyTime Now)
-    -> void {
+                       const std::map<std::string, Versioned<GrantPool>> &Pools,
+                       base::SteadyTime Now) -> void {
   m_IsCalling = false;
   m_MustRead = false;
   m_Failures = 0;
--- a/src/budget/internal/grantservice.cpp
+++ b/src/budget/internal/grantservice.cpp
@@ -2,7 +2,6 @@
 
 #include "budget/internal/grantcodec.h"
 
-
 namespace geraniumlift::budget {
 
 namespace {
@@ -121,9 +120,8 @@
   m_Store.transact(std::move(Request), [this, Sequence = Write.m_Holder.m_Value.m_Sequence,
                                         Budgets = Write.m_Pools.size()](
                                            const keyvalue::TransactionResult &Result) {
-    m_Log.record(Result.m_Outcome == keyvalue::TransactionOutcome::Unknown
-                     ? base::LogLevel::Warning
-                     : base::LogLevel::Debug,
+    m_Log.record(Result.m_Outcome == keyvalue::TransactionOutcome::Unknown ? base::LogLevel::Warning
+                                                                           : base::LogLevel::Debug,
                  "budget_write",
                  {{"sequence", Sequence},
                   {"budgets", Budgets},
--- a/src/fleet/internal/fleetcodec.cpp
+++ b/src/fleet/internal/fleetcodec.cpp
@@ -9,7 +9,8 @@
 
 namespace geraniumlift::fleet {
 
-template <typename Archive> auto serialize(Archive &Data, RouterRecord &Record) -> void {
+template <typename Archive>
+auto serialize(Archive &Data, RouterRecord &Record) -> void {
   Data(cereal::make_nvp("name", Record.m_Name),
        cereal::make_nvp("data_centre", Record.m_DataCentre),
        cereal::make_nvp("caller_address", Record.m_CallerAddress),
@@ -17,11 +18,13 @@
        cereal::make_nvp("peer_port", Record.m_PeerPort));
 }
 
-template <typename Archive> auto serialize(Archive &Data, ReportedLoad &Load) -> void {
+template <typename Archive>
+auto serialize(Archive &Data, ReportedLoad &Load) -> void {
   Data(Load.m_Target, Load.m_WaitingTokens, Load.m_Active);
 }
 
-template <typename Archive> auto serialize(Archive &Data, Heartbeat &Message) -> void {
+template <typename Archive>
+auto serialize(Archive &Data, Heartbeat &Message) -> void {
   Data(Message.m_Router, Message.m_Incarnation, Message.m_Sequence, Message.m_IsLeaving,
        Message.m_Loads);
 }
--- a/src/fleet/peertable.h
+++ b/src/fleet/peertable.h
@@ -51,9 +51,9 @@
   /// Routers that may draw on budgets, this one included.
   [[nodiscard]] auto routersDrawing(base::SteadyTime Now) const -> std::int64_t;
 
-  /// Addresses for callers of the data centre: those of routers that are alive and not leaving, with
-  /// this router's own unless it is leaving. A router that hears less than half of the others is more
-  /// likely cut off itself than the last one alive, and tells all addresses.
+  /// Addresses for callers of the data centre: those of routers that are alive and not leaving,
+  /// with this router's own unless it is leaving. A router that hears less than half of the others
+  /// is more likely cut off itself than the last one alive, and tells all addresses.
   [[nodiscard]] auto callerAddresses(std::string_view DataCentre, bool IsSelfLeaving,
                                      base::SteadyTime Now) const -> std::vector<std::string>;
 
--- a/src/forwarding/forwardingcontext.h
+++ b/src/forwarding/forwardingcontext.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "base/ieventlog.h"
 #include "base/iclock.h"
+#include "base/ieventlog.h"
 #include "base/itimers.h"
 #include "base/random.h"
 #include "budget/ibudgetgate.h"
@@ -15,8 +15,9 @@
 
 /// Limits of the forwarding path.
 struct ForwardingOptions {
-  /// A repeatable request is sent elsewhere if its target has not answered after this multiple of the
-  /// route's objective, or of the forecast if that is longer. Later, the answer would be late anyway.
+  /// A repeatable request is sent elsewhere if its target has not answered after this multiple of
+  /// the route's objective, or of the forecast if that is longer. Later, the answer would be late
+  /// anyway.
   double m_SilenceFactor = 1.0;
   double m_ForecastFactor = 4.0;
 
@@ -24,27 +25,28 @@
   /// after a gap of two seconds; half of that leaves time for the other target.
   std::chrono::milliseconds m_StreamPauseLimit{1000};
 
-  /// Pause after which a caller may come back when the cause may pass quickly. Spread at random up to
-  /// twice this, so that refused callers do not return together.
+  /// Pause after which a caller may come back when the cause may pass quickly. Spread at random up
+  /// to twice this, so that refused callers do not return together.
   std::chrono::milliseconds m_ShortRetryPause{100};
 
   /// Pause after which a caller may come back when tokens of the budget must first be released.
   std::chrono::milliseconds m_BudgetRetryPause{400};
 
-  /// Longest wait for tokens of a budget, so that a refused caller still has time for another router.
+  /// Longest wait for tokens of a budget, so that a refused caller still has time for another
+  /// router.
   std::chrono::milliseconds m_LongestBudgetWait{400};
 
   /// A target's answer that is sent on as a whole may have this many bytes.
-  std::size_t m_MaxWholeAnswerBytes = 4 * 1024 * 1024;
+  std::size_t m_MaxWholeAnswerBytes = std::size_t{4} * 1024 * 1024;
 
   /// Reading from a target stops while this many bytes wait for the caller.
-  std::size_t m_MaxUnsentBytes = 256 * 1024;
+  std::size_t m_MaxUnsentBytes = std::size_t{256} * 1024;
 
   /// Requests served at a time; more are refused. Bounds memory.
   std::size_t m_MaxSessions = 1500;
 
   /// Bytes of request bodies held at a time; more are refused. Bounds memory.
-  std::size_t m_MaxBodyBytes = 24 * 1024 * 1024;
+  std::size_t m_MaxBodyBytes = std::size_t{24} * 1024 * 1024;
 
   retry::RetryOptions m_Retry;
 };
--- a/src/forwarding/forwardsession.h
+++ b/src/forwarding/forwardsession.h
@@ -7,8 +7,8 @@
 
 namespace geraniumlift::forwarding {
 
-/// Serves one request of a caller: finds its route, checks the key, reserves tokens, places it, sends
-/// it to one target after another as far as that is allowed, and answers the caller.
+/// Serves one request of a caller: finds its route, checks the key, reserves tokens, places it,
+/// sends it to one target after another as far as that is allowed, and answers the caller.
 class ForwardSession final : public std::enable_shared_from_this<ForwardSession>,
                              public ITargetEvents {
 public:
@@ -46,7 +46,7 @@
 
   /// Judges a complete answer that is sent on as a whole.
   auto onWholeAnswer() -> void;
-  auto forwardEvents(std::string Bytes) -> void;
+  auto forwardEvents(std::string_view Bytes) -> void;
 
   /// Ends the attempt and either repeats the request or answers with the refusal.
   auto attemptFailed(base::Verdict Outcome, AttemptSign Sign, std::string_view Reason) -> void;
--- a/src/forwarding/internal/forwardsession.cpp
+++ b/src/forwarding/internal/forwardsession.cpp
@@ -17,8 +17,8 @@
 constexpr auto LeastUrgent = 9;
 
 auto urgencyOf(std::int64_t Priority) -> int {
-  return static_cast<int>(std::clamp<std::int64_t>(MostUrgent + 2 * Priority, MostUrgent,
-                                                   LeastUrgent));
+  return static_cast<int>(
+      std::clamp<std::int64_t>(MostUrgent + 2 * Priority, MostUrgent, LeastUrgent));
 }
 
 auto isSuccess(int Status) -> bool { return Status >= 200 && Status < 300; }
@@ -61,19 +61,18 @@
     refuse(*Reason);
     return;
   }
-  const auto Limit = m_Fields.m_TimeLeft ? std::min(*m_Fields.m_TimeLeft, m_Route->m_Timeout)
-                                         : m_Route->m_Timeout;
+  const auto Limit =
+      m_Fields.m_TimeLeft ? std::min(*m_Fields.m_TimeLeft, m_Route->m_Timeout) : m_Route->m_Timeout;
   m_Deadline = m_Arrived + Limit;
   if (Limit <= 0ms) {
     refuse(RefusalReason::NoTarget);
     return;
   }
-  m_LimitTimer = m_Context.m_Timers.start(
-      m_Deadline, [Self = weak_from_this()] {
-        if (const auto Session = Self.lock()) {
-          Session->onTimeLimit();
-        }
-      });
+  m_LimitTimer = m_Context.m_Timers.start(m_Deadline, [Self = weak_from_this()] {
+    if (const auto Session = Self.lock()) {
+      Session->onTimeLimit();
+    }
+  });
   choosePool();
   reserve();
 }
@@ -224,8 +223,8 @@
     Retries.onFreshRequest();
   }
   if (m_Route->isRepeatable()) {
-    const auto Forecast =
-        milliseconds(static_cast<std::int64_t>(m_ExpectedMs * m_Context.m_Options.m_ForecastFactor));
+    const auto Forecast = milliseconds(
+        static_cast<std::int64_t>(m_ExpectedMs * m_Context.m_Options.m_ForecastFactor));
     const auto Objective = milliseconds(static_cast<std::int64_t>(
         static_cast<double>(m_Route->m_Objective.count()) * m_Context.m_Options.m_SilenceFactor));
     watchSilence(std::max(Objective, Forecast));
@@ -310,7 +309,7 @@
     return;
   }
   if (m_IsEventStream) {
-    forwardEvents(std::move(Bytes));
+    forwardEvents(Bytes);
     return;
   }
   m_WholeBody += Bytes;
@@ -319,7 +318,7 @@
   }
 }
 
-auto ForwardSession::forwardEvents(std::string Bytes) -> void {
+auto ForwardSession::forwardEvents(std::string_view Bytes) -> void {
   auto Complete = m_Events.add(Bytes);
   if (Complete.empty()) {
     return;
@@ -408,8 +407,8 @@
   m_IsPaused = false;
 }
 
-auto ForwardSession::attemptFailed(base::Verdict Outcome, AttemptSign Sign,
-                                   std::string_view Reason) -> void {
+auto ForwardSession::attemptFailed(base::Verdict Outcome, AttemptSign Sign, std::string_view Reason)
+    -> void {
   endAttempt(Sign);
   if (Outcome != base::Verdict::DidNotRun) {
     m_MayHaveRun = true;
@@ -465,24 +464,24 @@
   auto Pause = 0ms;
   if (Text.m_Status == 503) {
     Pause = retryPause(Reason);
-    Head.m_Fields.add("Retry-After", fmt::format("{:.3f}", static_cast<double>(Pause.count()) / 1e3));
+    Head.m_Fields.add("Retry-After",
+                      fmt::format("{:.3f}", static_cast<double>(Pause.count()) / 1e3));
   }
   m_Context.m_Dialect.markOwnAnswer(Head, m_Fields.m_RequestId);
   const auto Outcome = m_MayHaveRun ? base::Verdict::MayHaveRun : base::Verdict::DidNotRun;
-  m_Context.m_Log.record(
-      base::LogLevel::Warning, "request_refused",
-      {{"request", m_Fields.m_RequestId},
-       {"reason", Text.m_Name},
-       {"status", Text.m_Status},
-       {"verdict", nameOf(base::VerdictNames, Outcome)},
-       {"config", m_Table ? m_Table->version() : -1},
-       {"route", m_Route == nullptr ? "" : m_Route->m_Name},
-       {"workspace", m_Workspace == nullptr ? "" : m_Workspace->m_Name},
-       {"tokens", m_Fields.m_Prompt ? m_Fields.m_Prompt->worstCase() : 0},
-       {"pool", m_Pool},
-       {"sends", m_Sends},
-       {"after_ms", elapsed().count()},
-       {"retry_ms", Pause.count()}});
+  m_Context.m_Log.record(base::LogLevel::Warning, "request_refused",
+                         {{"request", m_Fields.m_RequestId},
+                          {"reason", Text.m_Name},
+                          {"status", Text.m_Status},
+                          {"verdict", nameOf(base::VerdictNames, Outcome)},
+                          {"config", m_Table ? m_Table->version() : -1},
+                          {"route", m_Route == nullptr ? "" : m_Route->m_Name},
+                          {"workspace", m_Workspace == nullptr ? "" : m_Workspace->m_Name},
+                          {"tokens", m_Fields.m_Prompt ? m_Fields.m_Prompt->worstCase() : 0},
+                          {"pool", m_Pool},
+                          {"sends", m_Sends},
+                          {"after_ms", elapsed().count()},
+                          {"retry_ms", Pause.count()}});
   m_Caller->sendWhole(
       std::move(Head),
       fmt::format(R"({{"title":"{}","status":{},"detail":"{}","code":"{}","verdict":"{}"}})",
--- a/src/forwarding/internal/placement.cpp
+++ b/src/forwarding/internal/placement.cpp
@@ -7,8 +7,7 @@
 namespace {
 
 auto rank(std::string_view Part, std::string_view Target) -> std::uint64_t {
-  return XXH3_64bits_withSeed(Target.data(), Target.size(),
-                              XXH3_64bits(Part.data(), Part.size()));
+  return XXH3_64bits_withSeed(Target.data(), Target.size(), XXH3_64bits(Part.data(), Part.size()));
 }
 
 /// The last part that other requests share; nothing if the prompt has no shared part.
--- a/src/forwarding/internal/targettable.cpp
+++ b/src/forwarding/internal/targettable.cpp
@@ -125,7 +125,8 @@
                       State.m_FailureShare > m_Options.m_TolerableFailures;
   if (IsDown) {
     const auto Doublings = std::min(State.m_FailuresInRow - 1, 5);
-    const auto Break = std::min(m_Options.m_FirstBreak * (1 << Doublings), m_Options.m_LongestBreak);
+    const auto Break =
+        std::min(m_Options.m_FirstBreak * (1 << Doublings), m_Options.m_LongestBreak);
     State.m_RestsUntil = std::max(State.m_RestsUntil, Now + Break);
   }
 }
--- a/src/forwarding/routetypes.h
+++ b/src/forwarding/routetypes.h
@@ -84,7 +84,7 @@
 /// Bounds on what a caller may send and how long a connection may stay idle.
 struct CallerLimits {
   std::uint32_t m_HeaderBytes = 16 * 1024;
-  std::uint64_t m_BodyBytes = 4 * 1024 * 1024;
+  std::uint64_t m_BodyBytes = std::uint64_t{4} * 1024 * 1024;
   std::chrono::milliseconds m_HeaderTimeout{3000};
   std::chrono::milliseconds m_IdleTimeout{15000};
 };
--- a/src/forwarding/routingtable.h
+++ b/src/forwarding/routingtable.h
@@ -27,8 +27,8 @@
   [[nodiscard]] auto workspaces() const -> const std::vector<Workspace> & { return m_Workspaces; }
   [[nodiscard]] auto hasWorkspaces() const -> bool { return !m_Workspaces.empty(); }
 
-  /// The route of this host with the longest prefix that begins the path, or nullptr. The target of a
-  /// request may carry a query, which does not count.
+  /// The route of this host with the longest prefix that begins the path, or nullptr. The target of
+  /// a request may carry a query, which does not count.
   [[nodiscard]] auto findRoute(std::string_view Host, std::string_view Target) const
       -> const Route *;
 
--- a/src/forwarding/targettable.h
+++ b/src/forwarding/targettable.h
@@ -63,8 +63,8 @@
   [[nodiscard]] auto record() const -> const TargetRecord & { return m_Record; }
   [[nodiscard]] auto ownLoad() const -> const TargetLoad & { return m_Own; }
 
-  /// Prompt tokens of shared parts that this router believes the target keeps, counted from the first
-  /// part on; the rest has to be read.
+  /// Prompt tokens of shared parts that this router believes the target keeps, counted from the
+  /// first part on; the rest has to be read.
   [[nodiscard]] auto keptTokens(const PromptFigures &Prompt, base::SteadyTime Now) const -> Tokens;
 
   [[nodiscard]] auto isResting(base::SteadyTime Now) const -> bool { return Now < m_RestsUntil; }
--- a/src/http1/internal/messageparser.cpp
+++ b/src/http1/internal/messageparser.cpp
@@ -16,7 +16,8 @@
 auto asView(string_view Text) -> std::string_view { return {Text.data(), Text.size()}; }
 
 /// Beast's parser with the header fields as they were spelled and the body as bytes.
-template <bool IsRequest> class CollectingParser final : public http::basic_parser<IsRequest> {
+template <bool IsRequest>
+class CollectingParser final : public http::basic_parser<IsRequest> {
 public:
   std::string m_Method;
   std::string m_Target;
@@ -93,9 +94,10 @@
   return absl::InvalidArgumentError(Error.message());
 }
 
-/// The parser stops at the end of a header section or when it lacks bytes. Bytes that it has not used
-/// are kept and put before the next ones.
-template <bool IsRequest> struct ParserState {
+/// The parser stops at the end of a header section or when it lacks bytes. Bytes that it has not
+/// used are kept and put before the next ones.
+template <bool IsRequest>
+struct ParserState {
   CollectingParser<IsRequest> m_Parser;
   std::string m_Unused;
   bool m_Started = false;
@@ -116,8 +118,8 @@
     auto Used = std::size_t{0};
     while (!m_Parser.is_done() && Used < m_Unused.size()) {
       auto Error = error_code();
-      const auto Now = m_Parser.put(
-          boost::asio::buffer(m_Unused.data() + Used, m_Unused.size() - Used), Error);
+      const auto Now =
+          m_Parser.put(boost::asio::buffer(m_Unused.data() + Used, m_Unused.size() - Used), Error);
       Used += Now;
       if (Error == http::error::need_more) {
         break;
--- a/src/http1/messageparser.h
+++ b/src/http1/messageparser.h
@@ -12,7 +12,7 @@
 /// Upper bounds on what a peer may send in one message, in bytes.
 struct MessageLimits {
   std::uint32_t m_HeaderBytes = 16 * 1024;
-  std::uint64_t m_BodyBytes = 4 * 1024 * 1024;
+  std::uint64_t m_BodyBytes = std::uint64_t{4} * 1024 * 1024;
 };
 
 /// Reads one request from bytes as they arrive.
--- a/src/http1/messagetypes.h
+++ b/src/http1/messagetypes.h
@@ -54,8 +54,8 @@
   HeaderFields m_Fields;
 };
 
-/// Removes the fields that concern one connection only: those that RFC 9110 names, and those that the
-/// Connection field lists. Framing fields go too; the sender adds its own.
+/// Removes the fields that concern one connection only: those that RFC 9110 names, and those that
+/// the Connection field lists. Framing fields go too; the sender adds its own.
 auto removeHopByHopFields(HeaderFields &Fields) -> void;
 
 /// How the length of a body is announced.
--- a/src/http1/tests/messageparser_test.cpp
+++ b/src/http1/tests/messageparser_test.cpp
@@ -16,8 +16,9 @@
 
 Test(requestparser, bytesMayArriveOneByOne) {
   auto Parser = RequestParser(MessageLimits{});
-  const auto Text = std::string_view("POST /a?b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
-                                     "\r\n5\r\nhello\r\n3\r\nabc\r\n0\r\n\r\n");
+  const auto Text =
+      std::string_view("POST /a?b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+                       "\r\n5\r\nhello\r\n3\r\nabc\r\n0\r\n\r\n");
   for (const auto Byte : Text) {
     const auto Used = Parser.feed(std::string_view(&Byte, 1));
     cr_assert(Used.ok());
--- a/src/keyvalue/etcdkeyvaluestore.h
+++ b/src/keyvalue/etcdkeyvaluestore.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "keyvalue/callcounter.h"
-#include "keyvalue/ikeyvaluestore.h"
 #include "keyvalue/endpoint.h"
+#include "keyvalue/ikeyvaluestore.h"
 
 #include <memory>
 #include <vector>
--- a/src/keyvalue/httpvmlist.h
+++ b/src/keyvalue/httpvmlist.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "keyvalue/callcounter.h"
-#include "keyvalue/ivmlist.h"
 #include "keyvalue/endpoint.h"
+#include "keyvalue/ivmlist.h"
 
 #include <memory>
 
--- a/src/keyvalue/internal/storefollower.cpp
+++ b/src/keyvalue/internal/storefollower.cpp
@@ -5,8 +5,8 @@
 namespace geraniumlift::keyvalue {
 
 StoreFollower::StoreFollower(std::string Prefix, FollowerOptions Options, ITransactionStore &Store,
-                             base::ITimers &Timers, const base::IClock &Clock,
-                             base::IEventLog &Log, IStoreListener &Listener)
+                             base::ITimers &Timers, const base::IClock &Clock, base::IEventLog &Log,
+                             IStoreListener &Listener)
     : m_Prefix(std::move(Prefix)), m_Options(Options), m_Store(Store), m_Timers(Timers),
       m_Clock(Clock), m_Log(Log), m_Listener(Listener) {}
 
--- a/src/keyvalue/itransactionstore.h
+++ b/src/keyvalue/itransactionstore.h
@@ -26,8 +26,9 @@
   /// Reads all keys that begin with the prefix.
   virtual auto list(std::string Prefix, ListCallback Done) -> void = 0;
 
-  /// Waits for changes after the revision. OutOfRange means that the history does not reach back that
-  /// far and the keys must be listed again. The result is empty if nothing changed within the wait.
+  /// Waits for changes after the revision. OutOfRange means that the history does not reach back
+  /// that far and the keys must be listed again. The result is empty if nothing changed within the
+  /// wait.
   virtual auto watch(std::string Prefix, std::int64_t After, std::chrono::milliseconds Wait,
                      WatchCallback Done) -> void = 0;
 
--- a/src/keyvalue/storefollower.h
+++ b/src/keyvalue/storefollower.h
@@ -27,8 +27,8 @@
   /// eager watch would return at nearly every write.
   std::chrono::milliseconds m_Pace{400};
 
-  /// A watch waits this long for changes. An open connection may go silent for good, and only the end
-  /// of the wait shows it.
+  /// A watch waits this long for changes. An open connection may go silent for good, and only the
+  /// end of the wait shows it.
   std::chrono::milliseconds m_Wait{1000};
 
   /// First pause after a failure, doubled up to the longest.
@@ -36,8 +36,8 @@
   std::chrono::milliseconds m_LongestPause{400};
 };
 
-/// Follows all keys with a prefix: lists them once, then watches, and lists again when the store has
-/// dropped the history in between.
+/// Follows all keys with a prefix: lists them once, then watches, and lists again when the store
+/// has dropped the history in between.
 class StoreFollower {
 public:
   StoreFollower(std::string Prefix, FollowerOptions Options, ITransactionStore &Store,
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -22,8 +22,8 @@
 /// A connection within the region is there in a few milliseconds; three lost packets are allowed.
 constexpr auto ConnectTimeout = 400ms;
 
-/// Share of the fleet's allowance of repeated sends that the routers use. The rest covers sends that
-/// a router cannot know of, such as those of a process that was killed.
+/// Share of the fleet's allowance of repeated sends that the routers use. The rest covers sends
+/// that a router cannot know of, such as those of a process that was killed.
 constexpr auto RetryReserve = 0.6;
 
 /// A stopping router takes requests for this long, since callers keep the directory's answer.
@@ -87,9 +87,8 @@
 } // namespace
 
 Router::Router(RouterParts Parts, RouterSettings Settings)
-    : m_Parts(Parts), m_Settings(std::move(Settings)),
-      m_Peers(peerOptions(m_Settings)), m_Targets(forwarding::HealthOptions()),
-      m_TargetDirectory(m_Targets, Parts.m_Log),
+    : m_Parts(Parts), m_Settings(std::move(Settings)), m_Peers(peerOptions(m_Settings)),
+      m_Targets(forwarding::HealthOptions()), m_TargetDirectory(m_Targets, Parts.m_Log),
       m_Grants(m_Settings.m_Vm, grantOptions(incarnationOf(Parts.m_Clock)), Parts.m_Store,
                Parts.m_Timers, Parts.m_Clock, Parts.m_Log),
       m_Placement(placementOptions(m_Settings),
--- a/src/router/internal/routersettings.cpp
+++ b/src/router/internal/routersettings.cpp
@@ -103,8 +103,8 @@
   try {
     Table = toml::parse(Text);
   } catch (const toml::parse_error &Error) {
-    return absl::InvalidArgumentError(fmt::format("settings: line {}: {}",
-                                                  Error.source().begin.line, Error.description()));
+    return absl::InvalidArgumentError(
+        fmt::format("settings: line {}: {}", Error.source().begin.line, Error.description()));
   }
   auto Result = RouterSettings();
   for (const auto &Status :
--- a/src/transport/httpcaller.h
+++ b/src/transport/httpcaller.h
@@ -41,8 +41,8 @@
   std::chrono::milliseconds m_Timeout{1000};
 };
 
-/// Calls one HTTP service. Connections are kept between calls; one on which a call failed is closed,
-/// since later answers on it could belong to that call.
+/// Calls one HTTP service. Connections are kept between calls; one on which a call failed is
+/// closed, since later answers on it could belong to that call.
 class HttpCaller {
 public:
   using Callback = std::function<void(CallResult)>;
--- a/src/transport/internal/callerconnection.cpp
+++ b/src/transport/internal/callerconnection.cpp
@@ -52,9 +52,7 @@
                                      });
 }
 
-auto CallerConnection::stopTimer() -> void {
-  m_Shared->m_Timers.cancel(std::exchange(m_Timer, 0));
-}
+auto CallerConnection::stopTimer() -> void { m_Shared->m_Timers.cancel(std::exchange(m_Timer, 0)); }
 
 auto CallerConnection::read() -> void {
   if (m_IsReading || m_Phase == Phase::Closed || m_Input.size() > MaxReadAhead) {
--- a/src/transport/internal/callerconnection.h
+++ b/src/transport/internal/callerconnection.h
@@ -23,8 +23,8 @@
   std::set<std::shared_ptr<CallerConnection>> m_Connections;
 };
 
-/// One caller's connection: reads requests one after the other and writes their answers. Reading goes
-/// on while a request is served, so that a caller that leaves is noticed at once.
+/// One caller's connection: reads requests one after the other and writes their answers. Reading
+/// goes on while a request is served, so that a caller that leaves is noticed at once.
 class CallerConnection final : public forwarding::ICallerAnswer,
                                public std::enable_shared_from_this<CallerConnection> {
 public:
--- a/src/transport/internal/callerserver.cpp
+++ b/src/transport/internal/callerserver.cpp
@@ -14,8 +14,8 @@
 
 namespace {
 
-/// Connections that wait to be accepted. A full queue drops the opening packet, which costs a caller
-/// a second.
+/// Connections that wait to be accepted. A full queue drops the opening packet, which costs a
+/// caller a second.
 constexpr auto AcceptQueue = 512;
 
 /// Pause after accepting failed, most likely for want of descriptors.
@@ -25,8 +25,8 @@
 
 struct CallerServer::State : std::enable_shared_from_this<CallerServer::State> {
   State(asio::io_context &Loop, base::ITimers &Timers, ServerOptions Options)
-      : m_Acceptor(Loop), m_Shared(std::make_shared<ServerShared>(ServerShared{
-                              Timers, Options, nullptr, {}, false, {}})) {}
+      : m_Acceptor(Loop), m_Shared(std::make_shared<ServerShared>(
+                              ServerShared{Timers, Options, nullptr, {}, false, {}})) {}
 
   auto open(const std::string &Address, std::uint16_t Port) -> absl::Status {
     auto Error = error_code();
@@ -107,8 +107,8 @@
 auto CallerServer::closeAfterAnswers() -> void { m_State->m_Shared->m_ClosesAfterAnswers = true; }
 
 auto CallerServer::closeIdle() -> void {
-  const auto Connections = std::vector(m_State->m_Shared->m_Connections.begin(),
-                                       m_State->m_Shared->m_Connections.end());
+  const auto Connections =
+      std::vector(m_State->m_Shared->m_Connections.begin(), m_State->m_Shared->m_Connections.end());
   for (const auto &Connection : Connections) {
     Connection->closeIfIdle();
   }
--- a/src/transport/internal/httpcaller.cpp
+++ b/src/transport/internal/httpcaller.cpp
@@ -22,7 +22,7 @@
 constexpr auto ReadBytes = std::size_t{16 * 1024};
 
 /// An answer may be a page of about a megabyte, base64 included.
-constexpr auto AnswerLimits = http1::MessageLimits{16 * 1024, 8 * 1024 * 1024};
+constexpr auto AnswerLimits = http1::MessageLimits{16 * 1024, std::uint64_t{8} * 1024 * 1024};
 
 /// The service and the connections to it that are kept.
 struct Service {
@@ -102,10 +102,11 @@
   }
 
   auto read() -> void {
-    m_Socket.async_read_some(asio::buffer(m_Buffer),
-                             [Self = shared_from_this()](const error_code &Error, std::size_t Size) {
-                               Self->onRead(Error, Size);
-                             });
+    m_Socket.async_read_some(
+        asio::buffer(m_Buffer),
+        [Self = shared_from_this()](const error_code &Error, std::size_t Size) {
+          Self->onRead(Error, Size);
+        });
   }
 
   auto onRead(const error_code &Error, std::size_t Size) -> void {
--- a/src/transport/internal/targetconnector.cpp
+++ b/src/transport/internal/targetconnector.cpp
@@ -49,10 +49,9 @@
         Self->fail(Verdict::DidNotRun, "connect_timeout");
       }
     });
-    m_Socket.async_connect({Address, Target.m_Port},
-                           [Self = shared_from_this()](const error_code &Failure) {
-                             Self->onConnected(Failure);
-                           });
+    m_Socket.async_connect(
+        {Address, Target.m_Port},
+        [Self = shared_from_this()](const error_code &Failure) { Self->onConnected(Failure); });
   }
 
   auto close() -> void {
@@ -106,11 +105,12 @@
       return;
     }
     m_IsReading = true;
-    m_Socket.async_read_some(asio::buffer(m_Buffer),
-                             [Self = shared_from_this()](const error_code &Error, std::size_t Size) {
-                               Self->m_IsReading = false;
-                               Self->onRead(Error, Size);
-                             });
+    m_Socket.async_read_some(
+        asio::buffer(m_Buffer),
+        [Self = shared_from_this()](const error_code &Error, std::size_t Size) {
+          Self->m_IsReading = false;
+          Self->onRead(Error, Size);
+        });
   }
 
   auto onRead(const error_code &Error, std::size_t Size) -> void {
--- a/src/transport/targetconnector.h
+++ b/src/transport/targetconnector.h
@@ -8,13 +8,13 @@
 
 namespace geraniumlift::transport {
 
-/// Sends each request on a connection of its own. A kept connection may have gone silent or may carry
-/// an answer to an earlier request; a new one is known to reach the target before the request is
-/// written, so that a failure to connect proves that the request did not run.
+/// Sends each request on a connection of its own. A kept connection may have gone silent or may
+/// carry an answer to an earlier request; a new one is known to reach the target before the request
+/// is written, so that a failure to connect proves that the request did not run.
 class TargetConnector final : public forwarding::ITargetConnector {
 public:
-  TargetConnector(boost::asio::io_context &Loop, base::ITimers &Timers,
-                  const base::IClock &Clock, std::chrono::milliseconds ConnectTimeout)
+  TargetConnector(boost::asio::io_context &Loop, base::ITimers &Timers, const base::IClock &Clock,
+                  std::chrono::milliseconds ConnectTimeout)
       : m_Loop(Loop), m_Timers(Timers), m_Clock(Clock), m_ConnectTimeout(ConnectTimeout) {}
 
   auto send(const forwarding::TargetRecord &Target, std::string Head,
