Test the forwarding path, placing and grants without sockets

Cause: the new decision code had no tests. Change: sessions, placing, routes and event streams against fakes; grant books of several routers against a store that loses answers and applies writes late, with kills, cuts and changed amounts. A framing with another coding than chunked was accepted: the parser's own check did not take effect, and the test found it.

--- a/src/budget/granttypes.h
+++ b/src/budget/granttypes.h
@@ -33,10 +33,10 @@
   std::uint64_t m_Sequence = 0;
 
   /// Granted to this incarnation in all, less what it returned, for each budget.
-  std::map<std::string, Tokens> m_Granted;
+  std::map<std::string, Tokens> m_Granted = {};
 
   /// Used of it, as the budgets' records have been told.
-  std::map<std::string, Tokens> m_Settled;
+  std::map<std::string, Tokens> m_Settled = {};
 
   auto operator==(const HolderRecord &) const -> bool = default;
 };
--- /dev/null
+++ b/src/budget/tests/grantbook_test.cpp
@@ -0,0 +1,173 @@
+#include "budget/internal/grantcodec.h"
+#include "budget/tests/grantworld.h"
+
+#include <criterion/criterion.h>
+
+using namespace geraniumlift::budget;
+using namespace geraniumlift::budget::tests;
+using namespace std::chrono_literals;
+using geraniumlift::base::SteadyTime;
+
+namespace {
+
+constexpr auto Start = SteadyTime(1h);
+constexpr auto Seeds = std::uint64_t{60};
+constexpr auto Steps = 3000;
+
+/// Plays 30 s with many seeds. What was used may never pass what is prepaid. Returns the share of
+/// requests that were served.
+auto play(const GrantFaults &Faults, Tokens Prepaid, double RequestsPerStep) -> double {
+  auto Granted = 0;
+  auto Refused = 0;
+  for (auto Seed = std::uint64_t{1}; Seed <= Seeds; ++Seed) {
+    auto World = GrantWorld(5, Prepaid, Faults, Seed);
+    for (auto Step = 0; Step < Steps; ++Step) {
+      World.step(RequestsPerStep);
+      cr_assert_leq(World.used(), World.highestPrepaid(), "seed %lu step %d", Seed, Step);
+    }
+    Granted += World.granted();
+    Refused += World.refused();
+  }
+  return static_cast<double>(Granted) / std::max(1, Granted + Refused);
+}
+
+/// A book that has read an empty store.
+auto readyBook(Tokens Prepaid) -> GrantBook {
+  auto Book = GrantBook(GrantOptions{.m_Incarnation = 5});
+  Book.setPrepaid({{"b", Prepaid}}, Start);
+  Book.onCallIssued();
+  Book.onRead({}, {}, Start);
+  return Book;
+}
+
+} // namespace
+
+Test(grantbook, nothingIsRefusedWhileThereIsPlenty) {
+  cr_assert_geq(play({}, 100000000, 0.05), 0.999);
+}
+
+Test(grantbook, lostAndLateWritesDoNotOverspend) {
+  cr_assert_geq(play({.m_LostAnswer = 0.3, .m_LateWrite = 0.3, .m_Refused = 0.1}, 3000000, 0.05),
+                0.1);
+}
+
+Test(grantbook, killsAndCutsDoNotOverspend) {
+  play({.m_LostAnswer = 0.1, .m_LateWrite = 0.1, .m_Kill = 0.002, .m_Cut = 0.002}, 3000000, 0.05);
+}
+
+Test(grantbook, scarceBudgetIsNotOverspent) {
+  play({.m_LostAnswer = 0.1, .m_LateWrite = 0.1, .m_Kill = 0.001, .m_Cut = 0.001}, 200000, 0.1);
+}
+
+// A lowered budget takes back what was granted and not used. Used before that counts against the
+// highest amount.
+Test(grantbook, changesOfThePrepaidAmountDoNotOverspend) {
+  play({.m_LostAnswer = 0.1, .m_LateWrite = 0.1, .m_Cut = 0.001, .m_ChangesPrepaid = true}, 1500000,
+       0.05);
+}
+
+Test(grantbook, mostRequestsAreServedThroughACut) {
+  auto Granted = 0;
+  auto Refused = 0;
+  for (auto Seed = std::uint64_t{1}; Seed <= Seeds; ++Seed) {
+    auto World = GrantWorld(9, 8000000, {}, Seed);
+    for (auto Step = 0; Step < 600; ++Step) {
+      World.step(0.03);
+    }
+    const auto Before = std::pair(World.granted(), World.refused());
+    World.cutAll(true);
+    for (auto Step = 0; Step < 800; ++Step) {
+      World.step(0.03);
+    }
+    Granted += World.granted() - Before.first;
+    Refused += World.refused() - Before.second;
+  }
+  // The users' platform cuts all routers off for about eight seconds twice a day.
+  cr_assert_geq(static_cast<double>(Granted) / (Granted + Refused), 0.8);
+}
+
+// A kill of all processes strands what they hold; that must not be most of the budget.
+Test(grantbook, killOfAllProcessesLeavesMostOfTheBudget) {
+  for (auto Seed = std::uint64_t{1}; Seed <= Seeds; ++Seed) {
+    auto World = GrantWorld(9, 4000000, {}, Seed);
+    for (auto Step = 0; Step < 500; ++Step) {
+      World.step(0.03);
+    }
+    World.killAll();
+    for (auto Step = 0; Step < 100; ++Step) {
+      World.step(0.0);
+    }
+    const auto Left = World.highestPrepaid() - World.used();
+    const auto Free = World.highestPrepaid() - World.pool().m_Granted;
+    cr_assert_geq(Free, Left / 3, "seed %lu: %ld free of %ld", Seed, Free, Left);
+  }
+}
+
+Test(grantbook, drainReturnsEverything) {
+  auto World = GrantWorld(3, 1000000, {}, 1);
+  for (auto Step = 0; Step < 300; ++Step) {
+    World.step(0.05);
+  }
+  World.drainAll();
+  for (auto Step = 0; Step < 400; ++Step) {
+    World.step(0.0);
+  }
+  cr_assert_eq(World.pool().m_Granted, World.used());
+}
+
+Test(grantbook, requestIsExhaustedOnlyIfTheRecordShowsIt) {
+  auto Book = readyBook(1000);
+  auto Answers = std::vector<GrantAnswer>();
+  const auto Ask = [&Book, &Answers](Tokens WorstCase) {
+    Book.reserve("b", WorstCase, Start + 1s, Start,
+                 [&Answers](GrantAnswer Answer) { Answers.push_back(Answer); });
+  };
+  Ask(1001);
+  cr_assert_eq(Answers.size(), 1U);
+  cr_assert_eq(Answers[0], GrantAnswer::Exhausted);
+  Book.notePool("b", {{900, 0}, 3});
+  Ask(500);
+  cr_assert_eq(Answers.size(), 2U);
+  cr_assert_eq(Answers[1], GrantAnswer::Unavailable, "another router may return what it holds");
+}
+
+Test(grantbook, withoutTheStoreARequestIsRefusedAtOnce) {
+  auto Book = readyBook(1000000);
+  Book.setStoreReachable(false);
+  auto Answer = std::optional<GrantAnswer>();
+  Book.reserve("b", 100, Start + 1s, Start, [&Answer](GrantAnswer Got) { Answer = Got; });
+  cr_assert_eq(*Answer, GrantAnswer::Unavailable);
+}
+
+// Another process has the name of this router: it must not go on spending beside it.
+Test(grantbook, newerIncarnationClosesTheBook) {
+  auto Book = readyBook(1000000);
+  static_cast<void>(Book.composeWrite(Start));
+  Book.onLanded(7, Start);
+  cr_assert_gt(Book.spendable("b"), 0);
+  static_cast<void>(Book.composeWrite(Start));
+  Book.onConflict({{.m_Incarnation = 99}, 8}, {}, Start);
+  cr_assert_eq(Book.spendable("b"), 0);
+  cr_assert_eq(Book.nextCall(Start + 10s), GrantCall::None);
+}
+
+Test(grantbook, manyConflictsSlowTheWritesDown) {
+  auto Book = readyBook(1000000);
+  for (auto Round = 0; Round < 8; ++Round) {
+    static_cast<void>(Book.composeWrite(Start));
+    Book.onConflict({}, {}, Start);
+  }
+  cr_assert_eq(Book.nextCall(Start), GrantCall::None);
+  cr_assert_eq(Book.nextCall(Start + 1s), GrantCall::Write);
+}
+
+Test(grantcodec, recordsSurviveAndGarbageIsRefused) {
+  const auto Holder = HolderRecord{7, 3, {{"b", 100}, {"c", 5}}, {{"b", 40}}};
+  cr_assert(*internal::decodeHolder(internal::encodeHolder(Holder)) == Holder);
+  const auto Pool = GrantPool{500, 20};
+  cr_assert(*internal::decodePool(internal::encodePool(Pool)) == Pool);
+  for (const auto *Text : {"", "{}", "[]", "{\"granted\":-1,\"settled\":0}", "\xff"}) {
+    cr_expect_not(internal::decodePool(Text).ok());
+    cr_expect_not(internal::decodeHolder(Text).ok());
+  }
+}
--- /dev/null
+++ b/src/forwarding/tests/forwardingfakes.h
@@ -0,0 +1,259 @@
+#pragma once
+
+#include "fakes/manualtimers.h"
+#include "fakes/memoryeventlog.h"
+#include "forwarding/forwardsession.h"
+
+#include <deque>
+#include <memory>
+
+namespace geraniumlift::forwarding::tests {
+
+/// A caller that keeps what it is sent.
+class FakeCaller final : public ICallerAnswer {
+public:
+  auto sendWhole(http1::ResponseHead Head, std::string Body) -> void override {
+    m_Status = Head.m_Status;
+    m_Head = std::move(Head);
+    m_Body = std::move(Body);
+    m_IsComplete = true;
+  }
+  auto begin(http1::ResponseHead Head) -> void override {
+    m_Status = Head.m_Status;
+    m_Head = std::move(Head);
+  }
+  auto sendPiece(std::string Piece) -> void override { m_Body += Piece; }
+  auto finish() -> void override { m_IsComplete = true; }
+  auto breakOff() -> void override { m_IsBroken = true; }
+  [[nodiscard]] auto unsentBytes() const -> std::size_t override { return m_Unsent; }
+
+  int m_Status = 0;
+  http1::ResponseHead m_Head;
+  std::string m_Body;
+  bool m_IsComplete = false;
+  bool m_IsBroken = false;
+  std::size_t m_Unsent = 0;
+};
+
+/// One attempt that the test plays.
+struct FakeAttempt {
+  std::string m_TargetId;
+  std::string m_Head;
+  ITargetEvents *m_Events = nullptr;
+  bool m_IsClosed = false;
+  bool m_IsPaused = false;
+};
+
+/// Hands each attempt to the test.
+class FakeConnector final : public ITargetConnector {
+public:
+  auto send(const TargetRecord &Target, std::string Head, std::shared_ptr<const std::string>, bool,
+            ITargetEvents &Events) -> std::unique_ptr<ITargetAttempt> override {
+    auto Attempt = std::make_shared<FakeAttempt>();
+    Attempt->m_TargetId = Target.m_Id;
+    Attempt->m_Head = std::move(Head);
+    Attempt->m_Events = &Events;
+    m_Attempts.push_back(Attempt);
+    return std::make_unique<Handle>(std::move(Attempt));
+  }
+
+  std::vector<std::shared_ptr<FakeAttempt>> m_Attempts;
+
+private:
+  class Handle final : public ITargetAttempt {
+  public:
+    explicit Handle(std::shared_ptr<FakeAttempt> Attempt) : m_Attempt(std::move(Attempt)) {}
+    ~Handle() override { m_Attempt->m_IsClosed = true; }
+    auto pause(bool IsPaused) -> void override { m_Attempt->m_IsPaused = IsPaused; }
+
+  private:
+    std::shared_ptr<FakeAttempt> m_Attempt;
+  };
+};
+
+/// A budget with a fixed number of tokens.
+class FakeBudgets final : public budget::IBudgetGate {
+public:
+  auto reserve(const std::string &, base::Tokens WorstCase, base::SteadyTime,
+               std::function<void(budget::GrantAnswer)> Done) -> void override {
+    if (WorstCase > m_Left) {
+      Done(m_Refusal);
+      return;
+    }
+    m_Left -= WorstCase;
+    Done(budget::GrantAnswer::Granted);
+  }
+  auto settle(const std::string &, base::Tokens WorstCase, base::Tokens Used) -> void override {
+    m_Left += WorstCase - Used;
+    m_Used += Used;
+  }
+
+  base::Tokens m_Left = 1000000;
+  base::Tokens m_Used = 0;
+  budget::GrantAnswer m_Refusal = budget::GrantAnswer::Unavailable;
+};
+
+class FakeMetrics final : public IForwardingMetrics {
+public:
+  auto onRequestEnded(const RequestOutcome &Outcome) -> void override {
+    m_Results.emplace_back(Outcome.m_Result);
+  }
+  auto onRepeated(std::string_view) -> void override { ++m_Repeats; }
+
+  std::vector<std::string> m_Results;
+  int m_Repeats = 0;
+};
+
+/// A protocol of short names: `id`, `key`, `left`, `prompt`, `out`, `target`, `after`, `signed`,
+/// `not-run`.
+class FakeDialect final : public IMessageDialect {
+public:
+  [[nodiscard]] auto decodeRequest(const http1::RequestHead &Head) const -> RequestFields override {
+    auto Fields = RequestFields();
+    Fields.m_RequestId = Head.m_Fields.find("id").value_or("");
+    Fields.m_Host = Head.m_Fields.find("host").value_or("");
+    Fields.m_ApiKey = Head.m_Fields.find("key").value_or("");
+    if (const auto Left = Head.m_Fields.find("left")) {
+      Fields.m_TimeLeft = std::chrono::milliseconds(std::stoll(std::string(*Left)));
+    }
+    if (const auto Prompt = Head.m_Fields.find("prompt")) {
+      Fields.m_Prompt = PromptFigures{std::stoll(std::string(*Prompt)), 100, {{"p", 10}}};
+    }
+    return Fields;
+  }
+  auto prepareForTarget(http1::RequestHead &Head, const TargetFields &Fields) const
+      -> void override {
+    Head.m_Fields.remove("key");
+    Head.m_Fields.add("target", Fields.m_TargetId);
+    Head.m_Fields.add("left-now", std::to_string(Fields.m_TimeLeft.count()));
+    if (Fields.m_ResumeAfter) {
+      Head.m_Fields.add("after", std::to_string(*Fields.m_ResumeAfter));
+    }
+  }
+  [[nodiscard]] auto readAnswer(const http1::ResponseHead &Head) const -> AnswerFacts override {
+    auto Facts = AnswerFacts();
+    Facts.m_RequestId = Head.m_Fields.find("id").value_or("");
+    Facts.m_IsSigned = Head.m_Fields.has("signed");
+    Facts.m_IsNotRun = Head.m_Fields.has("not-run");
+    return Facts;
+  }
+  auto markOwnAnswer(http1::ResponseHead &, const std::string &) const -> void override {}
+};
+
+/// A router's forwarding path with fakes around it. Pool `engines` has three targets e1 to e3, pool
+/// `plain` two targets s1 and s2.
+class ForwardingWorld {
+public:
+  ForwardingWorld()
+      : m_Targets(HealthOptions()),
+        m_Placement(PlacementOptions(), [](const TargetRecord &) { return TargetLoad(); }),
+        m_Context{m_Clock,
+                  m_Timers,
+                  m_Dialect,
+                  m_Connector,
+                  m_Budgets,
+                  m_Log,
+                  m_Metrics,
+                  m_Targets,
+                  m_Placement,
+                  ForwardingOptions(),
+                  base::RandomEngine(7)} {
+    m_Context.m_Table = table();
+    for (const auto *Id : {"e1", "e2", "e3"}) {
+      m_Targets.put(target(Id, "engines"));
+    }
+    for (const auto *Id : {"s1", "s2"}) {
+      m_Targets.put(target(Id, "plain"));
+    }
+  }
+
+  static auto target(const std::string &Id, const std::string &Pool) -> TargetRecord {
+    auto Record = TargetRecord();
+    Record.m_Id = Id;
+    Record.m_Pool = Pool;
+    Record.m_Address = "127.0.0.1";
+    Record.m_Port = 1;
+    return Record;
+  }
+
+  static auto route(const std::string &Path, RequestKind Kind, const std::string &Pool,
+                    std::int64_t Attempts) -> Route {
+    auto Item = Route();
+    Item.m_Name = Path;
+    Item.m_Host = "h";
+    Item.m_PathPrefix = Path;
+    Item.m_Kind = Kind;
+    Item.m_Pools = {{Pool, 1.0}};
+    Item.m_Timeout = std::chrono::milliseconds(3000);
+    Item.m_Objective = std::chrono::milliseconds(600);
+    Item.m_MaxAttempts = Attempts;
+    return Item;
+  }
+
+  static auto table() -> RoutingTablePtr {
+    auto Resumable = route("/resumable/", RequestKind::Streaming, "engines", 2);
+    Resumable.m_IsResumable = true;
+    auto Engines = TargetPool{"engines", EngineFigures{64, 100000, 4}};
+    return std::make_shared<const RoutingTable>(
+        1,
+        std::vector<Route>{Resumable, route("/stream/", RequestKind::Streaming, "engines", 1),
+                           route("/book/", RequestKind::NonIdempotent, "plain", 2),
+                           route("/look/", RequestKind::Idempotent, "plain", 2)},
+        std::vector<TargetPool>{Engines, TargetPool{"plain", std::nullopt}}, CallerLimits(),
+        std::vector<Workspace>{Workspace{"w", std::nullopt, 1000000}},
+        std::vector<std::pair<std::string, std::string>>{{"k", "w"}});
+  }
+
+  /// Sends a request; its answer arrives at m_Caller.
+  auto request(const std::string &Path, bool HasPrompt = false, const std::string &Key = "k")
+      -> void {
+    auto Head = http1::RequestHead{"POST", Path, {}};
+    Head.m_Fields.add("host", "h");
+    Head.m_Fields.add("id", "r1");
+    Head.m_Fields.add("key", Key);
+    Head.m_Fields.add("left", "2000");
+    if (HasPrompt) {
+      Head.m_Fields.add("prompt", "500");
+    }
+    m_Caller = std::make_shared<FakeCaller>();
+    m_Session = std::make_shared<ForwardSession>(m_Context, Head, "body", m_Caller);
+    m_Session->start();
+  }
+
+  [[nodiscard]] auto attempts() -> std::vector<std::shared_ptr<FakeAttempt>> & {
+    return m_Connector.m_Attempts;
+  }
+
+  /// The newest attempt gets the header of an answer.
+  auto answerHead(int Status, const std::vector<std::string> &Marks, const std::string &Id = "r1")
+      -> void {
+    auto Head = http1::ResponseHead{Status, "x", {}};
+    Head.m_Fields.add("id", Id);
+    for (const auto &Mark : Marks) {
+      Head.m_Fields.add(Mark, "1");
+    }
+    attempts().back()->m_Events->onHead(Head);
+  }
+
+  auto connect() -> void { attempts().back()->m_Events->onConnected(); }
+  auto body(const std::string &Bytes) -> void { attempts().back()->m_Events->onBody(Bytes); }
+  auto end() -> void { attempts().back()->m_Events->onEnd(); }
+  auto fail(base::Verdict Outcome) -> void {
+    attempts().back()->m_Events->onFailed(Outcome, "test");
+  }
+
+  base::ManualClock m_Clock;
+  fakes::ManualTimers m_Timers{m_Clock};
+  FakeDialect m_Dialect;
+  FakeConnector m_Connector;
+  FakeBudgets m_Budgets;
+  fakes::MemoryEventLog m_Log;
+  FakeMetrics m_Metrics;
+  TargetTable m_Targets;
+  Placement m_Placement;
+  ForwardingContext m_Context;
+  std::shared_ptr<FakeCaller> m_Caller;
+  std::shared_ptr<ForwardSession> m_Session;
+};
+
+} // namespace geraniumlift::forwarding::tests
--- /dev/null
+++ b/src/forwarding/tests/placement_test.cpp
@@ -0,0 +1,163 @@
+#include "forwarding/placement.h"
+#include "forwarding/targetdirectory.h"
+
+#include "fakes/memoryeventlog.h"
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+
+using namespace geraniumlift;
+using namespace geraniumlift::forwarding;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto Start = base::SteadyTime(1h);
+
+auto record(int Number, const std::string &DataCentre = "a") -> TargetRecord {
+  auto Record = TargetRecord();
+  Record.m_Id = fmt::format("t{}", Number);
+  Record.m_Pool = "p";
+  Record.m_DataCentre = DataCentre;
+  return Record;
+}
+
+auto table(int Count) -> TargetTable {
+  auto Targets = TargetTable(HealthOptions());
+  for (auto Number = 0; Number < Count; ++Number) {
+    Targets.put(record(Number));
+  }
+  return Targets;
+}
+
+auto placement() -> Placement {
+  auto Options = PlacementOptions();
+  Options.m_DataCentre = "a";
+  return {Options, [](const TargetRecord &) { return TargetLoad(); }};
+}
+
+auto prompt(const std::string &Shared, Tokens SharedTokens) -> PromptFigures {
+  return {SharedTokens + 1000, 100, {{Shared, SharedTokens}, {"own", 1000}}};
+}
+
+} // namespace
+
+// Requests with the same shared prompt meet at one target whichever router places them.
+Test(placement, routersAgreeOnTheHomeOfAPrompt) {
+  const auto First = table(12);
+  const auto Second = table(12);
+  auto Used = std::set<std::string>();
+  for (auto Number = 0; Number < 40; ++Number) {
+    const auto Prompt = prompt(fmt::format("part{}", Number), 6000);
+    const auto Left = placement().choose(First, {"p", &Prompt, {}}, Start);
+    const auto Right = placement().choose(Second, {"p", &Prompt, {}}, Start);
+    cr_assert_eq(Left->m_TargetId, Right->m_TargetId);
+    Used.insert(Left->m_TargetId);
+  }
+  cr_assert_geq(Used.size(), 8U, "homes are spread over the targets");
+}
+
+// A hundred requests about one subject must not all wait at its home.
+Test(placement, loadBoundsTheAffinity) {
+  auto Targets = table(4);
+  const auto Prompt = prompt("hot", 4000);
+  auto Sent = std::map<std::string, int>();
+  for (auto Number = 0; Number < 100; ++Number) {
+    const auto Choice = placement().choose(Targets, {"p", &Prompt, {}}, Start);
+    Targets.noteSent(Choice->m_TargetId, &Prompt, Start);
+    ++Sent[Choice->m_TargetId];
+  }
+  for (const auto &[Id, Count] : Sent) {
+    cr_expect_leq(Count, 40, "%s got %d", Id.c_str(), Count);
+  }
+}
+
+Test(placement, restingAndLeavingTargetsAreAvoided) {
+  auto Targets = table(3);
+  Targets.noteSign("t0", AttemptSign::Silent, Start);
+  auto Leaving = record(1);
+  Leaving.m_IsLeaving = true;
+  Targets.put(Leaving);
+  for (auto Round = 0; Round < 5; ++Round) {
+    cr_assert_eq(placement().choose(Targets, {"p", nullptr, {}}, Start)->m_TargetId, "t2");
+  }
+  Targets.noteSign("t2", AttemptSign::Silent, Start);
+  cr_assert(placement().choose(Targets, {"p", nullptr, {}}, Start),
+            "a resting target is better than none");
+  cr_assert_not(placement().choose(Targets, {"p", nullptr, {"t0", "t2"}}, Start));
+}
+
+Test(placement, sameDataCentreIsPreferredWhenIdle) {
+  auto Targets = TargetTable(HealthOptions());
+  Targets.put(record(0, "b"));
+  Targets.put(record(1, "a"));
+  cr_assert_eq(placement().choose(Targets, {"p", nullptr, {}}, Start)->m_TargetId, "t1");
+}
+
+Test(targettable, oneFailureAmongManyDoesNotRestATarget) {
+  auto Targets = table(1);
+  for (auto Round = 0; Round < 20; ++Round) {
+    Targets.noteSign("t0", Round % 10 == 0 ? AttemptSign::Broken : AttemptSign::Good, Start);
+  }
+  cr_assert_not(Targets.find("t0")->isResting(Start));
+  Targets.noteSign("t0", AttemptSign::Broken, Start);
+  Targets.noteSign("t0", AttemptSign::Broken, Start);
+  cr_assert(Targets.find("t0")->isResting(Start));
+  cr_assert_not(Targets.find("t0")->isResting(Start + 5s));
+}
+
+// A target that starts again under its ID keeps nothing of before.
+Test(targettable, newLifeForgetsWhatWasKept) {
+  auto Targets = table(1);
+  const auto Prompt = prompt("part", 3000);
+  Targets.noteSent("t0", &Prompt, Start);
+  cr_assert_eq(Targets.find("t0")->keptTokens(Prompt, Start), 4000);
+  auto Reborn = record(0);
+  Reborn.m_Born = 5;
+  Targets.put(Reborn);
+  cr_assert_eq(Targets.find("t0")->keptTokens(Prompt, Start), 0);
+  cr_assert_eq(Targets.find("t0")->ownLoad().m_Active, 1);
+}
+
+Test(targetdirectory, lapsedRegistrationMayComeBackAfterAnOutage) {
+  auto Targets = table(0);
+  auto Log = fakes::MemoryEventLog();
+  auto Directory = TargetDirectory(Targets, Log);
+  Directory.setStoreReachable(true, Start);
+  Directory.put(record(0), 1);
+  Directory.setStoreReachable(false, Start + 10s);
+  Directory.setStoreReachable(true, Start + 15s);
+  Directory.remove("t0", 2, Start + 15s);
+  cr_assert(Targets.find("t0"), "the registration lapsed while the store was away");
+  Directory.sweep(Start + 16s);
+  cr_assert(Targets.find("t0"));
+  Directory.sweep(Start + 18s);
+  cr_assert_not(Targets.find("t0"), "it did not come back");
+}
+
+Test(targetdirectory, removalWhileTheStoreIsWellCountsAtOnce) {
+  auto Targets = table(0);
+  auto Log = fakes::MemoryEventLog();
+  auto Directory = TargetDirectory(Targets, Log);
+  Directory.setStoreReachable(true, Start);
+  Directory.put(record(0), 1);
+  Directory.remove("t0", 2, Start + 10s);
+  cr_assert_not(Targets.find("t0"));
+}
+
+Test(targetdirectory, leavingIsNeverTakenBack) {
+  auto Targets = table(0);
+  auto Log = fakes::MemoryEventLog();
+  auto Directory = TargetDirectory(Targets, Log);
+  auto Leaving = record(0);
+  Leaving.m_IsLeaving = true;
+  Directory.put(Leaving, 5);
+  Directory.put(record(0), 4);
+  cr_assert(Targets.serving("p").empty(), "a page of a list may be older than a watch");
+  Directory.put(record(0), 6);
+  cr_assert(Targets.serving("p").empty(), "only a new life of the target serves again");
+  auto Reborn = record(0);
+  Reborn.m_Born = 9;
+  Directory.put(Reborn, 7);
+  cr_assert_eq(Targets.serving("p").size(), 1U);
+}
--- a/src/http1/internal/messageparser.cpp
+++ b/src/http1/internal/messageparser.cpp
@@ -55,10 +55,7 @@
     if (!Coding) {
       return;
     }
-    if (!equalsIgnoringCase(*Coding, "chunked") || m_Fields.has("Content-Length")) {
-      m_IsAmbiguous = true;
-      Error = http::error::bad_transfer_encoding;
-    }
+    m_IsAmbiguous = !equalsIgnoringCase(*Coding, "chunked") || m_Fields.has("Content-Length");
   }
 
   auto on_body_init_impl(const boost::optional<std::uint64_t> &, error_code &Error)
@@ -121,6 +118,9 @@
       const auto Now =
           m_Parser.put(boost::asio::buffer(m_Unused.data() + Used, m_Unused.size() - Used), Error);
       Used += Now;
+      if (m_Parser.m_IsAmbiguous) {
+        return absl::InvalidArgumentError("the framing of the body is ambiguous");
+      }
       if (Error == http::error::need_more) {
         break;
       }
