Spread refreshing writes over the fleet and pace the watches by the time of a change

Cause: on the grown site 73 routers made 3.6 calls a second each, and every second write met another one.

--- a/src/budget/grantbook.h
+++ b/src/budget/grantbook.h
@@ -23,7 +23,8 @@
   /// returned.
   auto setPrepaid(const std::map<std::string, Tokens> &Prepaid, base::SteadyTime Now) -> void;
 
-  /// Number of routers that draw on the budgets, at least 1.
+  /// Number of routers that draw on the budgets, at least 1. Larger fleets write less often each, so
+  /// that few writes meet another one.
   auto setRouters(std::int64_t Count) -> void { m_Routers = std::max<std::int64_t>(1, Count); }
 
   /// Whether the store answers; without it a request that needs a write is refused at once.
@@ -129,6 +130,10 @@
   [[nodiscard]] auto wanted(const Line &Item, base::SteadyTime Now) const -> Tokens;
   [[nodiscard]] auto change(const Line &Item, base::SteadyTime Now) const -> Tokens;
   [[nodiscard]] auto isWriteDue(base::SteadyTime Now) const -> bool;
+
+  /// Whether the time for changes that no request waits for has come.
+  [[nodiscard]] auto isRefreshDue(base::SteadyTime Now) const -> bool;
+  [[nodiscard]] auto writeInterval() const -> std::chrono::milliseconds;
   auto noteDemand(Line &Item, Tokens WorstCase, base::SteadyTime Now) const -> void;
   auto serveWaiters() -> void;
   auto answerWaiters(const std::function<std::optional<GrantAnswer>(const Waiter &)> &Judge)
@@ -159,7 +164,10 @@
   std::uint64_t m_Sequence = 0;
   std::optional<Attempt> m_InFlight;
   std::vector<Attempt> m_Unresolved;
-  base::SteadyTime m_LastWrite;
+  base::SteadyTime m_LastRefresh;
+
+  /// The time of the refresh before the write in flight; that time holds again if the write conflicts.
+  base::SteadyTime m_RefreshBefore;
   base::SteadyTime m_NotBefore;
   int m_Failures = 0;
   int m_Conflicts = 0;
--- a/src/budget/internal/grantbook.cpp
+++ b/src/budget/internal/grantbook.cpp
@@ -214,13 +214,20 @@
   });
 }
 
+auto GrantBook::writeInterval() const -> milliseconds {
+  const auto Share = milliseconds(1000 * m_Routers / m_Options.m_FleetWritesPerSecond);
+  return std::max(m_Options.m_WriteInterval, Share);
+}
+
+auto GrantBook::isRefreshDue(base::SteadyTime Now) const -> bool {
+  return m_IsDraining || Now - m_LastRefresh >= writeInterval();
+}
+
 auto GrantBook::isWriteDue(base::SteadyTime Now) const -> bool {
-  const auto IsUrgent = !m_Waiters.empty() || m_IsDraining;
-  if (!IsUrgent && Now - m_LastWrite < m_Options.m_WriteInterval) {
-    return false;
-  }
-  return std::any_of(m_Lines.begin(), m_Lines.end(),
-                     [&](const auto &Item) { return change(Item.second, Now) != 0; });
+  const auto IsRefresh = isRefreshDue(Now);
+  return std::any_of(m_Lines.begin(), m_Lines.end(), [&](const auto &Item) {
+    return (IsRefresh || Item.second.m_Waiting > 0) && change(Item.second, Now) != 0;
+  });
 }
 
 auto GrantBook::nextCall(base::SteadyTime Now) const -> GrantCall {
@@ -239,7 +246,7 @@
     Wake = std::min(Wake.value_or(Item.m_Deadline), Item.m_Deadline);
   }
   if (!m_IsCalling && !m_IsClosed && !m_Lines.empty()) {
-    const auto Call = std::max({m_NotBefore, m_LastWrite + m_Options.m_WriteInterval, Now + 1ms});
+    const auto Call = std::max({m_NotBefore, m_LastRefresh + writeInterval(), Now + 1ms});
     const auto Earliest =
         m_MustRead || !m_Waiters.empty() ? std::max(m_NotBefore, Now + 1ms) : Call;
     Wake = std::min(Wake.value_or(Earliest), Earliest);
@@ -248,6 +255,7 @@
 }
 
 auto GrantBook::composeWrite(base::SteadyTime Now) -> GrantWrite {
+  const auto IsRefresh = isRefreshDue(Now);
   auto Write = GrantWrite();
   auto Next = Attempt();
   Next.m_Holder.m_Incarnation = m_Options.m_Incarnation;
@@ -258,7 +266,9 @@
       Next.m_Holder.m_Granted[Name] = Item.m_Granted;
       Next.m_Holder.m_Settled[Name] = std::max<Tokens>(0, Item.m_Told);
     }
-    if (const auto Delta = change(Item, Now); Delta != 0) {
+    // A write that a request waits for touches few budgets, so that it meets few other writes.
+    const auto Delta = IsRefresh || Item.m_Waiting > 0 ? change(Item, Now) : 0;
+    if (Delta != 0) {
       Changes.emplace_back(&Name, Delta);
     }
   }
@@ -286,7 +296,10 @@
   Write.m_Holder = {Next.m_Holder, m_HolderRevision};
   m_InFlight = std::move(Next);
   m_IsCalling = true;
-  m_LastWrite = Now;
+  m_RefreshBefore = m_LastRefresh;
+  if (IsRefresh) {
+    m_LastRefresh = Now;
+  }
   updateLowerBounds();
   return Write;
 }
@@ -379,7 +392,7 @@
   m_InFlight.reset();
   // The first conflict is answered at once; a series of them means that many routers write.
   m_NotBefore = Now + ConflictPause * ((1 << std::min(m_Conflicts++, 6)) - 1);
-  m_LastWrite = Now - m_Options.m_WriteInterval;
+  m_LastRefresh = m_RefreshBefore;
   adoptViews(Holder, Pools);
   serveWaiters();
 }
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -38,6 +38,10 @@
 /// Descriptors kept free for targets, the store and files.
 constexpr auto ReservedDescriptors = std::int64_t{900};
 
+/// Time between watches, as a part of the time in which a change must be in force. A second watch still
+/// fits in if the first one fails.
+constexpr auto FollowPace = 0.35;
+
 /// Part of the memory that bodies of requests may take.
 constexpr auto BodyMemoryShare = 4;
 
@@ -68,6 +72,12 @@
   return Options;
 }
 
+auto followerOptions(const RouterSettings &Settings) -> keyvalue::FollowerOptions {
+  auto Options = keyvalue::FollowerOptions();
+  Options.m_Pace = duration_cast<milliseconds>(Settings.m_ChangeTime * FollowPace);
+  return Options;
+}
+
 auto serverOptions(const RouterSettings &Settings) -> transport::ServerOptions {
   auto Options = transport::ServerOptions();
   Options.m_MaxConnections = static_cast<std::size_t>(
@@ -112,7 +122,7 @@
       m_ReadinessServer(Parts.m_Loop, Parts.m_Timers, transport::ServerOptions{64}),
       m_DirectoryServer(Parts.m_Loop, Parts.m_Timers, transport::ServerOptions{512}),
       m_PeerSocket(Parts.m_Loop, [this](std::string_view Bytes) { onDatagram(Bytes); }),
-      m_Follower("", keyvalue::FollowerOptions(), Parts.m_Store, Parts.m_Timers, Parts.m_Clock,
+      m_Follower("", followerOptions(m_Settings), Parts.m_Store, Parts.m_Timers, Parts.m_Clock,
                  Parts.m_Log, *this),
       m_Incarnation(incarnationOf(Parts.m_Clock)) {}
 
--- a/src/router/internal/routersettings.cpp
+++ b/src/router/internal/routersettings.cpp
@@ -74,6 +74,14 @@
   return Status;
 }
 
+auto readMilliseconds(const toml::table &Table, std::string_view Key, milliseconds &Into)
+    -> absl::Status {
+  auto Value = static_cast<double>(Into.count());
+  const auto Status = readNumber(Table, Key, Value);
+  Into = milliseconds(static_cast<std::int64_t>(Value));
+  return Status;
+}
+
 auto readCount(const toml::table &Table, std::string_view Key, std::int64_t &Into) -> absl::Status {
   auto Value = static_cast<double>(Into);
   const auto Status = readNumber(Table, Key, Value);
@@ -117,6 +125,7 @@
         readCount(Table, "limits.descriptors", Result.m_MaxDescriptors),
         readSeconds(Table, "stop.time_s", Result.m_StopTime),
         readSeconds(Table, "directory.time_to_live_s", Result.m_DirectoryTimeToLive),
+        readMilliseconds(Table, "store.change_time_ms", Result.m_ChangeTime),
         readNumber(Table, "retries.share", Result.m_RetryShare),
         readNumber(Table, "retries.slack", Result.m_RetrySlack)}) {
     if (!Status.ok()) {
--- a/src/router/routersettings.h
+++ b/src/router/routersettings.h
@@ -42,6 +42,9 @@
   /// Longest time for which callers keep the answer of the directory.
   std::chrono::milliseconds m_DirectoryTimeToLive{2000};
 
+  /// Within this time of its acceptance a configuration, or a target's leaving, is in force.
+  std::chrono::milliseconds m_ChangeTime{2000};
+
   /// Repeated sends that the fleet may make: share of the requests of a window, and beyond it.
   double m_RetryShare = 0.2;
   double m_RetrySlack = 50.0;
