Spread conflicting writes of grants at random

Cause: after a conflict all routers wrote again after the same pause and met again (4,410 conflicts for 552 writes in 15 s of the grown site). Change: random pauses; a refresh that met another write waits for a part of its interval; fewer budgets per write in fleets of more than 12 routers. What binds on the grown site: a router's share of a budget is smaller than one request, so nearly every request needs a write.

--- a/src/budget/grantbook.h
+++ b/src/budget/grantbook.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/random.h"
 #include "budget/granttypes.h"
 #include "budget/ibudgetgate.h"
 
@@ -17,7 +18,7 @@
 public:
   using Answer = std::function<void(GrantAnswer)>;
 
-  explicit GrantBook(GrantOptions Options) : m_Options(Options) {}
+  explicit GrantBook(GrantOptions Options) : m_Options(Options), m_Random(Options.m_Seed) {}
 
   /// Sets what is prepaid for each budget. Where that is less than before, unused grants are
   /// returned.
@@ -134,6 +135,9 @@
   /// Whether the time for changes that no request waits for has come.
   [[nodiscard]] auto isRefreshDue(base::SteadyTime Now) const -> bool;
   [[nodiscard]] auto writeInterval() const -> std::chrono::milliseconds;
+
+  /// A random time between half of the longest and the longest.
+  auto jitter(std::chrono::milliseconds Longest) -> std::chrono::milliseconds;
   auto noteDemand(Line &Item, Tokens WorstCase, base::SteadyTime Now) const -> void;
   auto serveWaiters() -> void;
   auto answerWaiters(const std::function<std::optional<GrantAnswer>(const Waiter &)> &Judge)
@@ -147,6 +151,7 @@
   auto writeOff(const HolderRecord &Former) -> void;
 
   GrantOptions m_Options;
+  base::RandomEngine m_Random;
   std::map<std::string, Line> m_Lines;
   std::deque<Waiter> m_Waiters;
   std::int64_t m_Routers = 1;
--- a/src/budget/granttypes.h
+++ b/src/budget/granttypes.h
@@ -108,6 +108,12 @@
 
   /// Budgets in one write. The users' store takes 32 entries, conditions and writes together.
   std::size_t m_MaxPoolsPerWrite = 14;
+
+  /// Up to this size of the fleet a write may touch that many budgets; beyond it, fewer.
+  std::size_t m_RoutersForFullWrites = 12;
+
+  /// Seed of the jitter.
+  std::uint64_t m_Seed = 1;
 };
 
 } // namespace geraniumlift::budget
--- a/src/budget/internal/grantbook.cpp
+++ b/src/budget/internal/grantbook.cpp
@@ -1,6 +1,7 @@
 #include "budget/grantbook.h"
 
 #include <algorithm>
+#include <boost/random/uniform_int_distribution.hpp>
 #include <cmath>
 #include <utility>
 
@@ -219,6 +220,11 @@
   return std::max(m_Options.m_WriteInterval, Share);
 }
 
+auto GrantBook::jitter(milliseconds Longest) -> milliseconds {
+  return milliseconds(boost::random::uniform_int_distribution<std::int64_t>(
+      Longest.count() / 2, std::max<std::int64_t>(1, Longest.count()))(m_Random));
+}
+
 auto GrantBook::isRefreshDue(base::SteadyTime Now) const -> bool {
   return m_IsDraining || Now - m_LastRefresh >= writeInterval();
 }
@@ -279,7 +285,12 @@
     };
     return Key(Left) > Key(Right);
   });
-  Changes.resize(std::min(Changes.size(), m_Options.m_MaxPoolsPerWrite));
+  // In a large fleet each write touches fewer budgets, so that two writes seldom share one.
+  const auto Most = std::clamp<std::size_t>(
+      m_Options.m_MaxPoolsPerWrite * m_Options.m_RoutersForFullWrites /
+          static_cast<std::size_t>(m_Routers),
+      2, m_Options.m_MaxPoolsPerWrite);
+  Changes.resize(std::min(Changes.size(), Most));
   for (const auto &[Name, Delta] : Changes) {
     const auto &Item = m_Lines.at(*Name);
     auto Pool = Item.m_Pool;
@@ -391,8 +402,12 @@
   m_Failures = 0;
   m_InFlight.reset();
   // The first conflict is answered at once; a series of them means that many routers write.
-  m_NotBefore = Now + ConflictPause * ((1 << std::min(m_Conflicts++, 6)) - 1);
-  m_LastRefresh = m_RefreshBefore;
+  const auto Longest = ConflictPause * ((1 << std::min(m_Conflicts++, 6)) - 1);
+  m_NotBefore = Now + jitter(Longest);
+  // A refresh that met another write waits for a part of its interval, so that refreshes spread out.
+  if (m_LastRefresh != m_RefreshBefore) {
+    m_LastRefresh = Now - writeInterval() + std::max(Longest, jitter(writeInterval() / 4));
+  }
   adoptViews(Holder, Pools);
   serveWaiters();
 }
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -51,8 +51,10 @@
   return Options;
 }
 
-auto grantOptions(std::uint64_t Incarnation) -> budget::GrantOptions {
+auto grantOptions(const RouterSettings &Settings, std::uint64_t Incarnation)
+    -> budget::GrantOptions {
   auto Options = budget::GrantOptions();
+  Options.m_Seed = Incarnation ^ std::hash<std::string>()(Settings.m_Vm);
   Options.m_Incarnation = Incarnation;
   return Options;
 }
@@ -99,7 +101,7 @@
 Router::Router(RouterParts Parts, RouterSettings Settings)
     : m_Parts(Parts), m_Settings(std::move(Settings)), m_Peers(peerOptions(m_Settings)),
       m_Targets(forwarding::HealthOptions()), m_TargetDirectory(m_Targets, Parts.m_Log),
-      m_Grants(m_Settings.m_Vm, grantOptions(incarnationOf(Parts.m_Clock)), Parts.m_Store,
+      m_Grants(m_Settings.m_Vm, grantOptions(m_Settings, incarnationOf(Parts.m_Clock)), Parts.m_Store,
                Parts.m_Timers, Parts.m_Clock, Parts.m_Log),
       m_Placement(placementOptions(m_Settings),
                   [this](const forwarding::TargetRecord &Target) {
