Play the router against stand-ins of the store and of targets

Change: a library of stand-ins (store with watches and transactions on the revision store of standin-kv; targets that register, stream, refuse, lose answers, hang and leave) and tests with real router processes: streams, bookings, lookups, keys, budgets, lost answers, leaving targets, restarts, stops, malformed input, logs of three failures.

--- /dev/null
+++ b/testing/standins/platform/targetstandin.cpp
@@ -0,0 +1,100 @@
+#include "standins/platform/targetstandin.h"
+
+#include <fmt/format.h>
+
+namespace geraniumlift::standins {
+
+namespace {
+
+/// Events of a whole stream.
+constexpr auto EventCount = std::uint64_t{5};
+
+auto chunk(const std::string &Data) -> std::string {
+  return fmt::format("{:x}\r\n{}\r\n", Data.size(), Data);
+}
+
+} // namespace
+
+TargetStandin::TargetStandin(boost::asio::io_context &Loop, StoreStandin &Store, std::string Id,
+                             std::string Pool, int Port)
+    : m_Store(Store), m_Id(std::move(Id)), m_Pool(std::move(Pool)), m_Port(Port),
+      m_Server(Loop, Port, [this](const Received &Request) { return handle(Request); }) {
+  registerAs("ready");
+}
+
+auto TargetStandin::registerAs(const std::string &State) -> void {
+  m_Store.put("servers/" + m_Id,
+              fmt::format(R"({{"service":"{}","address":"127.0.0.1:{}","zone":"a","version":"v1",)"
+                          R"("slots":4,"state":"{}","coldRemainingMs":0,"sequence":1,"born":5}})",
+                          m_Pool, m_Port, State));
+}
+
+auto TargetStandin::runs(const std::string &RequestId) -> int {
+  const auto Lock = std::lock_guard(m_Mutex);
+  return m_Runs[RequestId];
+}
+
+auto TargetStandin::totalRuns() -> int {
+  const auto Lock = std::lock_guard(m_Mutex);
+  auto Sum = 0;
+  for (const auto &[Id, Count] : m_Runs) {
+    Sum += Count;
+  }
+  return Sum;
+}
+
+auto TargetStandin::lastField(const std::string &Name) -> std::string {
+  const auto Lock = std::lock_guard(m_Mutex);
+  return std::string(m_Last.m_Head.m_Fields.find(Name).value_or("(absent)"));
+}
+
+auto TargetStandin::lastBody() -> std::string {
+  const auto Lock = std::lock_guard(m_Mutex);
+  return m_Last.m_Body;
+}
+
+auto TargetStandin::streamReply(const std::string &Id, std::uint64_t After, bool Breaks) -> Reply {
+  auto Text = fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nServer-Signature: s\r\n"
+                          "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+                          Id);
+  const auto Last = Breaks ? After + 2 : EventCount;
+  for (auto Number = After + 1; Number <= Last; ++Number) {
+    Text += chunk(fmt::format("id: {}\ndata: word{}\n\n", Number, Number));
+  }
+  if (Breaks) {
+    Text += chunk("id: 99\nda");
+  }
+  return {Breaks ? Text : Text + "0\r\n\r\n", Breaks};
+}
+
+auto TargetStandin::handle(const Received &Request) -> std::optional<Reply> {
+  const auto Lock = std::lock_guard(m_Mutex);
+  const auto &Fields = Request.m_Head.m_Fields;
+  const auto Id = std::string(Fields.find("Request-Id").value_or(""));
+  if (Fields.find("Expect-Instance").value_or("") != m_Id) {
+    return Reply{fmt::format("HTTP/1.1 421 x\r\nRequest-Id: {}\r\nContent-Length: 0\r\n\r\n", Id)};
+  }
+  const auto Fault = m_Fault.load();
+  if (Fault == TargetFault::Refuses) {
+    return Reply{fmt::format(
+        "HTTP/1.1 503 x\r\nRequest-Id: {}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", Id)};
+  }
+  m_Last = Request;
+  ++m_Runs[Id];
+  if (Fault == TargetFault::Hangs) {
+    return std::nullopt;
+  }
+  if (Fault == TargetFault::LosesAnswer) {
+    return Reply{"", true};
+  }
+  if (Fields.has("Token-Usage")) {
+    const auto After = std::stoull(std::string(Fields.find("Last-Event-Id").value_or("0")));
+    return streamReply(Id, After, Fault == TargetFault::BreaksStream);
+  }
+  const auto Status = Fault == TargetFault::Fails ? 500 : 200;
+  return Reply{fmt::format("HTTP/1.1 {} x\r\nRequest-Id: {}\r\nServer-Signature: s\r\n"
+                           "Content-Length: 4\r\n\r\ndone",
+                           Status, Id)};
+}
+
+} // namespace geraniumlift::standins
--- /dev/null
+++ b/testing/standins/platform/targetstandin.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "standins/platform/storestandin.h"
+
+#include <map>
+
+namespace geraniumlift::standins {
+
+/// What a target does with the next requests.
+enum class TargetFault { None, LosesAnswer, Refuses, Hangs, BreaksStream, Fails };
+
+/// A target that registers itself in the store and counts what it ran.
+class TargetStandin {
+public:
+  TargetStandin(boost::asio::io_context &Loop, StoreStandin &Store, std::string Id,
+                std::string Pool, int Port);
+
+  /// Writes the registration with the state `ready` or `draining`.
+  auto registerAs(const std::string &State) -> void;
+
+  std::atomic<TargetFault> m_Fault{TargetFault::None};
+
+  /// How often a request ran here, by its ID.
+  [[nodiscard]] auto runs(const std::string &RequestId) -> int;
+  [[nodiscard]] auto totalRuns() -> int;
+
+  /// A header field of the newest request.
+  [[nodiscard]] auto lastField(const std::string &Name) -> std::string;
+  [[nodiscard]] auto lastBody() -> std::string;
+
+private:
+  auto handle(const Received &Request) -> std::optional<Reply>;
+  auto streamReply(const std::string &Id, std::uint64_t After, bool Breaks) -> Reply;
+
+  StoreStandin &m_Store;
+  std::string m_Id;
+  std::string m_Pool;
+  int m_Port;
+  std::mutex m_Mutex;
+  std::map<std::string, int> m_Runs;
+  Received m_Last;
+  ByteServer m_Server;
+};
+
+} // namespace geraniumlift::standins
