Use no target that left during a cut; count waiting work by the tokens to be read

Ruled out: the pace of the watch (700 ms). Change: a removal after an outage is doubted only if the outage was long enough for registrations to lapse and a third of the pool is gone at once; doubts end on time. Second: work that waits at a target counts without the tokens that the target keeps, so that the home of a prompt does not look busy by it.

--- a/src/forwarding/forwardsession.h
+++ b/src/forwarding/forwardsession.h
@@ -87,6 +87,9 @@
   std::set<std::string> m_Tried;
   std::int64_t m_Sends = 0;
   double m_ExpectedMs = 0.0;
+
+  /// Prompt tokens that the target has to read.
+  Tokens m_ToRead = 0;
   bool m_IsWaitingForAnswer = false;
 
   /// Whether the request was sent to a target that did not state that it has not run.
--- a/src/forwarding/internal/forwardsession.cpp
+++ b/src/forwarding/internal/forwardsession.cpp
@@ -201,7 +201,8 @@
   m_AnswerHead.reset();
   m_WholeBody.clear();
   m_IsWaitingForAnswer = true;
-  m_Context.m_Targets.noteSent(m_TargetId, Prompt, now());
+  m_ToRead = Prompt == nullptr ? 0 : Prompt->m_PromptTokens - Choice->m_KeptTokens;
+  m_Context.m_Targets.noteSent(m_TargetId, Prompt, m_ToRead, now());
   m_Context.m_Log.record(base::LogLevel::Debug, "request_placed",
                          {{"request", m_Fields.m_RequestId},
                           {"route", m_Route->m_Name},
@@ -272,7 +273,7 @@
 
 auto ForwardSession::noteFirstAnswer() -> void {
   if (std::exchange(m_IsWaitingForAnswer, false) && m_Fields.m_Prompt) {
-    m_Context.m_Targets.noteAnswering(m_TargetId, m_Fields.m_Prompt->m_PromptTokens);
+    m_Context.m_Targets.noteAnswering(m_TargetId, m_ToRead);
   }
   if (!m_FirstByteAt) {
     m_FirstByteAt = now();
@@ -399,7 +400,7 @@
     return;
   }
   if (std::exchange(m_IsWaitingForAnswer, false) && m_Fields.m_Prompt) {
-    m_Context.m_Targets.noteAnswering(m_TargetId, m_Fields.m_Prompt->m_PromptTokens);
+    m_Context.m_Targets.noteAnswering(m_TargetId, m_ToRead);
   }
   m_Context.m_Targets.noteEnded(m_TargetId);
   m_Context.m_Targets.noteSign(m_TargetId, Sign, now());
--- a/src/forwarding/internal/targetdirectory.cpp
+++ b/src/forwarding/internal/targetdirectory.cpp
@@ -9,6 +9,7 @@
   }
   Known = Revision;
   m_Lapsed.erase(Record.m_Id);
+  m_Removed.erase(Record.m_Id);
   const auto *Before = m_Targets.find(Record.m_Id);
   const auto WasThere = Before != nullptr;
   // A target that reported its leaving does not come back in the same life.
@@ -27,56 +28,77 @@
 }
 
 auto TargetDirectory::mayReturn(base::SteadyTime Now) const -> bool {
-  return !m_IsReachable || (m_RegainedAt && Now - *m_RegainedAt < ReturnTime);
+  return m_LostAt && m_RegainedAt && *m_RegainedAt - *m_LostAt >= ShortestLapse &&
+         Now - *m_RegainedAt < ReturnTime;
 }
 
-auto TargetDirectory::remove(const std::string &Id, std::int64_t Revision, base::SteadyTime Now)
-    -> void {
+auto TargetDirectory::looksLikeOutage(const std::string &Pool) const -> bool {
+  auto Lapsed = std::size_t{0};
+  auto All = std::size_t{0};
+  for (const auto &[Id, State] : m_Targets.all()) {
+    if (State.record().m_Pool != Pool || State.record().m_IsLeaving) {
+      continue;
+    }
+    ++All;
+    Lapsed += m_Removed.contains(Id) || m_Lapsed.contains(Id) ? 1U : 0U;
+  }
+  return Lapsed > 1 && Lapsed * LapsingPart >= All;
+}
+
+auto TargetDirectory::remove(const std::string &Id, std::int64_t Revision) -> void {
   auto &Known = m_Revisions[Id];
   if (Revision < Known) {
     return;
   }
   Known = Revision;
-  const auto *Target = m_Targets.find(Id);
-  if (Target == nullptr) {
-    return;
+  if (m_Targets.find(Id) != nullptr) {
+    m_Removed.insert(Id);
   }
-  if (mayReturn(Now) && !Target->record().m_IsLeaving) {
-    m_Lapsed.try_emplace(Id, m_RegainedAt.value_or(Now) + ReturnTime);
-    return;
+}
+
+auto TargetDirectory::applyRemovals(base::SteadyTime Now) -> void {
+  auto Gone = std::vector<std::string>();
+  auto Lapsed = std::vector<std::string>();
+  for (const auto &Id : m_Removed) {
+    const auto *Target = m_Targets.find(Id);
+    if (Target == nullptr) {
+      continue;
+    }
+    const auto Stays =
+        mayReturn(Now) && !Target->record().m_IsLeaving && looksLikeOutage(Target->record().m_Pool);
+    (Stays ? Lapsed : Gone).push_back(Id);
+  }
+  m_Removed.clear();
+  for (const auto &Id : Lapsed) {
+    m_Lapsed.try_emplace(Id, *m_RegainedAt + ReturnTime);
+  }
+  for (const auto &Id : Gone) {
+    m_Targets.remove(Id);
+    m_Lapsed.erase(Id);
+    m_Log.record(base::LogLevel::Info, "target_gone",
+                 {{"target", Id}, {"revision", m_Revisions[Id]}});
   }
-  m_Targets.remove(Id);
-  m_Lapsed.erase(Id);
-  m_Log.record(base::LogLevel::Info, "target_gone", {{"target", Id}, {"revision", Revision}});
 }
 
 auto TargetDirectory::setStoreReachable(bool IsReachable, base::SteadyTime Now) -> void {
   if (IsReachable && !m_IsReachable) {
     m_RegainedAt = Now;
-    for (auto &[Id, Until] : m_Lapsed) {
-      Until = Now + ReturnTime;
-    }
+  }
+  if (!IsReachable && m_IsReachable) {
+    m_LostAt = Now;
   }
   m_IsReachable = IsReachable;
 }
 
-auto TargetDirectory::keepOnly(const std::set<std::string> &Ids, std::int64_t Revision,
-                               base::SteadyTime Now) -> void {
-  auto Missing = std::vector<std::string>();
+auto TargetDirectory::keepOnly(const std::set<std::string> &Ids, std::int64_t Revision) -> void {
   for (const auto &[Id, State] : m_Targets.all()) {
     if (!Ids.contains(Id)) {
-      Missing.push_back(Id);
+      remove(Id, Revision);
     }
   }
-  for (const auto &Id : Missing) {
-    remove(Id, Revision, Now);
-  }
 }
 
 auto TargetDirectory::sweep(base::SteadyTime Now) -> void {
-  if (!m_IsReachable) {
-    return;
-  }
   for (auto Item = m_Lapsed.begin(); Item != m_Lapsed.end();) {
     if (Item->second > Now) {
       ++Item;
--- a/src/forwarding/internal/targettable.cpp
+++ b/src/forwarding/internal/targettable.cpp
@@ -70,8 +70,8 @@
   return Result;
 }
 
-auto TargetTable::noteSent(const std::string &Id, const PromptFigures *Prompt, base::SteadyTime Now)
-    -> void {
+auto TargetTable::noteSent(const std::string &Id, const PromptFigures *Prompt, Tokens ToRead,
+                           base::SteadyTime Now) -> void {
   const auto Found = m_Targets.find(Id);
   if (Found == m_Targets.end()) {
     return;
@@ -81,7 +81,7 @@
   if (Prompt == nullptr) {
     return;
   }
-  State.m_Own.m_WaitingTokens += Prompt->m_PromptTokens;
+  State.m_Own.m_WaitingTokens += ToRead;
   if (State.m_KeptParts.size() > MaxKeptParts) {
     absl::erase_if(State.m_KeptParts,
                    [Now](const auto &Part) { return Now - Part.second > PartLifetime / 4; });
@@ -91,11 +91,11 @@
   }
 }
 
-auto TargetTable::noteAnswering(const std::string &Id, Tokens PromptTokens) -> void {
+auto TargetTable::noteAnswering(const std::string &Id, Tokens ToRead) -> void {
   const auto Found = m_Targets.find(Id);
   if (Found != m_Targets.end()) {
     auto &Own = Found->second.m_Own;
-    Own.m_WaitingTokens = std::max<Tokens>(0, Own.m_WaitingTokens - PromptTokens);
+    Own.m_WaitingTokens = std::max<Tokens>(0, Own.m_WaitingTokens - ToRead);
   }
 }
 
--- a/src/forwarding/targetdirectory.h
+++ b/src/forwarding/targetdirectory.h
@@ -17,21 +17,32 @@
   /// A registration as of a revision of the store. Older ones than what is known are ignored.
   auto put(const TargetRecord &Record, std::int64_t Revision) -> void;
 
-  /// The registration is gone, or cannot be read any more.
-  auto remove(const std::string &Id, std::int64_t Revision, base::SteadyTime Now) -> void;
+  /// The registration is gone, or cannot be read any more. Takes effect with applyRemovals.
+  auto remove(const std::string &Id, std::int64_t Revision) -> void;
+
+  /// Decides on the removals since the last call. An outage of the store makes the registrations of
+  /// most targets of a pool lapse at once; a single one that is gone has left, even if this router
+  /// alone was cut off from the store meanwhile.
+  auto applyRemovals(base::SteadyTime Now) -> void;
 
   /// The store answers again or not any more.
   auto setStoreReachable(bool IsReachable, base::SteadyTime Now) -> void;
 
   /// All registrations were read: others than these are gone.
-  auto keepOnly(const std::set<std::string> &Ids, std::int64_t Revision, base::SteadyTime Now)
-      -> void;
+  auto keepOnly(const std::set<std::string> &Ids, std::int64_t Revision) -> void;
 
   /// Removes targets whose time to come back has passed.
   auto sweep(base::SteadyTime Now) -> void;
 
 private:
+  /// Shortest outage in which registrations lapse: somewhat less than three heartbeats of a target.
+  static constexpr auto ShortestLapse = std::chrono::milliseconds(2500);
+
+  /// Part of a pool that lapses in an outage at the least.
+  static constexpr auto LapsingPart = 3;
+
   [[nodiscard]] auto mayReturn(base::SteadyTime Now) const -> bool;
+  [[nodiscard]] auto looksLikeOutage(const std::string &Pool) const -> bool;
 
   TargetTable &m_Targets;
   base::IEventLog &m_Log;
@@ -39,7 +50,9 @@
 
   /// Targets without registration that may come back until this time.
   std::map<std::string, base::SteadyTime> m_Lapsed;
+  std::set<std::string> m_Removed;
   bool m_IsReachable = false;
+  std::optional<base::SteadyTime> m_LostAt;
   std::optional<base::SteadyTime> m_RegainedAt;
 };
 
--- a/src/forwarding/targettable.h
+++ b/src/forwarding/targettable.h
@@ -26,7 +26,7 @@
 
 /// Work of one router at one target, or the sum over several routers.
 struct TargetLoad {
-  /// Prompt tokens of requests that have not answered yet.
+  /// Prompt tokens to be read for requests that have not answered yet.
   Tokens m_WaitingTokens = 0;
 
   /// Requests sent and not ended.
@@ -102,11 +102,13 @@
 
   [[nodiscard]] auto all() const -> const std::map<std::string, TargetState> & { return m_Targets; }
 
-  /// A request was sent: it weighs on the target until the two calls below.
-  auto noteSent(const std::string &Id, const PromptFigures *Prompt, base::SteadyTime Now) -> void;
+  /// A request was sent: it weighs on the target until the two calls below. Tokens of the prompt
+  /// that the target keeps need not be read and do not count.
+  auto noteSent(const std::string &Id, const PromptFigures *Prompt, Tokens ToRead,
+                base::SteadyTime Now) -> void;
 
   /// The request's answer has begun; its prompt does not wait any longer.
-  auto noteAnswering(const std::string &Id, Tokens PromptTokens) -> void;
+  auto noteAnswering(const std::string &Id, Tokens ToRead) -> void;
 
   auto noteEnded(const std::string &Id) -> void;
 
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -38,8 +38,8 @@
 /// Descriptors kept free for targets, the store and files.
 constexpr auto ReservedDescriptors = std::int64_t{900};
 
-/// Time between watches, as a part of the time in which a change must be in force. A second watch still
-/// fits in if the first one fails.
+/// Time between watches, as a part of the time in which a change must be in force. A second watch
+/// still fits in if the first one fails.
 constexpr auto FollowPace = 0.35;
 
 /// Part of the memory that bodies of requests may take.
@@ -101,8 +101,8 @@
 Router::Router(RouterParts Parts, RouterSettings Settings)
     : m_Parts(Parts), m_Settings(std::move(Settings)), m_Peers(peerOptions(m_Settings)),
       m_Targets(forwarding::HealthOptions()), m_TargetDirectory(m_Targets, Parts.m_Log),
-      m_Grants(m_Settings.m_Vm, grantOptions(m_Settings, incarnationOf(Parts.m_Clock)), Parts.m_Store,
-               Parts.m_Timers, Parts.m_Clock, Parts.m_Log),
+      m_Grants(m_Settings.m_Vm, grantOptions(m_Settings, incarnationOf(Parts.m_Clock)),
+               Parts.m_Store, Parts.m_Timers, Parts.m_Clock, Parts.m_Log),
       m_Placement(placementOptions(m_Settings),
                   [this](const forwarding::TargetRecord &Target) {
                     return m_Peers.loadOfOthers(Target.m_Id, now());
@@ -207,7 +207,8 @@
     IsRegistered |= Item.m_Key == ownKey() && Item.m_Value == encodeRouter(ownRecord());
     takeItem(Item);
   }
-  m_TargetDirectory.keepOnly(Targets, Result.m_Revision, now());
+  m_TargetDirectory.keepOnly(Targets, Result.m_Revision);
+  m_TargetDirectory.applyRemovals(now());
   m_IsListed = true;
   if (!IsRegistered) {
     registerSelf();
@@ -222,7 +223,7 @@
       takeItem(Event.m_Item);
     }
   }
-  m_TargetDirectory.sweep(now());
+  m_TargetDirectory.applyRemovals(now());
 }
 
 auto Router::onReachable(bool IsReachable) -> void {
@@ -250,7 +251,7 @@
 
 auto Router::takeRemoval(const keyvalue::KeyValue &Item) -> void {
   if (m_Parts.m_Documents.kindOf(Item.m_Key) == DocumentKind::Target) {
-    m_TargetDirectory.remove(m_Parts.m_Documents.targetIdOf(Item.m_Key), Item.m_ModRevision, now());
+    m_TargetDirectory.remove(m_Parts.m_Documents.targetIdOf(Item.m_Key), Item.m_ModRevision);
     return;
   }
   if (!Item.m_Key.starts_with(fleet::RouterPrefix)) {
@@ -300,7 +301,7 @@
   }
   m_Parts.m_Log.record(base::LogLevel::Warning, "target_record_unreadable",
                        {{"key", Item.m_Key}, {"reason", std::string(Record.status().message())}});
-  m_TargetDirectory.remove(m_Parts.m_Documents.targetIdOf(Item.m_Key), Item.m_ModRevision, now());
+  m_TargetDirectory.remove(m_Parts.m_Documents.targetIdOf(Item.m_Key), Item.m_ModRevision);
 }
 
 auto Router::takeRouter(const keyvalue::KeyValue &Item) -> void {
@@ -347,6 +348,7 @@
   const auto Routers = m_Peers.routersDrawing(now());
   m_Grants.setRouters(Routers);
   updateRetryBudgets();
+  m_TargetDirectory.sweep(now());
   sendHeartbeats();
   const auto Period = HeartbeatPeriod * std::max<std::int64_t>(1, Routers / HeartbeatsPerPeriod);
   m_Peers.setSilenceLimit(Period * LostHeartbeats);
