Keep budgets of large fleets in parts

Cause: on the grown site all 73 routers wrote the same records; most writes met another one, and requests waited 400 ms for a draw and were refused. Change: each budget is split into parts with records of their own, one for about nine routers; a router draws from its home part and asks up to two others. The number of parts is agreed on once, in the store. One part in small fleets.

--- a/src/budget/grantbook.h
+++ b/src/budget/grantbook.h
@@ -24,9 +24,20 @@
   /// returned.
   auto setPrepaid(const std::map<std::string, Tokens> &Prepaid, base::SteadyTime Now) -> void;
 
-  /// Number of routers that draw on the budgets, at least 1. Larger fleets write less often each, so
-  /// that few writes meet another one.
-  auto setRouters(std::int64_t Count) -> void { m_Routers = std::max<std::int64_t>(1, Count); }
+  /// Number of routers that draw on the same records, at least 1, and of all routers. Larger fleets
+  /// write less often each, so that few writes meet another one.
+  auto setRouters(std::int64_t Sharing, std::int64_t Fleet) -> void {
+    m_Routers = std::max<std::int64_t>(1, Sharing);
+    m_Fleet = std::max<std::int64_t>(1, Fleet);
+  }
+
+  /// Budgets of which nothing is held in reserve; tokens are drawn only for requests that wait.
+  auto setWithoutReserve(std::set<std::string> Budgets) -> void {
+    m_WithoutReserve = std::move(Budgets);
+  }
+
+  /// What is left of a budget, as far as its record tells what was used.
+  [[nodiscard]] auto unsettledTokens(const std::string &Budget) const -> Tokens;
 
   /// Whether the store answers; without it a request that needs a write is refused at once.
   auto setStoreReachable(bool IsReachable) -> void { m_IsReachable = IsReachable; }
@@ -128,8 +139,10 @@
 
   [[nodiscard]] auto held(const Line &Item) const -> Tokens;
   [[nodiscard]] auto unused(const Line &Item) const -> Tokens;
-  [[nodiscard]] auto wanted(const Line &Item, base::SteadyTime Now) const -> Tokens;
-  [[nodiscard]] auto change(const Line &Item, base::SteadyTime Now) const -> Tokens;
+  [[nodiscard]] auto wanted(const std::string &Name, const Line &Item, base::SteadyTime Now) const
+      -> Tokens;
+  [[nodiscard]] auto change(const std::string &Name, const Line &Item, base::SteadyTime Now) const
+      -> Tokens;
   [[nodiscard]] auto isWriteDue(base::SteadyTime Now) const -> bool;
 
   /// Whether the time for changes that no request waits for has come.
@@ -154,7 +167,9 @@
   base::RandomEngine m_Random;
   std::map<std::string, Line> m_Lines;
   std::deque<Waiter> m_Waiters;
+  std::set<std::string> m_WithoutReserve;
   std::int64_t m_Routers = 1;
+  std::int64_t m_Fleet = 1;
   bool m_IsReachable = true;
   bool m_IsDraining = false;
 
@@ -171,7 +186,8 @@
   std::vector<Attempt> m_Unresolved;
   base::SteadyTime m_LastRefresh;
 
-  /// The time of the refresh before the write in flight; that time holds again if the write conflicts.
+  /// The time of the refresh before the write in flight; that time holds again if the write
+  /// conflicts.
   base::SteadyTime m_RefreshBefore;
   base::SteadyTime m_NotBefore;
   int m_Failures = 0;
--- a/src/budget/grantservice.h
+++ b/src/budget/grantservice.h
@@ -2,6 +2,7 @@
 
 #include "base/ieventlog.h"
 #include "base/itimers.h"
+#include "budget/budgetparts.h"
 #include "budget/grantbook.h"
 #include "keyvalue/itransactionstore.h"
 
@@ -10,6 +11,9 @@
 /// Prefix of all records of grants in the store.
 inline constexpr std::string_view GrantPrefix = "geraniumlift/ledger/";
 
+/// Key of the record that says into how many parts the budgets are split.
+inline constexpr std::string_view LayoutKey = "geraniumlift/ledger/layout";
+
 /// Key of a budget's record.
 auto keyOfGrantPool(std::string_view Budget) -> std::string;
 
@@ -23,11 +27,13 @@
                base::ITimers &Timers, const base::IClock &Clock, base::IEventLog &Log);
 
   auto reserve(const std::string &Budget, Tokens WorstCase, base::SteadyTime Deadline,
-               std::function<void(GrantAnswer)> Done) -> void override;
-  auto settle(const std::string &Budget, Tokens WorstCase, Tokens Used) -> void override;
+               std::function<void(Reservation)> Done) -> void override;
+  auto settle(const std::string &Source, Tokens WorstCase, Tokens Used) -> void override;
 
   auto setPrepaid(const std::map<std::string, Tokens> &Prepaid) -> void;
-  auto setRouters(std::int64_t Count) -> void { m_Book.setRouters(Count); }
+
+  /// Number of routers in the fleet, this one included.
+  auto setRouters(std::int64_t Count) -> void;
   auto setStoreReachable(bool IsReachable) -> void;
 
   /// Takes a changed record that a watch has shown; other keys are ignored.
@@ -44,6 +50,15 @@
   };
 
   auto pump() -> void;
+
+  /// Asks one part of a budget after the other until one grants the tokens.
+  auto reserveFrom(std::vector<std::string> Names, std::size_t At, Tokens WorstCase,
+                   base::SteadyTime Deadline, std::function<void(Reservation)> Done) -> void;
+
+  /// Creates the record that says into how many parts budgets are split, unless another router has.
+  auto createLayout() -> void;
+  auto takeLayout(const std::vector<keyvalue::KeyValue> &Items) -> void;
+  auto applyPrepaid() -> void;
   auto read() -> void;
   auto write() -> void;
   auto onWritten(const keyvalue::TransactionResult &Result) -> void;
@@ -56,6 +71,10 @@
   const base::IClock &m_Clock;
   base::IEventLog &m_Log;
   GrantBook m_Book;
+  std::map<std::string, Tokens> m_Prepaid;
+  std::optional<BudgetParts> m_Parts;
+  std::int64_t m_Routers = 1;
+  base::SteadyTime m_Started;
   base::TimerId m_Timer = 0;
   bool m_IsPumping = false;
 };
--- a/src/budget/ibudgetgate.h
+++ b/src/budget/ibudgetgate.h
@@ -12,6 +12,14 @@
 /// left does not cover the request.
 enum class GrantAnswer { Granted, Exhausted, Unavailable };
 
+/// Answer to a reservation.
+struct Reservation {
+  GrantAnswer m_Answer = GrantAnswer::Unavailable;
+
+  /// Names the part of the budget from which the tokens came; for settling.
+  std::string m_Source;
+};
+
 /// Reserves tokens of budgets before requests are sent.
 class IBudgetGate {
 public:
@@ -19,10 +27,10 @@
 
   /// Reserves tokens. The callback runs once, at once or later, but not after the deadline.
   virtual auto reserve(const std::string &Budget, base::Tokens WorstCase, base::SteadyTime Deadline,
-                       std::function<void(GrantAnswer)> Done) -> void = 0;
+                       std::function<void(Reservation)> Done) -> void = 0;
 
   /// Ends a granted reservation with what was used of it.
-  virtual auto settle(const std::string &Budget, base::Tokens WorstCase, base::Tokens Used)
+  virtual auto settle(const std::string &Source, base::Tokens WorstCase, base::Tokens Used)
       -> void = 0;
 };
 
--- a/src/budget/internal/grantbook.cpp
+++ b/src/budget/internal/grantbook.cpp
@@ -69,6 +69,12 @@
   return std::max<Tokens>(0, Found->second.m_Prepaid - Found->second.m_Pool.m_Value.m_Granted);
 }
 
+auto GrantBook::unsettledTokens(const std::string &Budget) const -> Tokens {
+  const auto Found = m_Lines.find(Budget);
+  return Found == m_Lines.end() ? 0
+                                : Found->second.m_Prepaid - Found->second.m_Pool.m_Value.m_Settled;
+}
+
 auto GrantBook::noteDemand(Line &Item, Tokens WorstCase, base::SteadyTime Now) const -> void {
   const auto Window = static_cast<double>(m_Options.m_RateWindow.count());
   const auto Decay = std::exp(-asMs(Now - Item.m_RateTime) / Window);
@@ -81,8 +87,9 @@
   Item.m_HasDemand = true;
 }
 
-auto GrantBook::wanted(const Line &Item, base::SteadyTime Now) const -> Tokens {
-  if (m_IsDraining || m_IsClosed) {
+auto GrantBook::wanted(const std::string &Name, const Line &Item, base::SteadyTime Now) const
+    -> Tokens {
+  if (m_IsDraining || m_IsClosed || m_WithoutReserve.contains(Name)) {
     return 0;
   }
   // A part of what is free, and of the own holding, so that holdings shrink with the free tokens:
@@ -99,10 +106,11 @@
   return std::min(Share, std::max(Forecast, m_Options.m_FirstHolding));
 }
 
-auto GrantBook::change(const Line &Item, base::SteadyTime Now) const -> Tokens {
+auto GrantBook::change(const std::string &Name, const Line &Item, base::SteadyTime Now) const
+    -> Tokens {
   const auto Free = std::max<Tokens>(0, Item.m_Prepaid - Item.m_Pool.m_Value.m_Granted);
   const auto Have = unused(Item);
-  const auto Want = wanted(Item, Now);
+  const auto Want = wanted(Name, Item, Now);
   if (Item.m_Prepaid < Item.m_Pool.m_Value.m_Granted) {
     const auto Unspent = std::max<Tokens>(0, Item.m_Granted - Item.m_Used - Item.m_Reserved);
     return -std::min(Unspent, Item.m_Pool.m_Value.m_Granted - Item.m_Prepaid);
@@ -216,7 +224,7 @@
 }
 
 auto GrantBook::writeInterval() const -> milliseconds {
-  const auto Share = milliseconds(1000 * m_Routers / m_Options.m_FleetWritesPerSecond);
+  const auto Share = milliseconds(1000 * m_Fleet / m_Options.m_FleetWritesPerSecond);
   return std::max(m_Options.m_WriteInterval, Share);
 }
 
@@ -232,7 +240,7 @@
 auto GrantBook::isWriteDue(base::SteadyTime Now) const -> bool {
   const auto IsRefresh = isRefreshDue(Now);
   return std::any_of(m_Lines.begin(), m_Lines.end(), [&](const auto &Item) {
-    return (IsRefresh || Item.second.m_Waiting > 0) && change(Item.second, Now) != 0;
+    return (IsRefresh || Item.second.m_Waiting > 0) && change(Item.first, Item.second, Now) != 0;
   });
 }
 
@@ -273,7 +281,7 @@
       Next.m_Holder.m_Settled[Name] = std::max<Tokens>(0, Item.m_Told);
     }
     // A write that a request waits for touches few budgets, so that it meets few other writes.
-    const auto Delta = IsRefresh || Item.m_Waiting > 0 ? change(Item, Now) : 0;
+    const auto Delta = IsRefresh || Item.m_Waiting > 0 ? change(Name, Item, Now) : 0;
     if (Delta != 0) {
       Changes.emplace_back(&Name, Delta);
     }
@@ -286,10 +294,10 @@
     return Key(Left) > Key(Right);
   });
   // In a large fleet each write touches fewer budgets, so that two writes seldom share one.
-  const auto Most = std::clamp<std::size_t>(
-      m_Options.m_MaxPoolsPerWrite * m_Options.m_RoutersForFullWrites /
-          static_cast<std::size_t>(m_Routers),
-      2, m_Options.m_MaxPoolsPerWrite);
+  const auto Most =
+      std::clamp<std::size_t>(m_Options.m_MaxPoolsPerWrite * m_Options.m_RoutersForFullWrites /
+                                  static_cast<std::size_t>(m_Routers),
+                              2, m_Options.m_MaxPoolsPerWrite);
   Changes.resize(std::min(Changes.size(), Most));
   for (const auto &[Name, Delta] : Changes) {
     const auto &Item = m_Lines.at(*Name);
@@ -301,7 +309,7 @@
     Next.m_Told[*Name] = Item.m_Used;
     Next.m_Pools[*Name] = Pool.m_Value;
     Write.m_Pools[*Name] = Pool;
-    Write.m_Reasons[*Name] = {Delta, Item.m_Prepaid, unused(Item), wanted(Item, Now),
+    Write.m_Reasons[*Name] = {Delta, Item.m_Prepaid, unused(Item), wanted(*Name, Item, Now),
                               Item.m_Waiting};
   }
   Write.m_Holder = {Next.m_Holder, m_HolderRevision};
@@ -404,7 +412,8 @@
   // The first conflict is answered at once; a series of them means that many routers write.
   const auto Longest = ConflictPause * ((1 << std::min(m_Conflicts++, 6)) - 1);
   m_NotBefore = Now + jitter(Longest);
-  // A refresh that met another write waits for a part of its interval, so that refreshes spread out.
+  // A refresh that met another write waits for a part of its interval, so that refreshes spread
+  // out.
   if (m_LastRefresh != m_RefreshBefore) {
     m_LastRefresh = Now - writeInterval() + std::max(Longest, jitter(writeInterval() / 4));
   }
--- a/src/budget/internal/grantcodec.cpp
+++ b/src/budget/internal/grantcodec.cpp
@@ -73,6 +73,25 @@
   return Pool;
 }
 
+auto encodeLayout(std::int64_t Parts) -> std::string {
+  auto Buffer = rapidjson::StringBuffer();
+  auto Out = Writer(Buffer);
+  Out.StartObject();
+  Out.Key("parts");
+  Out.Int64(Parts);
+  Out.EndObject();
+  return Buffer.GetString();
+}
+
+auto decodeLayout(std::string_view Text) -> absl::StatusOr<std::int64_t> {
+  auto Document = rapidjson::Document();
+  auto Parts = std::int64_t{0};
+  if (!parse(Text, Document) || !readNumber(Document, "parts", Parts) || Parts < 1) {
+    return absl::InvalidArgumentError("not the layout of the budgets");
+  }
+  return Parts;
+}
+
 auto encodeHolder(const HolderRecord &Holder) -> std::string {
   auto Buffer = rapidjson::StringBuffer();
   auto Out = Writer(Buffer);
--- a/src/budget/internal/grantcodec.h
+++ b/src/budget/internal/grantcodec.h
@@ -13,6 +13,12 @@
 /// InvalidArgument if the text is no such record. Accepts any input.
 auto decodePool(std::string_view Text) -> absl::StatusOr<GrantPool>;
 
+/// The number of parts of each budget as JSON text.
+auto encodeLayout(std::int64_t Parts) -> std::string;
+
+/// InvalidArgument if the text is no such record. Accepts any input.
+auto decodeLayout(std::string_view Text) -> absl::StatusOr<std::int64_t>;
+
 /// A router's record as JSON text.
 auto encodeHolder(const HolderRecord &Holder) -> std::string;
 
--- a/src/budget/internal/grantservice.cpp
+++ b/src/budget/internal/grantservice.cpp
@@ -2,6 +2,8 @@
 
 #include "budget/internal/grantcodec.h"
 
+#include <algorithm>
+
 namespace geraniumlift::budget {
 
 namespace {
@@ -9,6 +11,12 @@
 constexpr auto PoolPrefix = std::string_view("geraniumlift/ledger/pool/");
 constexpr auto HolderPrefix = std::string_view("geraniumlift/ledger/holder/");
 
+/// Until this time after the start the other routers register, so that their number is known.
+constexpr auto LayoutDelay = std::chrono::milliseconds(2000);
+
+/// Parts of a budget that are asked for one request. Each may cost a write.
+constexpr auto MaxPartsAsked = std::size_t{3};
+
 } // namespace
 
 auto keyOfGrantPool(std::string_view Budget) -> std::string {
@@ -23,24 +31,108 @@
                            keyvalue::ITransactionStore &Store, base::ITimers &Timers,
                            const base::IClock &Clock, base::IEventLog &Log)
     : m_Router(std::move(Router)), m_Store(Store), m_Timers(Timers), m_Clock(Clock), m_Log(Log),
-      m_Book(Options) {}
+      m_Book(Options), m_Started(Clock.steadyNow()) {}
 
 auto GrantService::reserve(const std::string &Budget, Tokens WorstCase, base::SteadyTime Deadline,
-                           std::function<void(GrantAnswer)> Done) -> void {
-  m_Book.reserve(Budget, WorstCase, Deadline, m_Clock.steadyNow(), std::move(Done));
+                           std::function<void(Reservation)> Done) -> void {
+  if (!m_Parts) {
+    Done({GrantAnswer::Unavailable, {}});
+    return;
+  }
+  auto Names = m_Parts->namesOf(Budget);
+  // After the home, the part with the most free tokens is the likeliest to have enough.
+  std::stable_sort(Names.begin() + 1, Names.end(), [this](const auto &Left, const auto &Right) {
+    return m_Book.freeTokens(Left) > m_Book.freeTokens(Right);
+  });
+  reserveFrom(std::move(Names), 0, WorstCase, Deadline, std::move(Done));
   pump();
 }
 
-auto GrantService::settle(const std::string &Budget, Tokens WorstCase, Tokens Used) -> void {
-  m_Book.settle(Budget, WorstCase, Used, m_Clock.steadyNow());
+auto GrantService::reserveFrom(std::vector<std::string> Names, std::size_t At, Tokens WorstCase,
+                               base::SteadyTime Deadline, std::function<void(Reservation)> Done)
+    -> void {
+  const auto Name = Names[At];
+  auto OnAnswer = [this, Names = std::move(Names), At, WorstCase, Deadline,
+                   Done = std::move(Done)](GrantAnswer Answer) mutable {
+    if (Answer == GrantAnswer::Granted) {
+      Done({Answer, Names[At]});
+      return;
+    }
+    if (At + 1 < std::min(Names.size(), MaxPartsAsked) && m_Clock.steadyNow() < Deadline) {
+      reserveFrom(std::move(Names), At + 1, WorstCase, Deadline, std::move(Done));
+      return;
+    }
+    auto Left = Tokens{0};
+    for (const auto &Part : Names) {
+      Left += m_Book.unsettledTokens(Part);
+    }
+    const auto IsExhausted = Answer == GrantAnswer::Exhausted && Left < WorstCase;
+    Done({IsExhausted ? GrantAnswer::Exhausted : GrantAnswer::Unavailable, {}});
+  };
+  m_Book.reserve(Name, WorstCase, Deadline, m_Clock.steadyNow(), std::move(OnAnswer));
+}
+
+auto GrantService::settle(const std::string &Source, Tokens WorstCase, Tokens Used) -> void {
+  m_Book.settle(Source, WorstCase, Used, m_Clock.steadyNow());
   pump();
 }
 
 auto GrantService::setPrepaid(const std::map<std::string, Tokens> &Prepaid) -> void {
-  m_Book.setPrepaid(Prepaid, m_Clock.steadyNow());
+  m_Prepaid = Prepaid;
+  applyPrepaid();
   pump();
 }
 
+auto GrantService::applyPrepaid() -> void {
+  // Until the parts are known, the budgets' own names keep the book reading.
+  const auto Parts = m_Parts.value_or(BudgetParts(1, m_Router));
+  m_Book.setPrepaid(Parts.split(m_Prepaid), m_Clock.steadyNow());
+  m_Book.setWithoutReserve(Parts.foreignParts(m_Prepaid));
+}
+
+auto GrantService::setRouters(std::int64_t Count) -> void {
+  m_Routers = std::max<std::int64_t>(1, Count);
+  const auto Parts = m_Parts ? m_Parts->count() : 1;
+  m_Book.setRouters((m_Routers + Parts - 1) / Parts, m_Routers);
+}
+
+auto GrantService::takeLayout(const std::vector<keyvalue::KeyValue> &Items) -> void {
+  for (const auto &Item : Items) {
+    if (Item.m_Key != LayoutKey || m_Parts) {
+      continue;
+    }
+    const auto Count = internal::decodeLayout(Item.m_Value);
+    if (!Count.ok()) {
+      m_Log.record(base::LogLevel::Error, "budget_layout_unreadable",
+                   {{"reason", std::string(Count.status().message())}});
+      continue;
+    }
+    m_Parts.emplace(*Count, m_Router);
+    m_Log.record(base::LogLevel::Info, "budget_layout_known", {{"parts", *Count}});
+    applyPrepaid();
+    setRouters(m_Routers);
+  }
+}
+
+auto GrantService::createLayout() -> void {
+  if (m_Clock.steadyNow() - m_Started < LayoutDelay) {
+    m_Book.onReadFailed(m_Clock.steadyNow());
+    pump();
+    return;
+  }
+  auto Request = keyvalue::Transaction();
+  Request.m_Conditions.push_back({std::string(LayoutKey), keyvalue::AbsentRevision});
+  Request.m_Writes.push_back(
+      {std::string(LayoutKey), internal::encodeLayout(BudgetParts::countFor(m_Routers))});
+  m_Store.transact(std::move(Request), [this](const keyvalue::TransactionResult &Result) {
+    m_Log.record(base::LogLevel::Info, "budget_layout_written",
+                 {{"outcome", nameOf(keyvalue::TransactionOutcomeNames, Result.m_Outcome)}});
+    // Whoever wrote it, the next read shows it.
+    m_Book.onReadFailed(m_Clock.steadyNow());
+    pump();
+  });
+}
+
 auto GrantService::setStoreReachable(bool IsReachable) -> void {
   m_Book.setStoreReachable(IsReachable);
   pump();
@@ -86,10 +178,16 @@
       m_Log.record(base::LogLevel::Warning, "budget_read_failed",
                    {{"reason", std::string(Result.status().message())}});
       m_Book.onReadFailed(Now);
-    } else {
-      const auto Found = decode(Result->m_Items);
-      m_Book.onRead(Found.m_Holder, Found.m_Pools, Now);
+      pump();
+      return;
+    }
+    takeLayout(Result->m_Items);
+    if (!m_Parts) {
+      createLayout();
+      return;
     }
+    const auto Found = decode(Result->m_Items);
+    m_Book.onRead(Found.m_Holder, Found.m_Pools, Now);
     pump();
   });
 }
--- a/src/budget/tests/grantbook_test.cpp
+++ b/src/budget/tests/grantbook_test.cpp
@@ -1,3 +1,4 @@
+#include "budget/budgetparts.h"
 #include "budget/internal/grantcodec.h"
 #include "budget/tests/grantworld.h"
 
@@ -161,6 +162,46 @@
   cr_assert_eq(Book.nextCall(Start + 1s), GrantCall::Write);
 }
 
+// A budget in parts is never larger than the whole, whatever its amount.
+Test(budgetparts, partsAddUpToTheBudget) {
+  for (const auto Amount : {0L, 1L, 7L, 1000003L}) {
+    for (const auto Count : {1L, 3L, 8L}) {
+      auto Sum = Tokens{0};
+      for (const auto &[Name, Part] : BudgetParts(Count, "vm").split({{"b", Amount}})) {
+        Sum += Part;
+      }
+      cr_expect_eq(Sum, Amount);
+    }
+  }
+}
+
+Test(budgetparts, everyRouterHasOneHomeAndKnowsAllParts) {
+  auto Homes = std::set<std::string>();
+  for (auto Number = 0; Number < 73; ++Number) {
+    const auto Parts = BudgetParts(8, "vm-" + std::to_string(Number));
+    Homes.insert(Parts.homeOf("b"));
+    cr_assert_eq(Parts.namesOf("b").size(), 8U);
+    cr_assert_eq(Parts.namesOf("b").front(), Parts.homeOf("b"));
+    cr_assert_eq(Parts.foreignParts({{"b", 1}}).size(), 7U);
+  }
+  cr_expect_eq(Homes.size(), 8U);
+  cr_expect_eq(BudgetParts(1, "vm").homeOf("b"), "b");
+  cr_expect_eq(BudgetParts::countFor(9), 1);
+  cr_expect_eq(BudgetParts::countFor(73), 8);
+}
+
+Test(grantbook, withoutReserveNothingIsHeldForACut) {
+  auto Book = readyBook(1000000);
+  Book.setWithoutReserve({"b"});
+  cr_assert_eq(Book.nextCall(Start + 5s), GrantCall::None);
+  auto Answer = std::optional<GrantAnswer>();
+  Book.reserve("b", 100, Start + 9s, Start, [&Answer](GrantAnswer Got) { Answer = Got; });
+  cr_assert_eq(Book.nextCall(Start), GrantCall::Write);
+  static_cast<void>(Book.composeWrite(Start));
+  Book.onLanded(4, Start);
+  cr_assert_eq(*Answer, GrantAnswer::Granted);
+}
+
 Test(grantcodec, recordsSurviveAndGarbageIsRefused) {
   const auto Holder = HolderRecord{7, 3, {{"b", 100}, {"c", 5}}, {{"b", 40}}};
   cr_assert(*internal::decodeHolder(internal::encodeHolder(Holder)) == Holder);
--- a/src/budget/tests/grantworld.h
+++ b/src/budget/tests/grantworld.h
@@ -120,7 +120,8 @@
     Options.m_Incarnation = 1000 + m_Random() % 100;
     ++Item.m_Life;
     Item.m_Book = std::make_unique<GrantBook>(Options);
-    Item.m_Book->setRouters(static_cast<std::int64_t>(m_Routers.size()));
+    const auto Count = static_cast<std::int64_t>(m_Routers.size());
+    Item.m_Book->setRouters(Count, Count);
     Item.m_Book->setPrepaid({{Budget, m_Prepaid}}, m_Now);
     Item.m_IsReachable = true;
   }
--- a/src/forwarding/forwardsession.h
+++ b/src/forwarding/forwardsession.h
@@ -37,7 +37,7 @@
   auto findRoute() -> std::optional<RefusalReason>;
   auto choosePool() -> void;
   auto reserve() -> void;
-  auto onReserved(budget::GrantAnswer Outcome) -> void;
+  auto onReserved(const budget::Reservation &Outcome) -> void;
   auto sendToTarget() -> void;
   auto targetHead(const TargetRecord &Target) -> std::string;
   auto watchSilence(std::chrono::milliseconds Limit) -> void;
@@ -80,6 +80,7 @@
 
   /// Tokens reserved from the budget and not settled.
   Tokens m_Reserved = 0;
+  std::string m_ReservedFrom;
   bool m_IsReserving = false;
 
   std::unique_ptr<ITargetAttempt> m_Attempt;
--- a/src/forwarding/internal/forwardsession.cpp
+++ b/src/forwarding/internal/forwardsession.cpp
@@ -131,24 +131,26 @@
   }
   m_IsReserving = true;
   const auto Latest = std::min(m_Deadline, now() + m_Context.m_Options.m_LongestBudgetWait);
-  m_Context.m_Budgets.reserve(
-      m_Workspace->m_Name, m_Fields.m_Prompt->worstCase(), Latest,
-      [Self = shared_from_this()](budget::GrantAnswer Outcome) { Self->onReserved(Outcome); });
+  m_Context.m_Budgets.reserve(m_Workspace->m_Name, m_Fields.m_Prompt->worstCase(), Latest,
+                              [Self = shared_from_this()](const budget::Reservation &Outcome) {
+                                Self->onReserved(Outcome);
+                              });
 }
 
-auto ForwardSession::onReserved(budget::GrantAnswer Outcome) -> void {
+auto ForwardSession::onReserved(const budget::Reservation &Outcome) -> void {
   m_IsReserving = false;
-  if (Outcome == budget::GrantAnswer::Granted) {
+  if (Outcome.m_Answer == budget::GrantAnswer::Granted) {
+    m_ReservedFrom = Outcome.m_Source;
     m_Reserved = m_Fields.m_Prompt->worstCase();
   }
   if (m_IsFinished) {
     // The caller left, or the time ran out, while the reservation was made.
     if (m_Reserved > 0) {
-      m_Context.m_Budgets.settle(m_Workspace->m_Name, std::exchange(m_Reserved, 0), 0);
+      m_Context.m_Budgets.settle(m_ReservedFrom, std::exchange(m_Reserved, 0), 0);
     }
     return;
   }
-  switch (Outcome) {
+  switch (Outcome.m_Answer) {
   case budget::GrantAnswer::Granted:
     sendToTarget();
     break;
@@ -524,7 +526,7 @@
   m_Context.m_Timers.cancel(std::exchange(m_LimitTimer, 0));
   m_Context.m_Timers.cancel(std::exchange(m_SilenceTimer, 0));
   if (m_Reserved > 0) {
-    m_Context.m_Budgets.settle(m_Workspace->m_Name, std::exchange(m_Reserved, 0), usedTokens());
+    m_Context.m_Budgets.settle(m_ReservedFrom, std::exchange(m_Reserved, 0), usedTokens());
   }
   auto Outcome = RequestOutcome();
   if (m_Route != nullptr) {
--- a/src/forwarding/tests/forwardingfakes.h
+++ b/src/forwarding/tests/forwardingfakes.h
@@ -75,13 +75,13 @@
 class FakeBudgets final : public budget::IBudgetGate {
 public:
   auto reserve(const std::string &, base::Tokens WorstCase, base::SteadyTime,
-               std::function<void(budget::GrantAnswer)> Done) -> void override {
+               std::function<void(budget::Reservation)> Done) -> void override {
     if (WorstCase > m_Left) {
-      Done(m_Refusal);
+      Done({m_Refusal, ""});
       return;
     }
     m_Left -= WorstCase;
-    Done(budget::GrantAnswer::Granted);
+    Done({budget::GrantAnswer::Granted, "b"});
   }
   auto settle(const std::string &, base::Tokens WorstCase, base::Tokens Used) -> void override {
     m_Left += WorstCase - Used;
