--- a/src/geraniumctl/commandtypes.h
+++ b/src/geraniumctl/commandtypes.h
@@ -14,7 +14,7 @@
 
 namespace geraniumlift::geraniumctl {
 
-/// Exit codes of the program, as docs/OPERATORS.md documents them.
+/// Exit codes of the program, as docs/OPERATIONS.md documents them.
 enum class ExitCode {
   Done = 0,
   /// The command was refused, or mistakes were found.
