Give up a silent target after twice the objective

Cause: at the crest of a wave targets that were only busy were given up after one objective; their work was lost and their prompts were read again elsewhere. Change: the factor on the objective is 2 instead of 1.

--- a/src/forwarding/forwardingcontext.h
+++ b/src/forwarding/forwardingcontext.h
@@ -18,7 +18,7 @@
   /// A repeatable request is sent elsewhere if its target has not answered after this multiple of
   /// the route's objective, or of the forecast if that is longer. Later, the answer would be late
   /// anyway.
-  double m_SilenceFactor = 1.0;
+  double m_SilenceFactor = 2.0;
   double m_ForecastFactor = 4.0;
 
   /// A resumable stream goes on elsewhere after a pause of this length. Callers give up on a stream
