--- /dev/null
+++ b/src/base/tests/boundedlog_test.cpp
@@ -0,0 +1,84 @@
+#include "base/boundedlog.h"
+#include "base/manualclock.h"
+
+#include <array>
+#include <criterion/criterion.h>
+#include <fcntl.h>
+#include <unistd.h>
+
+using namespace geraniumlift::base;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A pipe whose reader may stop reading.
+struct Pipe {
+  std::array<int, 2> m_Ends{};
+  Pipe() { cr_assert_eq(::pipe(m_Ends.data()), 0); }
+  ~Pipe() {
+    ::close(m_Ends[0]);
+    ::close(m_Ends[1]);
+  }
+  Pipe(const Pipe &) = delete;
+  auto operator=(const Pipe &) -> Pipe & = delete;
+
+  [[nodiscard]] auto read() const -> std::string {
+    ::fcntl(m_Ends[0], F_SETFL, O_NONBLOCK);
+    auto Text = std::string();
+    auto Buffer = std::array<char, 4096>();
+    for (auto Size = ::read(m_Ends[0], Buffer.data(), Buffer.size()); Size > 0;
+         Size = ::read(m_Ends[0], Buffer.data(), Buffer.size())) {
+      Text.append(Buffer.data(), static_cast<std::size_t>(Size));
+    }
+    return Text;
+  }
+};
+
+} // namespace
+
+// A full pipe must cost lines, not time.
+Test(boundedlog, stoppedReaderDoesNotBlock) {
+  auto Ends = Pipe();
+  auto Clock = ManualClock();
+  auto Log = BoundedLog(Ends.m_Ends[1], Clock, LogOptions{1e9, 1e9, 0.0, 100000});
+  for (auto Number = 0; Number < 10000; ++Number) {
+    Log.record(LogLevel::Info, "test", {{"number", Number}, {"filler", std::string(50, 'x')}});
+  }
+  Log.flush();
+  cr_assert_gt(Log.dropped(), 0U);
+  cr_assert(Ends.read().find("number=0 ") != std::string::npos);
+  Log.record(LogLevel::Info, "after", {});
+  auto Rest = std::string();
+  for (auto Round = 0; Round < 10; ++Round) {
+    Log.flush();
+    Rest += Ends.read();
+  }
+  cr_assert(Rest.find("event=log_lines_dropped") != std::string::npos);
+  cr_assert(Rest.find("event=after") != std::string::npos);
+}
+
+Test(boundedlog, warningsAreKeptBeforeOtherLines) {
+  auto Ends = Pipe();
+  auto Clock = ManualClock();
+  auto Log = BoundedLog(Ends.m_Ends[1], Clock, LogOptions{10.0, 40.0, 20.0, 100000});
+  for (auto Number = 0; Number < 100; ++Number) {
+    Log.record(LogLevel::Debug, "good", {});
+  }
+  for (auto Number = 0; Number < 15; ++Number) {
+    Log.record(LogLevel::Warning, "bad", {{"number", Number}});
+  }
+  Log.flush();
+  const auto Text = Ends.read();
+  cr_assert(Text.find("number=14") != std::string::npos);
+  cr_assert_eq(Log.dropped(), 80U);
+  Clock.advance(10s);
+  Log.record(LogLevel::Debug, "good", {});
+  cr_assert_eq(Log.dropped(), 80U);
+}
+
+Test(boundedlog, closedReaderDoesNotEndTheProcess) {
+  auto Clock = ManualClock();
+  auto Log = BoundedLog(-1, Clock, LogOptions());
+  Log.record(LogLevel::Warning, "test", {});
+  Log.flush();
+}
--- /dev/null
+++ b/src/fleet/tests/peertable_test.cpp
@@ -0,0 +1,93 @@
+#include "fleet/peertable.h"
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+
+using namespace geraniumlift;
+using namespace geraniumlift::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto Start = base::SteadyTime(1h);
+
+auto record(int Number) -> RouterRecord {
+  return {fmt::format("vm{}", Number), "a", fmt::format("10.0.0.{}:80", Number),
+          fmt::format("10.0.0.{}", Number), 7000};
+}
+
+auto heartbeat(int Number, std::uint32_t Sequence, bool IsLeaving = false) -> Heartbeat {
+  return {fmt::format("vm{}", Number), 100, Sequence, IsLeaving, {{hashOfTarget("t"), 500, 2}}};
+}
+
+/// Nine routers of which this is vm0; all others were heard at the start.
+auto table() -> PeerTable {
+  auto Options = PeerOptions();
+  Options.m_Self = "vm0";
+  auto Peers = PeerTable(Options);
+  for (auto Number = 0; Number < 9; ++Number) {
+    Peers.put(record(Number), Start);
+    if (Number > 0) {
+      Peers.noteHeartbeat(heartbeat(Number, 1), Start);
+    }
+  }
+  return Peers;
+}
+
+} // namespace
+
+Test(peertable, silentAndLeavingRoutersAreNotTold) {
+  auto Peers = table();
+  const auto Later = Start + 2s;
+  for (auto Number = 2; Number < 9; ++Number) {
+    Peers.noteHeartbeat(heartbeat(Number, 2, Number == 2), Later);
+  }
+  const auto Addresses = Peers.callerAddresses("a", false, Later);
+  cr_assert_eq(Addresses.size(), 7U, "vm1 is silent and vm2 leaves");
+  cr_assert_eq(Peers.callerAddresses("a", true, Later).size(), 6U, "a leaving router is not told");
+}
+
+// A router that hears nobody is cut off itself; callers still reach the others.
+Test(peertable, routerThatHearsNobodyTellsAll) {
+  auto Peers = table();
+  cr_assert_eq(Peers.callerAddresses("a", false, Start + 8s).size(), 9U);
+}
+
+Test(peertable, loadsOfSilentRoutersDoNotCount) {
+  auto Peers = table();
+  cr_assert_eq(Peers.loadOfOthers("t", Start).m_Active, 16);
+  cr_assert_eq(Peers.loadOfOthers("t", Start).m_WaitingTokens, 4000);
+  cr_assert_eq(Peers.loadOfOthers("t", Start + 5s).m_Active, 0);
+}
+
+Test(peertable, oldHeartbeatsAreIgnored) {
+  auto Peers = table();
+  Peers.noteHeartbeat(heartbeat(3, 9), Start + 100ms);
+  Peers.noteHeartbeat(heartbeat(3, 8, true), Start + 200ms);
+  cr_assert_eq(Peers.callerAddresses("a", false, Start + 200ms).size(), 9U);
+}
+
+// The time of day may go back across a restart, and the new process has a lower incarnation.
+Test(peertable, restartedRouterComesBackAfterAClockStep) {
+  auto Peers = table();
+  auto Restarted = heartbeat(3, 1);
+  Restarted.m_Incarnation = 50;
+  cr_assert(Peers.noteHeartbeat(Restarted, Start + 3s));
+  cr_assert_eq(Peers.loadOfOthers("t", Start + 3s).m_Active, 2);
+}
+
+Test(fleetcodec, messagesSurviveAndGarbageIsRefused) {
+  const auto Message = decodeHeartbeat(encodeHeartbeat(heartbeat(4, 7, true)));
+  cr_assert(Message.ok());
+  cr_assert_eq(Message->m_Router, "vm4");
+  cr_assert_eq(Message->m_Loads.size(), 1U);
+  cr_assert_eq(Message->m_Loads[0].m_WaitingTokens, 500U);
+  cr_assert(*decodeRouter(encodeRouter(record(3))) == record(3));
+  const auto Whole = encodeHeartbeat(heartbeat(4, 7));
+  for (std::size_t Size = 0; Size < Whole.size(); ++Size) {
+    cr_expect_not(decodeHeartbeat(std::string_view(Whole).substr(0, Size)).ok());
+  }
+  cr_expect_not(decodeHeartbeat(std::string(200, '\xff')).ok());
+  cr_expect_not(decodeRouter("{}").ok());
+  cr_expect_not(decodeRouter("nonsense").ok());
+}
--- /dev/null
+++ b/src/router/tests/routersettings_test.cpp
@@ -0,0 +1,62 @@
+#include "router/routersettings.h"
+
+#include <criterion/criterion.h>
+
+using namespace geraniumlift::router;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto Whole = R"(vm = "a-1"
+data_centre = "a"
+[callers]
+listen = "10.0.0.1:80"
+[readiness]
+listen = "10.0.0.1:81"
+[directory]
+listen = "10.0.0.1:82"
+[peers]
+ip = "10.0.0.1"
+ports = "7340,7355"
+[store]
+address = "10.9.0.1:90"
+change_time_ms = "3000"
+[limits]
+memory_mb = 260
+descriptors = ""
+[stop]
+time_s = "8.5"
+)";
+
+/// The text with one piece replaced.
+auto with(const std::string &Piece, const std::string &By) -> std::string {
+  auto Text = std::string(Whole);
+  return Text.replace(Text.find(Piece), Piece.size(), By);
+}
+
+} // namespace
+
+Test(routersettings, valuesMayBeNumbersOrTexts) {
+  const auto Settings = readRouterSettings(Whole);
+  cr_assert(Settings.ok(), "%s", std::string(Settings.status().message()).c_str());
+  cr_expect_eq(Settings->m_Peers.m_Port, 7340);
+  cr_expect_eq(Settings->m_StopTime.count(), 8500);
+  cr_expect_eq(Settings->m_ChangeTime.count(), 3000);
+  cr_expect_eq(Settings->m_MemoryMb, 260);
+  cr_expect_eq(Settings->m_MaxDescriptors, RouterSettings().m_MaxDescriptors);
+}
+
+Test(routersettings, mistakesAreNamed) {
+  const auto Names = [](const std::string &Text, const std::string &Key) {
+    const auto Settings = readRouterSettings(Text);
+    return !Settings.ok() &&
+           std::string(Settings.status().message()).find(Key) != std::string::npos;
+  };
+  cr_expect(Names(with("vm = \"a-1\"", ""), "vm"));
+  cr_expect(Names(with("10.0.0.1:80", "10.0.0.1"), "callers.listen"));
+  cr_expect(Names(with("10.9.0.1:90", "10.9.0.1:99999"), "store.address"));
+  cr_expect(Names(with("7340,7355", "none"), "peers.ports"));
+  cr_expect(Names(with("\"8.5\"", "-1"), "stop.time_s"));
+  cr_expect(Names(with("\"8.5\"", "\"soon\""), "stop.time_s"));
+  cr_expect(Names(with("[stop]", "[stop"), "line"));
+}
