--- a/src/base/tests/boundedlog_test.cpp
+++ b/src/base/tests/boundedlog_test.cpp
@@ -47,6 +47,7 @@
   Log.flush();
   cr_assert_gt(Log.dropped(), 0U);
   cr_assert(Ends.read().find("number=0 ") != std::string::npos);
+  Log.flush();
   Log.record(LogLevel::Info, "after", {});
   auto Rest = std::string();
   for (auto Round = 0; Round < 10; ++Round) {
