Let large fleets follow the store without the records of budgets; lint

Suspected: on VMs of 0.12 of a core and 10 Mbit/s the watch returns every write of 73 routers to the budgets, and the answers come late. Change: once budgets are known to be in parts, the router follows the configuration, the targets and the routers with watches of their own; keep-alive probes on the store's connections.

--- a/src/budget/grantservice.h
+++ b/src/budget/grantservice.h
@@ -41,6 +41,8 @@
 
   /// Returns all grants as they become free.
   auto drain() -> void;
+  /// Into how many parts budgets are split; 1 until that is known.
+  [[nodiscard]] auto parts() const -> std::int64_t { return m_Parts ? m_Parts->count() : 1; }
   [[nodiscard]] auto isDrained() const -> bool { return m_Book.isDrained(); }
 
 private:
--- a/src/keyvalue/internal/storefollower.cpp
+++ b/src/keyvalue/internal/storefollower.cpp
@@ -13,6 +13,9 @@
 auto StoreFollower::list() -> void {
   m_LastCall = m_Clock.steadyNow();
   m_Store.list(m_Prefix, [this](absl::StatusOr<ListResult> Result) {
+    if (m_IsStopped) {
+      return;
+    }
     if (!Result.ok()) {
       onFailure(Result.status(), &StoreFollower::list);
       return;
@@ -21,7 +24,7 @@
     m_Revision = Result->m_Revision;
     m_Log.record(base::LogLevel::Info, "store_listed",
                  {{"revision", m_Revision}, {"keys", Result->m_Items.size()}});
-    m_Listener.onList(*Result);
+    m_Listener.onList(m_Prefix, *Result);
     watch();
   });
 }
@@ -29,6 +32,9 @@
 auto StoreFollower::watch() -> void {
   m_LastCall = m_Clock.steadyNow();
   m_Store.watch(m_Prefix, m_Revision, m_Options.m_Wait, [this](absl::StatusOr<WatchResult> Result) {
+    if (m_IsStopped) {
+      return;
+    }
     if (Result.status().code() == absl::StatusCode::kOutOfRange) {
       onAnswer();
       m_Log.record(base::LogLevel::Warning, "store_history_gone", {{"revision", m_Revision}});
@@ -51,7 +57,7 @@
   m_Failures = 0;
   if (!std::exchange(m_IsReachable, true)) {
     m_Log.record(base::LogLevel::Info, "store_regained", {{"revision", m_Revision}});
-    m_Listener.onReachable(true);
+    m_Listener.onReachable(m_Prefix, true);
   }
 }
 
@@ -59,7 +65,7 @@
   if (std::exchange(m_IsReachable, false)) {
     m_Log.record(base::LogLevel::Warning, "store_lost",
                  {{"reason", std::string(Status.message())}, {"revision", m_Revision}});
-    m_Listener.onReachable(false);
+    m_Listener.onReachable(m_Prefix, false);
   }
   const auto Pause = m_Options.m_FirstPause * (1 << std::min(m_Failures++, 4));
   later(m_Clock.steadyNow() + std::min<std::chrono::milliseconds>(Pause, m_Options.m_LongestPause),
@@ -67,7 +73,11 @@
 }
 
 auto StoreFollower::later(base::SteadyTime When, void (StoreFollower::*Next)()) -> void {
-  m_Timers.start(When, [this, Next] { (this->*Next)(); });
+  m_Timers.start(When, [this, Next] {
+    if (!m_IsStopped) {
+      (this->*Next)();
+    }
+  });
 }
 
 } // namespace geraniumlift::keyvalue
--- a/src/keyvalue/storefollower.h
+++ b/src/keyvalue/storefollower.h
@@ -11,14 +11,14 @@
 public:
   virtual ~IStoreListener() = default;
 
-  /// All keys as they stand; what is not among them does not exist any more.
-  virtual auto onList(const ListResult &Result) -> void = 0;
+  /// All keys with the prefix as they stand; what is not among them does not exist any more.
+  virtual auto onList(std::string_view Prefix, const ListResult &Result) -> void = 0;
 
   /// Changes in their order. Keys of a list that was read page by page may come once more.
   virtual auto onChanges(const WatchResult &Result) -> void = 0;
 
-  /// The store answers again, or does not answer any more.
-  virtual auto onReachable(bool IsReachable) -> void = 0;
+  /// The store answers the follower of this prefix again, or not any more.
+  virtual auto onReachable(std::string_view Prefix, bool IsReachable) -> void = 0;
 };
 
 /// Pace and limits of following.
@@ -46,6 +46,9 @@
 
   auto start() -> void { list(); }
 
+  /// Makes no further calls; what still arrives is dropped.
+  auto stop() -> void { m_IsStopped = true; }
+
   /// When the newest answer of the store arrived; the beginning of time if there was none.
   [[nodiscard]] auto lastAnswer() const -> base::SteadyTime { return m_LastAnswer; }
 
@@ -68,6 +71,7 @@
   base::SteadyTime m_LastAnswer;
   int m_Failures = 0;
   bool m_IsReachable = false;
+  bool m_IsStopped = false;
 };
 
 } // namespace geraniumlift::keyvalue
--- a/src/keyvalue/tests/storefollower_test.cpp
+++ b/src/keyvalue/tests/storefollower_test.cpp
@@ -20,7 +20,7 @@
   int m_Lists = 0;
   std::vector<bool> m_Reachable;
 
-  auto onList(const ListResult &Result) -> void override {
+  auto onList(std::string_view /*Prefix*/, const ListResult &Result) -> void override {
     ++m_Lists;
     for (const auto &Item : Result.m_Items) {
       m_Seen.push_back(Item.m_Value);
@@ -31,7 +31,9 @@
       m_Seen.push_back(Event.m_Item.m_Value);
     }
   }
-  auto onReachable(bool IsReachable) -> void override { m_Reachable.push_back(IsReachable); }
+  auto onReachable(std::string_view /*Prefix*/, bool IsReachable) -> void override {
+    m_Reachable.push_back(IsReachable);
+  }
 };
 
 } // namespace
@@ -84,3 +86,15 @@
   cr_assert_eq(Play.m_Lists, 2);
   cr_assert_eq(Play.m_Seen.back(), "missed");
 }
+
+Test(storefollower, stoppedFollowerMakesNoCalls) {
+  auto Play = World();
+  Play.m_Follower.start();
+  Play.m_Timers.runFor(1s);
+  Play.m_Follower.stop();
+  const auto Before = Play.m_Store.m_Watches;
+  Play.m_Store.put("a", "late");
+  Play.m_Timers.runFor(5s);
+  cr_assert_eq(Play.m_Store.m_Watches, Before);
+  cr_assert(Play.m_Seen.empty());
+}
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -42,6 +42,10 @@
 /// still fits in if the first one fails.
 constexpr auto FollowPace = 0.35;
 
+/// Wait of a watch of keys that seldom change. Keep-alive probes show a connection that went
+/// silent.
+constexpr auto SeldomWait = 5000ms;
+
 /// Part of the memory that bodies of requests may take.
 constexpr auto BodyMemoryShare = 4;
 
@@ -124,8 +128,7 @@
       m_ReadinessServer(Parts.m_Loop, Parts.m_Timers, transport::ServerOptions{64}),
       m_DirectoryServer(Parts.m_Loop, Parts.m_Timers, transport::ServerOptions{512}),
       m_PeerSocket(Parts.m_Loop, [this](std::string_view Bytes) { onDatagram(Bytes); }),
-      m_Follower("", followerOptions(m_Settings), Parts.m_Store, Parts.m_Timers, Parts.m_Clock,
-                 Parts.m_Log, *this),
+
       m_Incarnation(incarnationOf(Parts.m_Clock)) {}
 
 auto Router::start() -> absl::Status {
@@ -148,7 +151,7 @@
                         {"callers", splitPort(Settings.m_Callers)},
                         {"store", splitPort(Settings.m_Store)}});
   m_Peers.put(ownRecord(), now());
-  m_Follower.start();
+  follow(std::string(), followerOptions(m_Settings));
   beat();
   return absl::OkStatus();
 }
@@ -197,7 +200,25 @@
   });
 }
 
-auto Router::onList(const keyvalue::ListResult &Result) -> void {
+auto Router::follow(const std::string &Prefix, keyvalue::FollowerOptions Options) -> void {
+  m_Followers.push_back(std::make_unique<keyvalue::StoreFollower>(
+      Prefix, Options, m_Parts.m_Store, m_Parts.m_Timers, m_Parts.m_Clock, m_Parts.m_Log, *this));
+  m_Followers.back()->start();
+}
+
+auto Router::followWithoutBudgets() -> void {
+  m_FollowsBudgets = false;
+  for (const auto &Follower : m_Followers) {
+    Follower->stop();
+  }
+  auto Seldom = followerOptions(m_Settings);
+  Seldom.m_Wait = SeldomWait;
+  follow(m_Parts.m_Documents.routingPrefix(), Seldom);
+  follow(std::string(fleet::RouterPrefix), Seldom);
+  follow(m_Parts.m_Documents.targetPrefix(), followerOptions(m_Settings));
+}
+
+auto Router::onList(std::string_view Prefix, const keyvalue::ListResult &Result) -> void {
   auto Targets = std::set<std::string>();
   auto IsRegistered = false;
   for (const auto &Item : Result.m_Items) {
@@ -207,10 +228,12 @@
     IsRegistered |= Item.m_Key == ownKey() && Item.m_Value == encodeRouter(ownRecord());
     takeItem(Item);
   }
-  m_TargetDirectory.keepOnly(Targets, Result.m_Revision);
-  m_TargetDirectory.applyRemovals(now());
-  m_IsListed = true;
-  if (!IsRegistered) {
+  if (m_Parts.m_Documents.targetPrefix().starts_with(Prefix)) {
+    m_TargetDirectory.keepOnly(Targets, Result.m_Revision);
+    m_TargetDirectory.applyRemovals(now());
+    m_IsListed = true;
+  }
+  if (!IsRegistered && fleet::RouterPrefix.starts_with(Prefix)) {
     registerSelf();
   }
 }
@@ -226,7 +249,11 @@
   m_TargetDirectory.applyRemovals(now());
 }
 
-auto Router::onReachable(bool IsReachable) -> void {
+auto Router::onReachable(std::string_view Prefix, bool IsReachable) -> void {
+  // One of the followers speaks for all.
+  if (!m_Parts.m_Documents.targetPrefix().starts_with(Prefix)) {
+    return;
+  }
   m_TargetDirectory.setStoreReachable(IsReachable, now());
   m_Grants.setStoreReachable(IsReachable);
 }
@@ -349,6 +376,9 @@
   m_Grants.setRouters(Routers);
   updateRetryBudgets();
   m_TargetDirectory.sweep(now());
+  if (m_FollowsBudgets && m_Grants.parts() > 1) {
+    followWithoutBudgets();
+  }
   sendHeartbeats();
   const auto Period = HeartbeatPeriod * std::max<std::int64_t>(1, Routers / HeartbeatsPerPeriod);
   m_Peers.setSilenceLimit(Period * LostHeartbeats);
--- a/src/router/internal/routersettings.cpp
+++ b/src/router/internal/routersettings.cpp
@@ -69,7 +69,7 @@
 auto readSeconds(const toml::table &Table, std::string_view Key, milliseconds &Into)
     -> absl::Status {
   auto Seconds = std::chrono::duration<double>(Into).count();
-  const auto Status = readNumber(Table, Key, Seconds);
+  auto Status = readNumber(Table, Key, Seconds);
   Into = milliseconds(static_cast<std::int64_t>(Seconds * 1000.0));
   return Status;
 }
@@ -77,14 +77,14 @@
 auto readMilliseconds(const toml::table &Table, std::string_view Key, milliseconds &Into)
     -> absl::Status {
   auto Value = static_cast<double>(Into.count());
-  const auto Status = readNumber(Table, Key, Value);
+  auto Status = readNumber(Table, Key, Value);
   Into = milliseconds(static_cast<std::int64_t>(Value));
   return Status;
 }
 
 auto readCount(const toml::table &Table, std::string_view Key, std::int64_t &Into) -> absl::Status {
   auto Value = static_cast<double>(Into);
-  const auto Status = readNumber(Table, Key, Value);
+  auto Status = readNumber(Table, Key, Value);
   Into = static_cast<std::int64_t>(Value);
   return Status;
 }
--- a/src/router/istoredocuments.h
+++ b/src/router/istoredocuments.h
@@ -17,6 +17,10 @@
 
   [[nodiscard]] virtual auto kindOf(std::string_view Key) const -> DocumentKind = 0;
 
+  /// Prefixes of the keys that hold the configuration and the registrations of targets.
+  [[nodiscard]] virtual auto routingPrefix() const -> std::string = 0;
+  [[nodiscard]] virtual auto targetPrefix() const -> std::string = 0;
+
   /// The target's ID in a key of kind Target.
   [[nodiscard]] virtual auto targetIdOf(std::string_view Key) const -> std::string = 0;
 
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -12,6 +12,9 @@
 #include "transport/datagramsocket.h"
 #include "transport/targetconnector.h"
 
+#include <memory>
+#include <vector>
+
 namespace geraniumlift::router {
 
 /// What the adapter passes to a router.
@@ -41,10 +44,16 @@
   auto applySettings(const RouterSettings &Settings) -> void;
 
 private:
-  auto onList(const keyvalue::ListResult &Result) -> void override;
+  auto onList(std::string_view Prefix, const keyvalue::ListResult &Result) -> void override;
   auto onChanges(const keyvalue::WatchResult &Result) -> void override;
-  auto onReachable(bool IsReachable) -> void override;
+  auto onReachable(std::string_view Prefix, bool IsReachable) -> void override;
+
+  /// Follows the keys with a prefix. A watch of keys that seldom change waits longer.
+  auto follow(const std::string &Prefix, keyvalue::FollowerOptions Options) -> void;
 
+  /// In a large fleet the records of budgets change so often that a small VM cannot follow them:
+  /// from then on the router follows only the configuration, the targets and the routers.
+  auto followWithoutBudgets() -> void;
   auto takeItem(const keyvalue::KeyValue &Item) -> void;
   auto takeRemoval(const keyvalue::KeyValue &Item) -> void;
   auto takeRouting(const keyvalue::KeyValue &Item) -> void;
@@ -78,7 +87,8 @@
   transport::CallerServer m_ReadinessServer;
   transport::CallerServer m_DirectoryServer;
   transport::DatagramSocket m_PeerSocket;
-  keyvalue::StoreFollower m_Follower;
+  std::vector<std::unique_ptr<keyvalue::StoreFollower>> m_Followers;
+  bool m_FollowsBudgets = true;
   bool m_IsListed = false;
   bool m_IsLeaving = false;
   std::int64_t m_OwnRevision = 0;
--- a/src/transport/internal/callerconnection.cpp
+++ b/src/transport/internal/callerconnection.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 /// Input beyond the request being served that is read ahead; then reading stops.
-constexpr auto MaxReadAhead = std::size_t{64 * 1024};
+constexpr auto MaxReadAhead = std::size_t{64} * 1024;
 
 /// How long a closed connection still reads, so that bytes on their way do not reset it before the
 /// caller has read the answer.
@@ -184,7 +184,7 @@
     Text += Body;
   }
   m_IsAnswerDone = true;
-  write(std::move(Text));
+  write(Text);
 }
 
 auto CallerConnection::begin(http1::ResponseHead Head) -> void {
@@ -205,7 +205,7 @@
 auto CallerConnection::finish() -> void {
   if (m_Phase == Phase::Serving) {
     m_IsAnswerDone = true;
-    write(std::string(http1::LastChunk));
+    write(http1::LastChunk);
   }
 }
 
@@ -215,7 +215,7 @@
   }
 }
 
-auto CallerConnection::write(std::string Text) -> void {
+auto CallerConnection::write(std::string_view Text) -> void {
   m_Out += Text;
   if (m_Writing.empty()) {
     flush();
--- a/src/transport/internal/callerconnection.h
+++ b/src/transport/internal/callerconnection.h
@@ -52,7 +52,7 @@
   auto onParseError(const absl::Status &Status) -> void;
   auto dispatch() -> void;
   auto refuse(forwarding::RefusalReason Reason) -> void;
-  auto write(std::string Text) -> void;
+  auto write(std::string_view Text) -> void;
   auto flush() -> void;
   auto onWritten(const boost::system::error_code &Error) -> void;
   auto onAnswered() -> void;
--- a/src/transport/internal/httpcaller.cpp
+++ b/src/transport/internal/httpcaller.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
+#include <netinet/tcp.h>
 #include <vector>
 
 namespace geraniumlift::transport {
@@ -19,11 +20,29 @@
 constexpr auto MaxIdle = std::size_t{3};
 
 /// Bytes read at a time.
-constexpr auto ReadBytes = std::size_t{16 * 1024};
+constexpr auto ReadBytes = std::size_t{16} * 1024;
 
 /// An answer may be a page of about a megabyte, base64 included.
 constexpr auto AnswerLimits = http1::MessageLimits{16 * 1024, std::uint64_t{8} * 1024 * 1024};
 
+/// Probes of an idle connection: after a second, then each second, three without an answer end it.
+constexpr auto ProbeAfterSeconds = 1;
+constexpr auto ProbeIntervalSeconds = 1;
+constexpr auto ProbesLost = 3;
+
+/// Lets the system probe the connection while a call waits, since one that went silent shows
+/// nothing of its own.
+auto setKeepAlive(tcp::socket &Socket) -> void {
+  using KeepIdle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+  using KeepInterval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+  using KeepCount = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+  auto Ignored = error_code();
+  Socket.set_option(asio::socket_base::keep_alive(true), Ignored);
+  Socket.set_option(KeepIdle(ProbeAfterSeconds), Ignored);
+  Socket.set_option(KeepInterval(ProbeIntervalSeconds), Ignored);
+  Socket.set_option(KeepCount(ProbesLost), Ignored);
+}
+
 /// The service and the connections to it that are kept.
 struct Service {
   asio::io_context &m_Loop;
@@ -85,6 +104,7 @@
                              }
                              auto Ignored = error_code();
                              Self->m_Socket.set_option(tcp::no_delay(true), Ignored);
+                             setKeepAlive(Self->m_Socket);
                              Self->send();
                            });
   }
--- a/src/transport/internal/targetconnector.cpp
+++ b/src/transport/internal/targetconnector.cpp
@@ -17,7 +17,7 @@
 using boost::system::error_code;
 
 /// Bytes read from a target at a time.
-constexpr auto ReadBytes = std::size_t{16 * 1024};
+constexpr auto ReadBytes = std::size_t{16} * 1024;
 
 /// An answer of a target may have this many header and body bytes.
 constexpr auto AnswerLimits = http1::MessageLimits{64 * 1024, std::uint64_t{1} << 30U};
