--- a/testing/fuzz/http1fuzzer.cpp
+++ b/testing/fuzz/http1fuzzer.cpp
@@ -55,6 +55,7 @@
 
 } // namespace
 
+// NOLINTNEXTLINE(readability-identifier-naming): the name is libFuzzer's
 extern "C" auto LLVMFuzzerTestOneInput(const std::uint8_t *Data, std::size_t Size) -> int {
   const auto Bytes = std::string_view(reinterpret_cast<const char *>(Data), Size);
   if (!Bytes.empty()) {
--- a/testing/standins/platform/storestandin.cpp
+++ b/testing/standins/platform/storestandin.cpp
@@ -19,6 +19,11 @@
   return End;
 }
 
+/// A member that the caller of the store always sends.
+auto member(const rapidjson::Value &Object, const char *Name) -> const rapidjson::Value & {
+  return Object.FindMember(Name)->value;
+}
+
 } // namespace
 
 StoreStandin::StoreStandin(boost::asio::io_context &Loop, int Port)
@@ -105,22 +110,22 @@
   Document.Parse(Body.c_str());
   auto Current = std::string();
   auto Holds = true;
-  for (const auto &Row : Document["expectedRevision"].GetArray()) {
-    const auto *Key = Row["key"].GetString();
+  for (const auto &Row : member(Document, "expectedRevision").GetArray()) {
+    const auto *Key = member(Row, "key").GetString();
     const auto Found = m_Store.find(Key);
-    Holds = Holds && (Found ? Found->m_ModRevision : 0) == Row["revision"].GetInt64();
+    Holds = Holds && (Found ? Found->m_ModRevision : 0) == member(Row, "revision").GetInt64();
     if (Found) {
       Current += (Current.empty() ? "" : ",") + itemText(Key);
     }
   }
   if (Holds) {
     m_Store.beginWrites();
-    for (const auto &Row : Document["writes"].GetArray()) {
+    for (const auto &Row : member(Document, "writes").GetArray()) {
       auto Value = std::string();
-      absl::Base64Unescape(Row["value"].GetString(), &Value);
-      putLocked(Row["key"].GetString(), Value);
+      absl::Base64Unescape(member(Row, "value").GetString(), &Value);
+      putLocked(member(Row, "key").GetString(), Value);
     }
-    for (const auto &Key : Document["remove"].GetArray()) {
+    for (const auto &Key : member(Document, "remove").GetArray()) {
       eraseLocked(Key.GetString());
     }
   }
