--- a/src/forwarding/forwardingcontext.h
+++ b/src/forwarding/forwardingcontext.h
@@ -15,9 +15,9 @@
 
 /// Limits of the forwarding path.
 struct ForwardingOptions {
-  /// A repeatable request is sent elsewhere if its target has not answered after this multiple of the
-  /// route's objective, or of the forecast if that is longer. Giving up earlier loses the work of
-  /// targets that are only busy.
+  /// A repeatable request is sent elsewhere if its target has not answered after this multiple of
+  /// the route's objective, or of the forecast if that is longer. Giving up earlier loses the work
+  /// of targets that are only busy.
   double m_SilenceFactor = 2.0;
   double m_ForecastFactor = 4.0;
 
