Be ready only when tokens can be granted

Since budgets are kept in parts, a fresh fleet waits 2 s until the routers are counted, and a router said that it was ready but refused every request with a budget meanwhile. Change: the readiness check waits for the records of the budgets; a fleet without budgets is not held up.

--- a/src/budget/grantbook.h
+++ b/src/budget/grantbook.h
@@ -62,6 +62,9 @@
   /// When nextCall may change without an event; nothing if only events change it.
   [[nodiscard]] auto nextWake(base::SteadyTime Now) const -> std::optional<base::SteadyTime>;
 
+  /// Whether the records have been read since the start.
+  [[nodiscard]] auto hasRead() const -> bool { return m_HasIncarnation; }
+
   /// The read that is due has been sent.
   auto onCallIssued() -> void { m_IsCalling = true; }
 
--- a/src/budget/grantservice.h
+++ b/src/budget/grantservice.h
@@ -41,6 +41,9 @@
 
   /// Returns all grants as they become free.
   auto drain() -> void;
+  /// Whether requests can be granted tokens: the records are known, or there are no budgets.
+  [[nodiscard]] auto isReady() const -> bool { return m_Prepaid.empty() || m_Book.hasRead(); }
+
   /// Into how many parts budgets are split; 1 until that is known.
   [[nodiscard]] auto parts() const -> std::int64_t { return m_Parts ? m_Parts->count() : 1; }
   [[nodiscard]] auto isDrained() const -> bool { return m_Book.isDrained(); }
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -345,7 +345,9 @@
   m_Peers.put(*Record, now());
 }
 
-auto Router::isReady() const -> bool { return m_Context.m_Table && m_IsListed && !m_IsLeaving; }
+auto Router::isReady() const -> bool {
+  return m_Context.m_Table && m_IsListed && m_Grants.isReady() && !m_IsLeaving;
+}
 
 auto Router::answerReadiness(const http1::RequestHead &Head) -> transport::DirectAnswer {
   if (Head.m_Target == "/metrics") {
