Compute the free tokens of a budget in one place; drop two unused fields

Cause: the last reading of the diff found the same expression four times in the grant book, a demand figure that nobody read, and a flag of answers that had no reader. Behaviour is unchanged.

--- a/src/budget/grantbook.h
+++ b/src/budget/grantbook.h
@@ -121,7 +121,6 @@
     Tokens m_Waiting = 0;
     double m_RatePerMs = 0.0;
     double m_MeanSize = 0.0;
-    Tokens m_Largest = 0;
     base::SteadyTime m_RateTime;
     bool m_HasDemand = false;
   };
@@ -140,6 +139,8 @@
     std::map<std::string, Tokens> m_Told;
   };
 
+  /// Tokens of the budget that no router holds.
+  [[nodiscard]] static auto freeOf(const Line &Item) -> Tokens;
   [[nodiscard]] auto held(const Line &Item) const -> Tokens;
   [[nodiscard]] auto unused(const Line &Item) const -> Tokens;
   [[nodiscard]] auto wanted(const std::string &Name, const Line &Item, base::SteadyTime Now) const
--- a/src/budget/internal/grantbook.cpp
+++ b/src/budget/internal/grantbook.cpp
@@ -63,10 +63,11 @@
 
 auto GrantBook::freeTokens(const std::string &Budget) const -> Tokens {
   const auto Found = m_Lines.find(Budget);
-  if (Found == m_Lines.end()) {
-    return 0;
-  }
-  return std::max<Tokens>(0, Found->second.m_Prepaid - Found->second.m_Pool.m_Value.m_Granted);
+  return Found == m_Lines.end() ? 0 : freeOf(Found->second);
+}
+
+auto GrantBook::freeOf(const Line &Item) -> Tokens {
+  return std::max<Tokens>(0, Item.m_Prepaid - Item.m_Pool.m_Value.m_Granted);
 }
 
 auto GrantBook::unsettledTokens(const std::string &Budget) const -> Tokens {
@@ -82,8 +83,6 @@
   Item.m_RatePerMs = Item.m_RatePerMs * Decay + Size / Window;
   Item.m_RateTime = Now;
   Item.m_MeanSize = Item.m_HasDemand ? 0.9 * Item.m_MeanSize + 0.1 * Size : Size;
-  Item.m_Largest =
-      std::max(WorstCase, static_cast<Tokens>(static_cast<double>(Item.m_Largest) * 0.95));
   Item.m_HasDemand = true;
 }
 
@@ -94,7 +93,7 @@
   }
   // A part of what is free, and of the own holding, so that holdings shrink with the free tokens:
   // the rest stays there for routers that need it now, and is not lost if all processes are killed.
-  const auto Free = std::max<Tokens>(0, Item.m_Prepaid - Item.m_Pool.m_Value.m_Granted);
+  const auto Free = freeOf(Item);
   const auto Share = static_cast<Tokens>(static_cast<double>(Free + unused(Item)) *
                                          m_Options.m_ReserveShare / static_cast<double>(m_Routers));
   const auto Decay =
@@ -108,7 +107,7 @@
 
 auto GrantBook::change(const std::string &Name, const Line &Item, base::SteadyTime Now) const
     -> Tokens {
-  const auto Free = std::max<Tokens>(0, Item.m_Prepaid - Item.m_Pool.m_Value.m_Granted);
+  const auto Free = freeOf(Item);
   const auto Have = unused(Item);
   const auto Want = wanted(Name, Item, Now);
   if (Item.m_Prepaid < Item.m_Pool.m_Value.m_Granted) {
@@ -146,7 +145,7 @@
     Done(GrantAnswer::Exhausted);
     return;
   }
-  const auto Free = std::max<Tokens>(0, Item.m_Prepaid - Item.m_Pool.m_Value.m_Granted);
+  const auto Free = freeOf(Item);
   if (!m_IsReachable || (Free + unused(Item) < WorstCase + Item.m_Waiting && !m_MustRead)) {
     Done(GrantAnswer::Unavailable);
     return;
@@ -208,7 +207,7 @@
     if (!m_IsClosed && unused(Budget) >= Item.m_WorstCase) {
       return GrantAnswer::Granted;
     }
-    const auto Free = std::max<Tokens>(0, Budget.m_Prepaid - Budget.m_Pool.m_Value.m_Granted);
+    const auto Free = freeOf(Budget);
     if (m_IsClosed || !m_IsReachable ||
         (!m_IsCalling && !m_MustRead && Free + unused(Budget) < Item.m_WorstCase)) {
       return GrantAnswer::Unavailable;
--- a/src/forwarding/requesttypes.h
+++ b/src/forwarding/requesttypes.h
@@ -63,9 +63,6 @@
   /// Another target has the address now.
   bool m_IsOtherTarget = false;
 
-  /// The target closes this connection; it may be about to leave.
-  bool m_ClosesConnection = false;
-
   /// The body is encoded although no encoding was asked for.
   bool m_IsEncoded = false;
 };
