Pass granted tokens between routers by datagram

Cause: a router whose own grant was used up refused requests while others held enough, in cuts from the store and when a budget was nearly used up. In a large fleet most requests drew on the store, and two of three draws met a newer record.

Change: TokenExchange asks another router for tokens. The giver counts them as used before it answers and the asker takes each answer once, so that no token is spent twice. Heartbeats tell what a router can pass on. In a fleet of more than 17 routers each part of a budget has one keeper that draws for all. A heartbeat of a leaving router is logged once.

--- a/src/budget/budgetparts.h
+++ b/src/budget/budgetparts.h
@@ -10,14 +10,19 @@
 
 namespace geraniumlift::budget {
 
-/// Splits each budget of a large fleet into parts with a record of their own, so that the writes of
-/// all routers do not meet at one record. Every router has one part of each budget as its home and
-/// goes to others when that is used up.
+/// Splits each budget of a large fleet into parts with a record of their own. Each part has one
+/// keeper, the router that draws on the record for all; the others ask it for tokens, so that
+/// writes seldom meet. Every router has one part of each budget as its home and goes to others when
+/// that is used up. In a small fleet there is one part, and every router draws on it.
 class BudgetParts {
 public:
-  /// Routers that share a record. Nine routers write it about nine times a second, and a write
-  /// takes 10 ms, so that one in ten meets another.
-  static constexpr std::int64_t RoutersPerPart = 9;
+  /// Up to this size nine in ten writes of a fleet meet no other one: each router writes once a
+  /// second, and a write takes 10 ms.
+  static constexpr std::int64_t LargestSmallFleet = 17;
+
+  /// Routers that one keeper serves. With more parts more of a budget is lost in remainders that
+  /// cover no request.
+  static constexpr std::int64_t RoutersPerKeeper = 24;
 
   /// The number of parts for a fleet.
   static auto countFor(std::int64_t Routers) -> std::int64_t;
@@ -40,9 +45,13 @@
   [[nodiscard]] auto split(const std::map<std::string, base::Tokens> &Prepaid) const
       -> std::map<std::string, base::Tokens>;
 
-  /// The parts that are not this router's home.
-  [[nodiscard]] auto foreignParts(const std::map<std::string, base::Tokens> &Prepaid) const
-      -> std::set<std::string>;
+  /// Whether parts have keepers.
+  [[nodiscard]] auto hasKeepers() const -> bool { return m_Count > 1; }
+
+  /// The router among those alive that keeps the part; all routers with the same list agree. Empty
+  /// if the list is.
+  [[nodiscard]] static auto keeperOf(std::string_view Part, const std::set<std::string> &Alive)
+      -> std::string;
 
 private:
   std::int64_t m_Count;
--- a/src/budget/grantbook.h
+++ b/src/budget/grantbook.h
@@ -3,6 +3,7 @@
 #include "base/random.h"
 #include "budget/granttypes.h"
 #include "budget/ibudgetgate.h"
+#include "budget/transfertypes.h"
 
 #include <deque>
 #include <functional>
@@ -46,6 +47,15 @@
   auto reserve(const std::string &Budget, Tokens WorstCase, base::SteadyTime Deadline,
                base::SteadyTime Now, Answer Done) -> void;
 
+  /// Reserves tokens if they are held.
+  auto reserveNow(const std::string &Budget, Tokens WorstCase) -> bool;
+
+  /// What can be passed on to other routers, of each budget that is kept in reserve and in demand.
+  [[nodiscard]] auto offers() const -> std::vector<BudgetOffer>;
+
+  /// Adds tokens that another router has counted as used.
+  auto receive(const std::string &Budget, Tokens Amount) -> void;
+
   /// Ends a reservation with what was used of it.
   auto settle(const std::string &Budget, Tokens WorstCase, Tokens Used, base::SteadyTime Now)
       -> void;
@@ -113,9 +123,15 @@
 
     /// The least that any write of unknown outcome would leave granted.
     std::optional<Tokens> m_GrantedAtLeast;
+
+    /// Used of what was granted.
     Tokens m_Used = 0;
     Tokens m_Reserved = 0;
 
+    /// Received from other routers and not used. They are used before the own grant, and cannot be
+    /// returned to the store, where they count as used.
+    Tokens m_Received = 0;
+
     /// Used, as the landed writes have told.
     Tokens m_Told = 0;
     Tokens m_Waiting = 0;
@@ -143,6 +159,9 @@
   [[nodiscard]] static auto freeOf(const Line &Item) -> Tokens;
   [[nodiscard]] auto held(const Line &Item) const -> Tokens;
   [[nodiscard]] auto unused(const Line &Item) const -> Tokens;
+
+  /// The part of the grant that is neither used nor needed for what is reserved.
+  [[nodiscard]] static auto unspent(const Line &Item, Tokens Granted) -> Tokens;
   [[nodiscard]] auto wanted(const std::string &Name, const Line &Item, base::SteadyTime Now) const
       -> Tokens;
   [[nodiscard]] auto change(const std::string &Name, const Line &Item, base::SteadyTime Now) const
--- a/src/budget/grantservice.h
+++ b/src/budget/grantservice.h
@@ -4,6 +4,7 @@
 #include "base/itimers.h"
 #include "budget/budgetparts.h"
 #include "budget/grantbook.h"
+#include "budget/tokenexchange.h"
 #include "keyvalue/itransactionstore.h"
 
 namespace geraniumlift::budget {
@@ -20,11 +21,13 @@
 /// Key of a router's record.
 auto keyOfHolder(std::string_view Router) -> std::string;
 
-/// Carries out what the grant book decides, with the store and the clock.
+/// Carries out what the grant book decides, with the store and the clock, and passes tokens between
+/// routers where that spares a write or serves what the own grant does not cover.
 class GrantService final : public IBudgetGate {
 public:
   GrantService(std::string Router, GrantOptions Options, keyvalue::ITransactionStore &Store,
-               base::ITimers &Timers, const base::IClock &Clock, base::IEventLog &Log);
+               ITransferLink &Link, base::ITimers &Timers, const base::IClock &Clock,
+               base::IEventLog &Log);
 
   auto reserve(const std::string &Budget, Tokens WorstCase, base::SteadyTime Deadline,
                std::function<void(Reservation)> Done) -> void override;
@@ -32,8 +35,15 @@
 
   auto setPrepaid(const std::map<std::string, Tokens> &Prepaid) -> void;
 
-  /// Number of routers in the fleet, this one included.
-  auto setRouters(std::int64_t Count) -> void;
+  /// Number of routers that may draw on budgets, and the names of those that are alive and not
+  /// leaving; this one is included in both.
+  auto setFleet(std::int64_t Drawing, std::set<std::string> Alive) -> void;
+
+  /// Takes a message of another router.
+  auto onTransfer(const TransferMessage &Message) -> void;
+
+  /// What this router can pass on, for the others.
+  [[nodiscard]] auto offers() const -> std::vector<BudgetOffer> { return m_Book.offers(); }
   auto setStoreReachable(bool IsReachable) -> void;
 
   /// Takes a changed record that a watch has shown; other keys are ignored.
@@ -56,9 +66,28 @@
 
   auto pump() -> void;
 
-  /// Asks one part of a budget after the other until one grants the tokens.
-  auto reserveFrom(std::vector<std::string> Names, std::size_t At, Tokens WorstCase,
-                   base::SteadyTime Deadline, std::function<void(Reservation)> Done) -> void;
+  /// A reservation on its way through the places where tokens may be had.
+  struct Search {
+    /// The parts of the budget, the home first.
+    std::vector<std::string> m_Parts;
+
+    /// Parts that were drawn on in the store so far.
+    std::size_t m_Drawn = 0;
+    bool m_HasAsked = false;
+    bool m_IsExhausted = false;
+    Tokens m_WorstCase = 0;
+    base::SteadyTime m_Deadline;
+    std::function<void(Reservation)> m_Done;
+  };
+
+  auto searchOn(const std::shared_ptr<Search> &Item) -> void;
+  auto draw(const std::shared_ptr<Search> &Item) -> void;
+  auto askRouters(const std::shared_ptr<Search> &Item) -> void;
+  auto endSearch(const std::shared_ptr<Search> &Item) -> void;
+  [[nodiscard]] auto keeps(const std::string &Part) const -> bool;
+  auto candidatesFor(const std::vector<std::string> &Parts, Tokens Amount) const
+      -> std::vector<TokenExchange::Candidate>;
+  auto updateKeepers() -> void;
 
   /// Creates the record that says into how many parts budgets are split, unless another router has.
   auto createLayout() -> void;
@@ -75,10 +104,13 @@
   base::ITimers &m_Timers;
   const base::IClock &m_Clock;
   base::IEventLog &m_Log;
+  ITransferLink &m_Link;
   GrantBook m_Book;
+  TokenExchange m_Exchange;
   std::map<std::string, Tokens> m_Prepaid;
   std::optional<BudgetParts> m_Parts;
   std::int64_t m_Routers = 1;
+  std::set<std::string> m_Alive;
   base::SteadyTime m_Started;
   base::TimerId m_Timer = 0;
   bool m_IsPumping = false;
--- a/src/budget/granttypes.h
+++ b/src/budget/granttypes.h
@@ -80,6 +80,9 @@
 struct GrantOptions {
   std::uint64_t m_Incarnation = 0;
 
+  /// Names the process in messages to other routers; unlike that of any earlier one on this VM.
+  std::uint64_t m_Session = 0;
+
   /// Demand that a grant covers. Cuts from the store last 7 to 9 s on the users' standard days.
   std::chrono::milliseconds m_Horizon{9000};
 
--- a/src/budget/internal/budgetparts.cpp
+++ b/src/budget/internal/budgetparts.cpp
@@ -7,7 +7,7 @@
 namespace geraniumlift::budget {
 
 auto BudgetParts::countFor(std::int64_t Routers) -> std::int64_t {
-  return std::max<std::int64_t>(1, Routers / RoutersPerPart);
+  return Routers <= LargestSmallFleet ? 1 : std::max<std::int64_t>(2, Routers / RoutersPerKeeper);
 }
 
 BudgetParts::BudgetParts(std::int64_t Count, std::string_view Router)
@@ -39,16 +39,16 @@
   return Result;
 }
 
-auto BudgetParts::foreignParts(const std::map<std::string, base::Tokens> &Prepaid) const
-    -> std::set<std::string> {
-  auto Result = std::set<std::string>();
-  for (const auto &[Budget, Amount] : Prepaid) {
-    for (auto &Name : namesOf(Budget)) {
-      Result.insert(std::move(Name));
-    }
-    Result.erase(homeOf(Budget));
+auto BudgetParts::keeperOf(std::string_view Part, const std::set<std::string> &Alive)
+    -> std::string {
+  // Rendezvous hashing: a router that leaves moves only the parts that it kept.
+  auto Best = std::pair<std::uint64_t, std::string_view>();
+  const auto Seed = XXH3_64bits(Part.data(), Part.size());
+  for (const auto &Router : Alive) {
+    const auto Score = XXH3_64bits_withSeed(Router.data(), Router.size(), Seed);
+    Best = std::max(Best, {Score, std::string_view(Router)});
   }
-  return Result;
+  return std::string(Best.second);
 }
 
 } // namespace geraniumlift::budget
--- a/src/budget/internal/grantbook.cpp
+++ b/src/budget/internal/grantbook.cpp
@@ -53,7 +53,12 @@
 }
 
 auto GrantBook::unused(const Line &Item) const -> Tokens {
-  return std::max<Tokens>(0, held(Item) - Item.m_Used - Item.m_Reserved);
+  return std::max<Tokens>(0, held(Item) + Item.m_Received - Item.m_Used - Item.m_Reserved);
+}
+
+auto GrantBook::unspent(const Line &Item, Tokens Granted) -> Tokens {
+  const auto ReservedOfGrant = std::max<Tokens>(0, Item.m_Reserved - Item.m_Received);
+  return std::max<Tokens>(0, Granted - Item.m_Used - ReservedOfGrant);
 }
 
 auto GrantBook::spendable(const std::string &Budget) const -> Tokens {
@@ -111,8 +116,7 @@
   const auto Have = unused(Item);
   const auto Want = wanted(Name, Item, Now);
   if (Item.m_Prepaid < Item.m_Pool.m_Value.m_Granted) {
-    const auto Unspent = std::max<Tokens>(0, Item.m_Granted - Item.m_Used - Item.m_Reserved);
-    return -std::min(Unspent, Item.m_Pool.m_Value.m_Granted - Item.m_Prepaid);
+    return -std::min(unspent(Item, Item.m_Granted), Item.m_Pool.m_Value.m_Granted - Item.m_Prepaid);
   }
   if (Item.m_Waiting > 0) {
     return std::min(Free, std::max<Tokens>(0, Item.m_Waiting + Want - Have));
@@ -122,7 +126,7 @@
     return std::min(Free, Want - Have);
   }
   if (static_cast<double>(Have) > Target * m_Options.m_ReturnAbove) {
-    return Want - Have;
+    return -std::min(Have - Want, unspent(Item, held(Item)));
   }
   return 0;
 }
@@ -136,8 +140,7 @@
   }
   auto &Item = Found->second;
   noteDemand(Item, WorstCase, Now);
-  if (unused(Item) >= WorstCase) {
-    Item.m_Reserved += WorstCase;
+  if (reserveNow(Budget, WorstCase)) {
     Done(GrantAnswer::Granted);
     return;
   }
@@ -154,14 +157,43 @@
   m_Waiters.push_back({Budget, WorstCase, Deadline, std::move(Done)});
 }
 
+auto GrantBook::reserveNow(const std::string &Budget, Tokens WorstCase) -> bool {
+  if (spendable(Budget) < WorstCase) {
+    return false;
+  }
+  m_Lines.at(Budget).m_Reserved += WorstCase;
+  return true;
+}
+
+auto GrantBook::offers() const -> std::vector<BudgetOffer> {
+  auto Result = std::vector<BudgetOffer>();
+  for (const auto &[Name, Item] : m_Lines) {
+    if (Item.m_HasDemand && !m_WithoutReserve.contains(Name)) {
+      Result.push_back({Name, spendable(Name) + (m_IsReachable ? freeOf(Item) : 0)});
+    }
+  }
+  return Result;
+}
+
+auto GrantBook::receive(const std::string &Budget, Tokens Amount) -> void {
+  // A budget that is gone from the configuration needs no tokens.
+  if (const auto Found = m_Lines.find(Budget); Found != m_Lines.end()) {
+    Found->second.m_Received += Amount;
+    serveWaiters();
+  }
+}
+
 auto GrantBook::settle(const std::string &Budget, Tokens WorstCase, Tokens Used, base::SteadyTime)
     -> void {
   const auto Found = m_Lines.find(Budget);
   if (Found == m_Lines.end()) {
     return;
   }
-  Found->second.m_Reserved -= WorstCase;
-  Found->second.m_Used += Used;
+  auto &Item = Found->second;
+  const auto UsedOfReceived = std::min(Item.m_Received, Used);
+  Item.m_Reserved -= WorstCase;
+  Item.m_Received -= UsedOfReceived;
+  Item.m_Used += Used - UsedOfReceived;
   serveWaiters();
 }
 
@@ -173,7 +205,7 @@
 auto GrantBook::isDrained() const -> bool {
   return m_IsClosed ||
          (!m_IsCalling && std::all_of(m_Lines.begin(), m_Lines.end(), [this](const auto &Item) {
-           return unused(Item.second) == 0;
+           return unspent(Item.second, held(Item.second)) == 0;
          }));
 }
 
--- a/src/budget/internal/grantservice.cpp
+++ b/src/budget/internal/grantservice.cpp
@@ -14,8 +14,13 @@
 /// Until this time after the start the other routers register, so that their number is known.
 constexpr auto LayoutDelay = std::chrono::milliseconds(2000);
 
-/// Parts of a budget that are asked for one request. Each may cost a write.
-constexpr auto MaxPartsAsked = std::size_t{3};
+/// Parts of a budget that are drawn on for one request. Each may cost a write.
+constexpr auto MaxPartsDrawn = std::size_t{3};
+
+/// Routers that a keeper counts as sharing a part when it bounds its reserve by their even share.
+/// With two it holds a little over half of what nobody has used, as all routers of a small fleet do
+/// together.
+constexpr auto SharersOfKeptPart = std::int64_t{2};
 
 } // namespace
 
@@ -28,10 +33,26 @@
 }
 
 GrantService::GrantService(std::string Router, GrantOptions Options,
-                           keyvalue::ITransactionStore &Store, base::ITimers &Timers,
-                           const base::IClock &Clock, base::IEventLog &Log)
+                           keyvalue::ITransactionStore &Store, ITransferLink &Link,
+                           base::ITimers &Timers, const base::IClock &Clock, base::IEventLog &Log)
     : m_Router(std::move(Router)), m_Store(Store), m_Timers(Timers), m_Clock(Clock), m_Log(Log),
-      m_Book(Options), m_Started(Clock.steadyNow()) {}
+      m_Link(Link), m_Book(Options),
+      m_Exchange(m_Router, Options.m_Session, Link, Timers, Clock, Log), m_Alive({m_Router}),
+      m_Started(Clock.steadyNow()) {
+  m_Exchange.setGrants(
+      [this](const std::string &Part, Tokens Amount, base::SteadyTime Deadline,
+             std::function<void(Tokens)> Done) {
+        m_Book.reserve(Part, Amount, Deadline, m_Clock.steadyNow(),
+                       [this, Part, Amount, Done = std::move(Done)](GrantAnswer Answer) {
+                         const auto IsGranted = Answer == GrantAnswer::Granted;
+                         if (IsGranted) {
+                           m_Book.settle(Part, Amount, Amount, m_Clock.steadyNow());
+                         }
+                         Done(IsGranted ? Amount : 0);
+                       });
+      },
+      [this](const std::string &Into, Tokens Amount) { m_Book.receive(Into, Amount); });
+}
 
 auto GrantService::reserve(const std::string &Budget, Tokens WorstCase, base::SteadyTime Deadline,
                            std::function<void(Reservation)> Done) -> void {
@@ -39,37 +60,104 @@
     Done({GrantAnswer::Unavailable, {}});
     return;
   }
-  auto Names = m_Parts->namesOf(Budget);
+  auto Item = std::make_shared<Search>();
+  Item->m_Parts = m_Parts->namesOf(Budget);
   // After the home, the part with the most free tokens is the likeliest to have enough.
-  std::stable_sort(Names.begin() + 1, Names.end(), [this](const auto &Left, const auto &Right) {
-    return m_Book.freeTokens(Left) > m_Book.freeTokens(Right);
-  });
-  reserveFrom(std::move(Names), 0, WorstCase, Deadline, std::move(Done));
+  std::stable_sort(Item->m_Parts.begin() + 1, Item->m_Parts.end(),
+                   [this](const auto &Left, const auto &Right) {
+                     return m_Book.freeTokens(Left) > m_Book.freeTokens(Right);
+                   });
+  Item->m_WorstCase = WorstCase;
+  Item->m_Deadline = Deadline;
+  Item->m_Done = std::move(Done);
+  searchOn(Item);
   pump();
 }
 
-auto GrantService::reserveFrom(std::vector<std::string> Names, std::size_t At, Tokens WorstCase,
-                               base::SteadyTime Deadline, std::function<void(Reservation)> Done)
-    -> void {
-  const auto Name = Names[At];
-  auto OnAnswer = [this, Names = std::move(Names), At, WorstCase, Deadline,
-                   Done = std::move(Done)](GrantAnswer Answer) mutable {
-    if (Answer == GrantAnswer::Granted) {
-      Done({Answer, Names[At]});
-      return;
+auto GrantService::keeps(const std::string &Part) const -> bool {
+  return !m_Parts->hasKeepers() || BudgetParts::keeperOf(Part, m_Alive) == m_Router;
+}
+
+auto GrantService::searchOn(const std::shared_ptr<Search> &Item) -> void {
+  const auto &Home = Item->m_Parts.front();
+  if (m_Clock.steadyNow() >= Item->m_Deadline) {
+    endSearch(Item);
+  } else if (Item->m_Drawn == 0 && !keeps(Home) && m_Book.reserveNow(Home, Item->m_WorstCase)) {
+    Item->m_Done({GrantAnswer::Granted, Home});
+  } else if (!Item->m_HasAsked && !Item->m_IsExhausted && (Item->m_Drawn > 0 || !keeps(Home))) {
+    Item->m_HasAsked = true;
+    askRouters(Item);
+  } else if (Item->m_Drawn < std::min(Item->m_Parts.size(), MaxPartsDrawn)) {
+    draw(Item);
+  } else {
+    endSearch(Item);
+  }
+}
+
+auto GrantService::draw(const std::shared_ptr<Search> &Item) -> void {
+  const auto Part = Item->m_Parts[Item->m_Drawn++];
+  m_Book.reserve(Part, Item->m_WorstCase, Item->m_Deadline, m_Clock.steadyNow(),
+                 [this, Item, Part](GrantAnswer Answer) {
+                   if (Answer == GrantAnswer::Granted) {
+                     Item->m_Done({Answer, Part});
+                     return;
+                   }
+                   auto Left = Tokens{0};
+                   for (const auto &Name : Item->m_Parts) {
+                     Left += m_Book.unsettledTokens(Name);
+                   }
+                   Item->m_IsExhausted =
+                       Answer == GrantAnswer::Exhausted && Left < Item->m_WorstCase;
+                   searchOn(Item);
+                 });
+}
+
+auto GrantService::candidatesFor(const std::vector<std::string> &Parts, Tokens Amount) const
+    -> std::vector<TokenExchange::Candidate> {
+  auto Result = std::vector<TokenExchange::Candidate>();
+  for (const auto &Part : Parts) {
+    const auto Offers = m_Link.offersOf(Part);
+    for (const auto &Offer : Offers) {
+      if (Offer.m_Available >= Amount) {
+        Result.push_back({Offer.m_Router, Part});
+      }
     }
-    if (At + 1 < std::min(Names.size(), MaxPartsAsked) && m_Clock.steadyNow() < Deadline) {
-      reserveFrom(std::move(Names), At + 1, WorstCase, Deadline, std::move(Done));
-      return;
+    if (!m_Parts->hasKeepers()) {
+      continue;
     }
-    auto Left = Tokens{0};
-    for (const auto &Part : Names) {
-      Left += m_Book.unsettledTokens(Part);
+    // A keeper offers nothing before it has seen demand.
+    const auto Keeper = BudgetParts::keeperOf(Part, m_Alive);
+    const auto HasOffered = std::any_of(Offers.begin(), Offers.end(), [&Keeper](const auto &Offer) {
+      return Offer.m_Router == Keeper;
+    });
+    if (!HasOffered && Keeper != m_Router) {
+      Result.push_back({Keeper, Part});
     }
-    const auto IsExhausted = Answer == GrantAnswer::Exhausted && Left < WorstCase;
-    Done({IsExhausted ? GrantAnswer::Exhausted : GrantAnswer::Unavailable, {}});
-  };
-  m_Book.reserve(Name, WorstCase, Deadline, m_Clock.steadyNow(), std::move(OnAnswer));
+  }
+  return Result;
+}
+
+auto GrantService::askRouters(const std::shared_ptr<Search> &Item) -> void {
+  const auto &Home = Item->m_Parts.front();
+  const auto Missing = Item->m_WorstCase - m_Book.spendable(Home);
+  m_Exchange.ask(candidatesFor(Item->m_Parts, Missing), Home, Missing, Item->m_Deadline,
+                 [this, Item, Home](Tokens Received) {
+                   m_Book.receive(Home, Received);
+                   if (m_Book.reserveNow(Home, Item->m_WorstCase)) {
+                     Item->m_Done({GrantAnswer::Granted, Home});
+                     return;
+                   }
+                   searchOn(Item);
+                 });
+}
+
+auto GrantService::endSearch(const std::shared_ptr<Search> &Item) -> void {
+  Item->m_Done({Item->m_IsExhausted ? GrantAnswer::Exhausted : GrantAnswer::Unavailable, {}});
+}
+
+auto GrantService::onTransfer(const TransferMessage &Message) -> void {
+  m_Exchange.onMessage(Message);
+  pump();
 }
 
 auto GrantService::settle(const std::string &Source, Tokens WorstCase, Tokens Used) -> void {
@@ -87,13 +175,31 @@
   // Until the parts are known, the budgets' own names keep the book reading.
   const auto Parts = m_Parts.value_or(BudgetParts(1, m_Router));
   m_Book.setPrepaid(Parts.split(m_Prepaid), m_Clock.steadyNow());
-  m_Book.setWithoutReserve(Parts.foreignParts(m_Prepaid));
+  updateKeepers();
 }
 
-auto GrantService::setRouters(std::int64_t Count) -> void {
-  m_Routers = std::max<std::int64_t>(1, Count);
-  const auto Parts = m_Parts ? m_Parts->count() : 1;
-  m_Book.setRouters((m_Routers + Parts - 1) / Parts, m_Routers);
+auto GrantService::setFleet(std::int64_t Drawing, std::set<std::string> Alive) -> void {
+  m_Routers = std::max<std::int64_t>(1, Drawing);
+  Alive.insert(m_Router);
+  const auto HasChanged = Alive != m_Alive;
+  m_Alive = std::move(Alive);
+  m_Book.setRouters(m_Parts && m_Parts->hasKeepers() ? SharersOfKeptPart : m_Routers, m_Routers);
+  if (HasChanged) {
+    updateKeepers();
+    pump();
+  }
+}
+
+auto GrantService::updateKeepers() -> void {
+  auto Foreign = std::set<std::string>();
+  if (m_Parts && m_Parts->hasKeepers()) {
+    for (const auto &Item : m_Parts->split(m_Prepaid)) {
+      if (!keeps(Item.first)) {
+        Foreign.insert(Item.first);
+      }
+    }
+  }
+  m_Book.setWithoutReserve(std::move(Foreign));
 }
 
 auto GrantService::takeLayout(const std::vector<keyvalue::KeyValue> &Items) -> void {
@@ -110,7 +216,7 @@
     m_Parts.emplace(*Count, m_Router);
     m_Log.record(base::LogLevel::Info, "budget_layout_known", {{"parts", *Count}});
     applyPrepaid();
-    setRouters(m_Routers);
+    setFleet(m_Routers, m_Alive);
   }
 }
 
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -32,6 +32,15 @@
   std::uint16_t m_Active = 0;
 };
 
+/// Tokens of a budget that a router can pass on.
+struct ReportedBudget {
+  /// Hash of the budget's name, or of that of its part.
+  std::uint32_t m_Budget = 0;
+
+  /// No more than fit into 32 bits are told.
+  std::uint32_t m_Available = 0;
+};
+
 /// What a router tells the others several times a second.
 struct Heartbeat {
   std::string m_Router;
@@ -43,6 +52,7 @@
 
   /// Targets without load are left out.
   std::vector<ReportedLoad> m_Loads;
+  std::vector<ReportedBudget> m_Budgets;
 };
 
 /// Prefix of the routers' records in the store.
@@ -58,7 +68,7 @@
 /// InvalidArgument if the bytes are no heartbeat. Accepts any input.
 auto decodeHeartbeat(std::string_view Bytes) -> absl::StatusOr<Heartbeat>;
 
-/// The short form of a target's ID in heartbeats.
-auto hashOfTarget(std::string_view Id) -> std::uint32_t;
+/// The short form of the name of a target or budget in heartbeats.
+auto hashOfName(std::string_view Name) -> std::uint32_t;
 
 } // namespace geraniumlift::fleet
--- a/src/fleet/internal/fleetcodec.cpp
+++ b/src/fleet/internal/fleetcodec.cpp
@@ -23,16 +23,36 @@
   Data(Load.m_Target, Load.m_WaitingTokens, Load.m_Active);
 }
 
+template <typename Archive>
+auto serialize(Archive &Data, ReportedBudget &Budget) -> void {
+  Data(Budget.m_Budget, Budget.m_Available);
+}
+
 template <typename Archive>
 auto serialize(Archive &Data, Heartbeat &Message) -> void {
   Data(Message.m_Router, Message.m_Incarnation, Message.m_Sequence, Message.m_IsLeaving,
-       Message.m_Loads);
+       Message.m_Loads, Message.m_Budgets);
 }
 
 namespace {
 
-/// A fleet has far fewer targets than this; more means that the bytes are no heartbeat.
-constexpr auto MaxLoads = std::size_t{4096};
+/// A fleet has far fewer targets and a router tells far fewer budgets than this; more means that
+/// the bytes are no heartbeat.
+constexpr auto MaxEntries = cereal::size_type{4096};
+
+/// The size is checked before memory is taken, since the bytes come from the network.
+template <typename Archive, typename Entry>
+auto readEntries(Archive &Data, std::vector<Entry> &Into) -> void {
+  auto Count = cereal::size_type{0};
+  Data(cereal::make_size_tag(Count));
+  if (Count > MaxEntries) {
+    throw cereal::Exception("too many entries");
+  }
+  Into.resize(Count);
+  for (auto &Item : Into) {
+    Data(Item);
+  }
+}
 
 } // namespace
 
@@ -76,22 +96,17 @@
     }
     Message.m_Router.resize(NameSize);
     Archive(cereal::binary_data(Message.m_Router.data(), NameSize));
-    auto Count = cereal::size_type{0};
     Archive(Message.m_Incarnation, Message.m_Sequence, Message.m_IsLeaving);
-    Archive(cereal::make_size_tag(Count));
-    if (Count > MaxLoads) {
-      return absl::InvalidArgumentError("too many targets");
-    }
-    Message.m_Loads.resize(Count);
-    for (auto &Load : Message.m_Loads) {
-      Archive(Load);
-    }
+    readEntries(Archive, Message.m_Loads);
+    readEntries(Archive, Message.m_Budgets);
     return Message;
   } catch (const std::exception &Error) {
     return absl::InvalidArgumentError(Error.what());
   }
 }
 
-auto hashOfTarget(std::string_view Id) -> std::uint32_t { return XXH32(Id.data(), Id.size(), 0); }
+auto hashOfName(std::string_view Name) -> std::uint32_t {
+  return XXH32(Name.data(), Name.size(), 0);
+}
 
 } // namespace geraniumlift::fleet
--- a/src/fleet/internal/peertable.cpp
+++ b/src/fleet/internal/peertable.cpp
@@ -1,5 +1,7 @@
 #include "fleet/peertable.h"
 
+#include <algorithm>
+
 namespace geraniumlift::fleet {
 
 auto PeerTable::put(const RouterRecord &Record, base::SteadyTime Now) -> void {
@@ -15,7 +17,9 @@
 
 auto PeerTable::noteHeartbeat(const Heartbeat &Message, base::SteadyTime Now) -> bool {
   auto &Item = m_Peers[Message.m_Router];
-  const auto WasAlive = Item.m_WasHeard && isAlive(Item, Now) && !Item.m_IsLeaving;
+  const auto IsChange = !Item.m_WasHeard || !isAlive(Item, Now) ||
+                        Item.m_IsLeaving != Message.m_IsLeaving ||
+                        Item.m_Incarnation != Message.m_Incarnation;
   if (Message.m_Incarnation < Item.m_Incarnation ||
       (Message.m_Incarnation == Item.m_Incarnation && Message.m_Sequence < Item.m_Sequence)) {
     // The time of day may go back across a restart; a long silence shows that it did.
@@ -32,7 +36,11 @@
   for (const auto &Load : Message.m_Loads) {
     Item.m_Loads[Load.m_Target] = Load;
   }
-  return !WasAlive;
+  Item.m_Budgets.clear();
+  for (const auto &Budget : Message.m_Budgets) {
+    Item.m_Budgets[Budget.m_Budget] = Budget.m_Available;
+  }
+  return IsChange;
 }
 
 auto PeerTable::isAlive(const Peer &Item, base::SteadyTime Now) const -> bool {
@@ -44,7 +52,7 @@
 auto PeerTable::loadOfOthers(std::string_view TargetId, base::SteadyTime Now) const
     -> forwarding::TargetLoad {
   auto Sum = forwarding::TargetLoad();
-  const auto Hash = hashOfTarget(TargetId);
+  const auto Hash = hashOfName(TargetId);
   for (const auto &[Name, Item] : m_Peers) {
     const auto Found = Item.m_Loads.find(Hash);
     if (Name != m_Options.m_Self && Found != Item.m_Loads.end() && isAlive(Item, Now)) {
@@ -55,6 +63,42 @@
   return Sum;
 }
 
+auto PeerTable::offersOf(std::string_view Budget, base::SteadyTime Now) const
+    -> std::vector<Offer> {
+  auto Result = std::vector<Offer>();
+  const auto Hash = hashOfName(Budget);
+  for (const auto &[Name, Item] : m_Peers) {
+    const auto Found = Item.m_Budgets.find(Hash);
+    if (Found != Item.m_Budgets.end() && isUsable(Name, Item, Now)) {
+      Result.push_back({Name, static_cast<base::Tokens>(Found->second)});
+    }
+  }
+  std::stable_sort(Result.begin(), Result.end(), [](const auto &Left, const auto &Right) {
+    return Left.m_Available > Right.m_Available;
+  });
+  return Result;
+}
+
+auto PeerTable::aliveRouters(base::SteadyTime Now) const -> std::set<std::string> {
+  auto Result = std::set<std::string>();
+  for (const auto &[Name, Item] : m_Peers) {
+    if (isUsable(Name, Item, Now)) {
+      Result.insert(Name);
+    }
+  }
+  return Result;
+}
+
+auto PeerTable::isUsable(const std::string &Name, const Peer &Item, base::SteadyTime Now) const
+    -> bool {
+  return Name != m_Options.m_Self && Item.m_HasRecord && !Item.m_IsLeaving && isAlive(Item, Now);
+}
+
+auto PeerTable::recordOf(const std::string &Router) const -> const RouterRecord * {
+  const auto Found = m_Peers.find(Router);
+  return Found == m_Peers.end() || !Found->second.m_HasRecord ? nullptr : &Found->second.m_Record;
+}
+
 auto PeerTable::others() const -> std::vector<RouterRecord> {
   auto Result = std::vector<RouterRecord>();
   for (const auto &[Name, Item] : m_Peers) {
@@ -76,8 +120,8 @@
   return Count;
 }
 
-auto PeerTable::callerAddresses(std::string_view /*DataCentre*/, bool IsSelfLeaving,
-                                base::SteadyTime Now) const -> std::vector<std::string> {
+auto PeerTable::callerAddresses(bool IsSelfLeaving, base::SteadyTime Now) const
+    -> std::vector<std::string> {
   auto Alive = std::vector<std::string>();
   auto Silent = std::vector<std::string>();
   auto Others = std::size_t{0};
--- a/src/fleet/peertable.h
+++ b/src/fleet/peertable.h
@@ -3,6 +3,7 @@
 #include "fleet/fleettypes.h"
 
 #include <map>
+#include <set>
 
 namespace geraniumlift::fleet {
 
@@ -45,17 +46,33 @@
   [[nodiscard]] auto loadOfOthers(std::string_view TargetId, base::SteadyTime Now) const
       -> forwarding::TargetLoad;
 
+  /// What the other routers have reported lately that they can pass on of a budget.
+  struct Offer {
+    std::string m_Router;
+    base::Tokens m_Available = 0;
+  };
+
+  /// The largest offer first.
+  [[nodiscard]] auto offersOf(std::string_view Budget, base::SteadyTime Now) const
+      -> std::vector<Offer>;
+
+  /// The other routers that are alive and not leaving.
+  [[nodiscard]] auto aliveRouters(base::SteadyTime Now) const -> std::set<std::string>;
+
+  /// The record of a router, if it is known.
+  [[nodiscard]] auto recordOf(const std::string &Router) const -> const RouterRecord *;
+
   /// The other routers, to send heartbeats to.
   [[nodiscard]] auto others() const -> std::vector<RouterRecord>;
 
   /// Routers that may draw on budgets, this one included.
   [[nodiscard]] auto routersDrawing(base::SteadyTime Now) const -> std::int64_t;
 
-  /// Addresses for callers of the data centre: those of routers that are alive and not leaving,
+  /// Addresses for callers: those of routers that are alive and not leaving,
   /// with this router's own unless it is leaving. A router that hears less than half of the others
   /// is more likely cut off itself than the last one alive, and tells all addresses.
-  [[nodiscard]] auto callerAddresses(std::string_view DataCentre, bool IsSelfLeaving,
-                                     base::SteadyTime Now) const -> std::vector<std::string>;
+  [[nodiscard]] auto callerAddresses(bool IsSelfLeaving, base::SteadyTime Now) const
+      -> std::vector<std::string>;
 
 private:
   struct Peer {
@@ -68,10 +85,15 @@
     std::uint64_t m_Incarnation = 0;
     std::uint32_t m_Sequence = 0;
     std::map<std::uint32_t, ReportedLoad> m_Loads;
+    std::map<std::uint32_t, std::uint32_t> m_Budgets;
   };
 
   [[nodiscard]] auto isAlive(const Peer &Item, base::SteadyTime Now) const -> bool;
 
+  /// Whether the router is another one that is alive and not leaving.
+  [[nodiscard]] auto isUsable(const std::string &Name, const Peer &Item, base::SteadyTime Now) const
+      -> bool;
+
   PeerOptions m_Options;
   std::map<std::string, Peer> m_Peers;
 };
--- /dev/null
+++ b/src/router/internal/peerlink.cpp
@@ -0,0 +1,28 @@
+#include "router/internal/peerlink.h"
+
+namespace geraniumlift::router {
+
+auto PeerLink::offersOf(const std::string &Budget) const -> std::vector<budget::RouterOffer> {
+  auto Result = std::vector<budget::RouterOffer>();
+  for (auto &Offer : m_Peers.offersOf(Budget, m_Clock.steadyNow())) {
+    Result.push_back({std::move(Offer.m_Router), Offer.m_Available});
+  }
+  return Result;
+}
+
+auto PeerLink::send(const std::string &Router, const budget::TransferMessage &Message) -> void {
+  // A router whose record is gone has left; the sender counts the message as lost.
+  if (const auto *Record = m_Peers.recordOf(Router)) {
+    m_Socket.send(Record->m_PeerAddress, Record->m_PeerPort,
+                  static_cast<char>(DatagramKind::Transfer) + encodeTransfer(Message));
+  }
+}
+
+auto PeerLink::broadcast(const fleet::Heartbeat &Message) -> void {
+  const auto Bytes = static_cast<char>(DatagramKind::Heartbeat) + encodeHeartbeat(Message);
+  for (const auto &Peer : m_Peers.others()) {
+    m_Socket.send(Peer.m_PeerAddress, Peer.m_PeerPort, Bytes);
+  }
+}
+
+} // namespace geraniumlift::router
--- /dev/null
+++ b/src/router/internal/peerlink.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "base/iclock.h"
+#include "budget/itransferlink.h"
+#include "fleet/peertable.h"
+#include "transport/datagramsocket.h"
+
+namespace geraniumlift::router {
+
+/// First byte of a datagram between routers.
+enum class DatagramKind : char { Heartbeat = 'H', Transfer = 'T' };
+
+/// Datagrams to the other routers.
+class PeerLink final : public budget::ITransferLink {
+public:
+  PeerLink(const fleet::PeerTable &Peers, transport::DatagramSocket &Socket,
+           const base::IClock &Clock)
+      : m_Peers(Peers), m_Socket(Socket), m_Clock(Clock) {}
+
+  [[nodiscard]] auto offersOf(const std::string &Budget) const
+      -> std::vector<budget::RouterOffer> override;
+  auto send(const std::string &Router, const budget::TransferMessage &Message) -> void override;
+
+  /// Sends to all other routers.
+  auto broadcast(const fleet::Heartbeat &Message) -> void;
+
+private:
+  const fleet::PeerTable &m_Peers;
+  transport::DatagramSocket &m_Socket;
+  const base::IClock &m_Clock;
+};
+
+} // namespace geraniumlift::router
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -16,6 +16,9 @@
 /// Heartbeats that a router sends in one period at the most; larger fleets send less often.
 constexpr auto HeartbeatsPerPeriod = std::int64_t{72};
 
+/// Budgets in one heartbeat at the most, so that it fits into one packet.
+constexpr auto MaxOffers = std::size_t{64};
+
 /// Heartbeats that may be lost before a router counts as silent.
 constexpr auto LostHeartbeats = 7;
 
@@ -55,11 +58,18 @@
   return Options;
 }
 
-auto grantOptions(const RouterSettings &Settings, std::uint64_t Incarnation)
-    -> budget::GrantOptions {
+auto seedOf(const RouterSettings &Settings, std::uint64_t Incarnation) -> std::uint64_t {
+  return Incarnation ^ std::hash<std::string>()(Settings.m_Vm);
+}
+
+auto grantOptions(const RouterSettings &Settings, std::uint64_t Incarnation,
+                  base::SteadyTime Started) -> budget::GrantOptions {
   auto Options = budget::GrantOptions();
-  Options.m_Seed = Incarnation ^ std::hash<std::string>()(Settings.m_Vm);
+  Options.m_Seed = seedOf(Settings, Incarnation);
   Options.m_Incarnation = Incarnation;
+  // The time of day alone may repeat if it was set back.
+  Options.m_Session =
+      Options.m_Seed ^ (static_cast<std::uint64_t>(Started.time_since_epoch().count()) << 20U);
   return Options;
 }
 
@@ -103,10 +113,13 @@
 } // namespace
 
 Router::Router(RouterParts Parts, RouterSettings Settings)
-    : m_Parts(Parts), m_Settings(std::move(Settings)), m_Peers(peerOptions(m_Settings)),
-      m_Targets(forwarding::HealthOptions()), m_TargetDirectory(m_Targets, Parts.m_Log),
-      m_Grants(m_Settings.m_Vm, grantOptions(m_Settings, incarnationOf(Parts.m_Clock)),
-               Parts.m_Store, Parts.m_Timers, Parts.m_Clock, Parts.m_Log),
+    : m_Parts(Parts), m_Settings(std::move(Settings)), m_Incarnation(incarnationOf(Parts.m_Clock)),
+      m_Peers(peerOptions(m_Settings)),
+      m_PeerSocket(Parts.m_Loop, [this](std::string_view Bytes) { onDatagram(Bytes); }),
+      m_PeerLink(m_Peers, m_PeerSocket, Parts.m_Clock), m_Targets(forwarding::HealthOptions()),
+      m_TargetDirectory(m_Targets, Parts.m_Log),
+      m_Grants(m_Settings.m_Vm, grantOptions(m_Settings, m_Incarnation, Parts.m_Clock.steadyNow()),
+               Parts.m_Store, m_PeerLink, Parts.m_Timers, Parts.m_Clock, Parts.m_Log),
       m_Placement(placementOptions(m_Settings),
                   [this](const forwarding::TargetRecord &Target) {
                     return m_Peers.loadOfOthers(Target.m_Id, now());
@@ -122,14 +135,10 @@
                 m_Targets,
                 m_Placement,
                 forwardingOptions(m_Settings),
-                base::RandomEngine(incarnationOf(Parts.m_Clock) ^
-                                   std::hash<std::string>()(m_Settings.m_Vm))},
+                base::RandomEngine(seedOf(m_Settings, m_Incarnation))},
       m_CallerServer(Parts.m_Loop, Parts.m_Timers, serverOptions(m_Settings)),
       m_ReadinessServer(Parts.m_Loop, Parts.m_Timers, transport::ServerOptions{64}),
-      m_DirectoryServer(Parts.m_Loop, Parts.m_Timers, transport::ServerOptions{512}),
-      m_PeerSocket(Parts.m_Loop, [this](std::string_view Bytes) { onDatagram(Bytes); }),
-
-      m_Incarnation(incarnationOf(Parts.m_Clock)) {}
+      m_DirectoryServer(Parts.m_Loop, Parts.m_Timers, transport::ServerOptions{512}) {}
 
 auto Router::start() -> absl::Status {
   const auto Directory = [this](const http1::RequestHead &Head) { return answerDirectory(Head); };
@@ -361,11 +370,10 @@
 }
 
 auto Router::answerDirectory(const http1::RequestHead &Head) -> transport::DirectAnswer {
-  const auto DataCentre = m_Parts.m_Directory.askedDataCentre(Head);
-  if (!DataCentre) {
+  if (!m_Parts.m_Directory.asksDirectory(Head)) {
     return {404, "Not Found", "application/json", "{}"};
   }
-  const auto Addresses = m_Peers.callerAddresses(*DataCentre, m_IsLeaving || !isReady(), now());
+  const auto Addresses = m_Peers.callerAddresses(m_IsLeaving || !isReady(), now());
   if (Addresses.empty()) {
     return {503, "Service Unavailable", "application/json", "{}"};
   }
@@ -375,7 +383,7 @@
 
 auto Router::beat() -> void {
   const auto Routers = m_Peers.routersDrawing(now());
-  m_Grants.setRouters(Routers);
+  m_Grants.setFleet(Routers, m_Peers.aliveRouters(now()));
   updateRetryBudgets();
   m_TargetDirectory.sweep(now());
   if (m_FollowsBudgets && m_Grants.parts() > 1) {
@@ -396,22 +404,51 @@
   for (const auto &[Id, State] : m_Targets.all()) {
     const auto &Load = State.ownLoad();
     if (Load.m_Active > 0) {
-      Message.m_Loads.push_back({fleet::hashOfTarget(Id),
+      Message.m_Loads.push_back({fleet::hashOfName(Id),
                                  static_cast<std::uint32_t>(Load.m_WaitingTokens),
                                  static_cast<std::uint16_t>(Load.m_Active)});
     }
   }
-  const auto Bytes = encodeHeartbeat(Message);
-  for (const auto &Peer : m_Peers.others()) {
-    m_PeerSocket.send(Peer.m_PeerAddress, Peer.m_PeerPort, Bytes);
+  for (const auto &Offer : m_Grants.offers()) {
+    if (Message.m_Budgets.size() < MaxOffers) {
+      Message.m_Budgets.push_back(
+          {fleet::hashOfName(Offer.m_Budget),
+           static_cast<std::uint32_t>(std::min<base::Tokens>(Offer.m_Available, UINT32_MAX))});
+    }
   }
+  m_PeerLink.broadcast(Message);
 }
 
 auto Router::onDatagram(std::string_view Bytes) -> void {
+  switch (Bytes.empty() ? DatagramKind() : static_cast<DatagramKind>(Bytes.front())) {
+  case DatagramKind::Heartbeat:
+    onHeartbeat(Bytes.substr(1));
+    return;
+  case DatagramKind::Transfer:
+    onTransfer(Bytes.substr(1));
+    return;
+  }
+  m_Parts.m_Log.record(base::LogLevel::Warning, "datagram_unreadable",
+                       {{"reason", "unknown kind"}, {"bytes", Bytes.size()}});
+}
+
+auto Router::onTransfer(std::string_view Bytes) -> void {
+  const auto Message = budget::decodeTransfer(Bytes);
+  if (!Message.ok()) {
+    m_Parts.m_Log.record(
+        base::LogLevel::Warning, "datagram_unreadable",
+        {{"reason", std::string(Message.status().message())}, {"bytes", Bytes.size()}});
+    return;
+  }
+  m_Grants.onTransfer(*Message);
+}
+
+auto Router::onHeartbeat(std::string_view Bytes) -> void {
   const auto Message = fleet::decodeHeartbeat(Bytes);
   if (!Message.ok()) {
-    m_Parts.m_Log.record(base::LogLevel::Warning, "heartbeat_unreadable",
-                         {{"reason", std::string(Message.status().message())}});
+    m_Parts.m_Log.record(
+        base::LogLevel::Warning, "datagram_unreadable",
+        {{"reason", std::string(Message.status().message())}, {"bytes", Bytes.size()}});
     return;
   }
   if (Message->m_Router != m_Settings.m_Vm && m_Peers.noteHeartbeat(*Message, now())) {
--- a/src/router/istoredocuments.h
+++ b/src/router/istoredocuments.h
@@ -36,9 +36,8 @@
 public:
   virtual ~IDirectoryDialect() = default;
 
-  /// Whether the request asks for addresses, and from which data centre.
-  [[nodiscard]] virtual auto askedDataCentre(const http1::RequestHead &Head) const
-      -> std::optional<std::string> = 0;
+  /// Whether the request asks for the routers' addresses.
+  [[nodiscard]] virtual auto asksDirectory(const http1::RequestHead &Head) const -> bool = 0;
   [[nodiscard]] virtual auto addressDocument(const std::vector<std::string> &Addresses,
                                              std::chrono::milliseconds TimeToLive) const
       -> std::string = 0;
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -4,6 +4,7 @@
 #include "fleet/peertable.h"
 #include "forwarding/targetdirectory.h"
 #include "keyvalue/storefollower.h"
+#include "router/internal/peerlink.h"
 #include "router/internal/requestmetrics.h"
 #include "router/istoredocuments.h"
 #include "router/routersettings.h"
@@ -66,6 +67,8 @@
   auto beat() -> void;
   auto sendHeartbeats() -> void;
   auto onDatagram(std::string_view Bytes) -> void;
+  auto onHeartbeat(std::string_view Bytes) -> void;
+  auto onTransfer(std::string_view Bytes) -> void;
   auto answerDirectory(const http1::RequestHead &Head) -> transport::DirectAnswer;
   auto answerReadiness(const http1::RequestHead &Head) -> transport::DirectAnswer;
   [[nodiscard]] auto isReady() const -> bool;
@@ -75,7 +78,10 @@
 
   RouterParts m_Parts;
   RouterSettings m_Settings;
+  std::uint64_t m_Incarnation;
   fleet::PeerTable m_Peers;
+  transport::DatagramSocket m_PeerSocket;
+  PeerLink m_PeerLink;
   forwarding::TargetTable m_Targets;
   forwarding::TargetDirectory m_TargetDirectory;
   budget::GrantService m_Grants;
@@ -86,7 +92,6 @@
   transport::CallerServer m_CallerServer;
   transport::CallerServer m_ReadinessServer;
   transport::CallerServer m_DirectoryServer;
-  transport::DatagramSocket m_PeerSocket;
   std::vector<std::unique_ptr<keyvalue::StoreFollower>> m_Followers;
   bool m_FollowsBudgets = true;
   bool m_IsListed = false;
@@ -95,7 +100,6 @@
   bool m_IsRegistering = false;
   bool m_IsDrainingGrants = false;
   std::uint32_t m_HeartbeatSequence = 0;
-  std::uint64_t m_Incarnation;
   base::SteadyTime m_StopBegan;
   std::function<void()> m_Stopped;
 };
