Return the grants of a stopping router early; count only granted demand

Routers that were stopped kept their whole reserve until their last stream ended and were killed with it (grants_returned=false in three of eight stops). Reserves were also sized by refused requests, which come back, so that a kill stranded a fifth of a budget.

Change: a router returns what it does not need as soon as it takes no more requests, and repeats a return that met another write at once. Demand is counted where tokens are granted, not for refusals and not twice for tokens that were passed on. Share of the free tokens held in reserve 1.2 to 0.9.

The new test of a stopping router fails on the earlier code.

--- a/src/budget/grantbook.h
+++ b/src/budget/grantbook.h
@@ -48,10 +48,14 @@
                base::SteadyTime Now, Answer Done) -> void;
 
   /// Reserves tokens if they are held.
-  auto reserveNow(const std::string &Budget, Tokens WorstCase) -> bool;
+  auto reserveNow(const std::string &Budget, Tokens WorstCase, base::SteadyTime Now) -> bool;
 
-  /// What can be passed on to other routers, of each budget that is kept in reserve and in demand.
-  [[nodiscard]] auto offers() const -> std::vector<BudgetOffer>;
+  /// Counts tokens as used if they are held. This is no demand of this router's own callers.
+  auto withdraw(const std::string &Budget, Tokens Amount) -> bool;
+
+  /// What can be passed on to other routers, of each budget that is kept in reserve and in demand,
+  /// with what can be drawn for them.
+  [[nodiscard]] auto offers(bool DrawsForOthers) const -> std::vector<BudgetOffer>;
 
   /// Adds tokens that another router has counted as used.
   auto receive(const std::string &Budget, Tokens Amount) -> void;
@@ -175,6 +179,7 @@
   /// A random time between half of the longest and the longest.
   auto jitter(std::chrono::milliseconds Longest) -> std::chrono::milliseconds;
   auto noteDemand(Line &Item, Tokens WorstCase, base::SteadyTime Now) const -> void;
+  static auto use(Line &Item, Tokens Amount) -> void;
   auto serveWaiters() -> void;
   auto answerWaiters(const std::function<std::optional<GrantAnswer>(const Waiter &)> &Judge)
       -> void;
--- a/src/budget/grantservice.h
+++ b/src/budget/grantservice.h
@@ -43,7 +43,9 @@
   auto onTransfer(const TransferMessage &Message) -> void;
 
   /// What this router can pass on, for the others.
-  [[nodiscard]] auto offers() const -> std::vector<BudgetOffer> { return m_Book.offers(); }
+  [[nodiscard]] auto offers() const -> std::vector<BudgetOffer> {
+    return m_Book.offers(hasKeepers());
+  }
   auto setStoreReachable(bool IsReachable) -> void;
 
   /// Takes a changed record that a watch has shown; other keys are ignored.
@@ -84,6 +86,9 @@
   auto draw(const std::shared_ptr<Search> &Item) -> void;
   auto askRouters(const std::shared_ptr<Search> &Item) -> void;
   auto endSearch(const std::shared_ptr<Search> &Item) -> void;
+  [[nodiscard]] auto hasKeepers() const -> bool { return m_Parts && m_Parts->hasKeepers(); }
+  auto withdraw(const std::string &Part, Tokens Amount, base::SteadyTime Deadline,
+                std::function<void(Tokens)> Done) -> void;
   [[nodiscard]] auto keeps(const std::string &Part) const -> bool;
   auto candidatesFor(const std::vector<std::string> &Parts, Tokens Amount) const
       -> std::vector<TokenExchange::Candidate>;
--- a/src/budget/granttypes.h
+++ b/src/budget/granttypes.h
@@ -88,7 +88,7 @@
 
   /// Part of its even share of the free tokens that a router holds in reserve. At 1, about half of
   /// what nobody has used is held.
-  double m_ReserveShare = 1.2;
+  double m_ReserveShare = 0.9;
 
   /// Time over which demand is averaged.
   std::chrono::milliseconds m_RateWindow{5000};
--- a/src/budget/internal/grantbook.cpp
+++ b/src/budget/internal/grantbook.cpp
@@ -139,8 +139,7 @@
     return;
   }
   auto &Item = Found->second;
-  noteDemand(Item, WorstCase, Now);
-  if (reserveNow(Budget, WorstCase)) {
+  if (reserveNow(Budget, WorstCase, Now)) {
     Done(GrantAnswer::Granted);
     return;
   }
@@ -153,23 +152,42 @@
     Done(GrantAnswer::Unavailable);
     return;
   }
+  noteDemand(Item, WorstCase, Now);
   Item.m_Waiting += WorstCase;
   m_Waiters.push_back({Budget, WorstCase, Deadline, std::move(Done)});
 }
 
-auto GrantBook::reserveNow(const std::string &Budget, Tokens WorstCase) -> bool {
+auto GrantBook::reserveNow(const std::string &Budget, Tokens WorstCase, base::SteadyTime Now)
+    -> bool {
   if (spendable(Budget) < WorstCase) {
     return false;
   }
-  m_Lines.at(Budget).m_Reserved += WorstCase;
+  auto &Item = m_Lines.at(Budget);
+  noteDemand(Item, WorstCase, Now);
+  Item.m_Reserved += WorstCase;
   return true;
 }
 
-auto GrantBook::offers() const -> std::vector<BudgetOffer> {
+auto GrantBook::withdraw(const std::string &Budget, Tokens Amount) -> bool {
+  if (spendable(Budget) < Amount) {
+    return false;
+  }
+  use(m_Lines.at(Budget), Amount);
+  return true;
+}
+
+auto GrantBook::use(Line &Item, Tokens Amount) -> void {
+  const auto UsedOfReceived = std::min(Item.m_Received, Amount);
+  Item.m_Received -= UsedOfReceived;
+  Item.m_Used += Amount - UsedOfReceived;
+}
+
+auto GrantBook::offers(bool DrawsForOthers) const -> std::vector<BudgetOffer> {
   auto Result = std::vector<BudgetOffer>();
   for (const auto &[Name, Item] : m_Lines) {
     if (Item.m_HasDemand && !m_WithoutReserve.contains(Name)) {
-      Result.push_back({Name, spendable(Name) + (m_IsReachable ? freeOf(Item) : 0)});
+      Result.push_back(
+          {Name, spendable(Name) + (DrawsForOthers && m_IsReachable ? freeOf(Item) : 0)});
     }
   }
   return Result;
@@ -189,11 +207,8 @@
   if (Found == m_Lines.end()) {
     return;
   }
-  auto &Item = Found->second;
-  const auto UsedOfReceived = std::min(Item.m_Received, Used);
-  Item.m_Reserved -= WorstCase;
-  Item.m_Received -= UsedOfReceived;
-  Item.m_Used += Used - UsedOfReceived;
+  Found->second.m_Reserved -= WorstCase;
+  use(Found->second, Used);
   serveWaiters();
 }
 
@@ -292,8 +307,8 @@
   }
   if (!m_IsCalling && !m_IsClosed && !m_Lines.empty()) {
     const auto Call = std::max({m_NotBefore, m_LastRefresh + writeInterval(), Now + 1ms});
-    const auto Earliest =
-        m_MustRead || !m_Waiters.empty() ? std::max(m_NotBefore, Now + 1ms) : Call;
+    const auto IsUrgent = m_MustRead || !m_Waiters.empty() || (m_IsDraining && !isDrained());
+    const auto Earliest = IsUrgent ? std::max(m_NotBefore, Now + 1ms) : Call;
     Wake = std::min(Wake.value_or(Earliest), Earliest);
   }
   return Wake;
--- a/src/budget/internal/grantservice.cpp
+++ b/src/budget/internal/grantservice.cpp
@@ -41,19 +41,27 @@
       m_Started(Clock.steadyNow()) {
   m_Exchange.setGrants(
       [this](const std::string &Part, Tokens Amount, base::SteadyTime Deadline,
-             std::function<void(Tokens)> Done) {
-        m_Book.reserve(Part, Amount, Deadline, m_Clock.steadyNow(),
-                       [this, Part, Amount, Done = std::move(Done)](GrantAnswer Answer) {
-                         const auto IsGranted = Answer == GrantAnswer::Granted;
-                         if (IsGranted) {
-                           m_Book.settle(Part, Amount, Amount, m_Clock.steadyNow());
-                         }
-                         Done(IsGranted ? Amount : 0);
-                       });
-      },
+             std::function<void(Tokens)> Done) { withdraw(Part, Amount, Deadline, Done); },
       [this](const std::string &Into, Tokens Amount) { m_Book.receive(Into, Amount); });
 }
 
+auto GrantService::withdraw(const std::string &Part, Tokens Amount, base::SteadyTime Deadline,
+                            std::function<void(Tokens)> Done) -> void {
+  if (!hasKeepers()) {
+    // Every router draws for itself, and counts the demand.
+    Done(m_Book.withdraw(Part, Amount) ? Amount : 0);
+    return;
+  }
+  m_Book.reserve(Part, Amount, Deadline, m_Clock.steadyNow(),
+                 [this, Part, Amount, Done = std::move(Done)](GrantAnswer Answer) {
+                   const auto IsGranted = Answer == GrantAnswer::Granted;
+                   if (IsGranted) {
+                     m_Book.settle(Part, Amount, Amount, m_Clock.steadyNow());
+                   }
+                   Done(IsGranted ? Amount : 0);
+                 });
+}
+
 auto GrantService::reserve(const std::string &Budget, Tokens WorstCase, base::SteadyTime Deadline,
                            std::function<void(Reservation)> Done) -> void {
   if (!m_Parts) {
@@ -75,14 +83,15 @@
 }
 
 auto GrantService::keeps(const std::string &Part) const -> bool {
-  return !m_Parts->hasKeepers() || BudgetParts::keeperOf(Part, m_Alive) == m_Router;
+  return !hasKeepers() || BudgetParts::keeperOf(Part, m_Alive) == m_Router;
 }
 
 auto GrantService::searchOn(const std::shared_ptr<Search> &Item) -> void {
   const auto &Home = Item->m_Parts.front();
   if (m_Clock.steadyNow() >= Item->m_Deadline) {
     endSearch(Item);
-  } else if (Item->m_Drawn == 0 && !keeps(Home) && m_Book.reserveNow(Home, Item->m_WorstCase)) {
+  } else if (Item->m_Drawn == 0 && !keeps(Home) &&
+             m_Book.reserveNow(Home, Item->m_WorstCase, m_Clock.steadyNow())) {
     Item->m_Done({GrantAnswer::Granted, Home});
   } else if (!Item->m_HasAsked && !Item->m_IsExhausted && (Item->m_Drawn > 0 || !keeps(Home))) {
     Item->m_HasAsked = true;
@@ -122,7 +131,7 @@
         Result.push_back({Offer.m_Router, Part});
       }
     }
-    if (!m_Parts->hasKeepers()) {
+    if (!hasKeepers()) {
       continue;
     }
     // A keeper offers nothing before it has seen demand.
@@ -143,7 +152,7 @@
   m_Exchange.ask(candidatesFor(Item->m_Parts, Missing), Home, Missing, Item->m_Deadline,
                  [this, Item, Home](Tokens Received) {
                    m_Book.receive(Home, Received);
-                   if (m_Book.reserveNow(Home, Item->m_WorstCase)) {
+                   if (m_Book.reserveNow(Home, Item->m_WorstCase, m_Clock.steadyNow())) {
                      Item->m_Done({GrantAnswer::Granted, Home});
                      return;
                    }
@@ -183,7 +192,7 @@
   Alive.insert(m_Router);
   const auto HasChanged = Alive != m_Alive;
   m_Alive = std::move(Alive);
-  m_Book.setRouters(m_Parts && m_Parts->hasKeepers() ? SharersOfKeptPart : m_Routers, m_Routers);
+  m_Book.setRouters(hasKeepers() ? SharersOfKeptPart : m_Routers, m_Routers);
   if (HasChanged) {
     updateKeepers();
     pump();
@@ -192,7 +201,7 @@
 
 auto GrantService::updateKeepers() -> void {
   auto Foreign = std::set<std::string>();
-  if (m_Parts && m_Parts->hasKeepers()) {
+  if (hasKeepers()) {
     for (const auto &Item : m_Parts->split(m_Prepaid)) {
       if (!keeps(Item.first)) {
         Foreign.insert(Item.first);
--- a/src/budget/tests/grantbook_test.cpp
+++ b/src/budget/tests/grantbook_test.cpp
@@ -250,6 +250,33 @@
   }
 }
 
+// Callers come back after a refusal; a reserve for all their attempts would hold more than is used,
+// and a kill of the process would strand it.
+Test(grantbook, refusedRequestsAreNotDemand) {
+  const auto Drawn = [](int Refused) {
+    auto Book = readyBook(10000000);
+    Book.setStoreReachable(false);
+    for (auto Number = 0; Number < Refused; ++Number) {
+      Book.reserve("b", 9000, Start + 1s, Start, [](GrantAnswer) {});
+    }
+    Book.setStoreReachable(true);
+    return Book.composeWrite(Start + 5s).m_Pools.at("b").m_Value.m_Granted;
+  };
+  cr_expect_eq(Drawn(50), Drawn(0));
+}
+
+// A stopping router has little time, so that a return that met another write is repeated at once.
+Test(grantbook, returnsOfAStoppingRouterDoNotWait) {
+  auto Book = readyBook(10000000);
+  static_cast<void>(Book.composeWrite(Start + 5s));
+  Book.onLanded(4, Start + 5s);
+  Book.drain(Start + 5s);
+  static_cast<void>(Book.composeWrite(Start + 5s));
+  Book.onConflict({}, {{"b", {{15000, 0}, 5}}}, Start + 5s);
+  cr_assert(Book.nextWake(Start + 5s).has_value());
+  cr_expect_leq(*Book.nextWake(Start + 5s), Start + 5s + 20ms);
+}
+
 // Tokens that came from another router are used first and are never returned to the store, where
 // they count as used.
 Test(grantbook, receivedTokensAreNotReturned) {
@@ -260,7 +287,7 @@
   const auto Own = Book.spendable("b");
   Book.receive("b", 2000);
   cr_assert_eq(Book.spendable("b"), Own + 2000);
-  cr_assert(Book.reserveNow("b", 1500));
+  cr_assert(Book.reserveNow("b", 1500, Start + 5s));
   Book.settle("b", 1500, 700, Start + 5s);
   cr_assert_eq(Book.spendable("b"), Own + 1300);
   Book.drain(Start + 5s);
--- a/src/budget/tests/grantworld.h
+++ b/src/budget/tests/grantworld.h
@@ -204,9 +204,9 @@
     }
     Item.m_Exchange->ask(std::move(Candidates), Budget, Missing,
                          m_Now + std::chrono::milliseconds(400),
-                         [&Item, WorstCase, Done = std::move(Done)](Tokens Received) {
+                         [this, &Item, WorstCase, Done = std::move(Done)](Tokens Received) {
                            Item.m_Book->receive(Budget, Received);
-                           Done(Item.m_Book->reserveNow(Budget, WorstCase));
+                           Done(Item.m_Book->reserveNow(Budget, WorstCase, m_Now));
                          });
   }
 
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -501,14 +501,15 @@
     m_Context.m_IsStopping = true;
     m_CallerServer.closeIdle();
   }
-  if (m_Context.m_IsStopping && m_Context.m_Sessions == 0 &&
-      !std::exchange(m_IsDrainingGrants, true)) {
+  // Long streams may outlast the time to stop; what they do not need is returned before.
+  if (m_Context.m_IsStopping && !std::exchange(m_IsDrainingGrants, true)) {
     m_Grants.drain();
   }
-  const auto IsDone = m_IsDrainingGrants && m_Grants.isDrained();
+  const auto IsDone = m_IsDrainingGrants && m_Context.m_Sessions == 0 && m_Grants.isDrained();
   if (IsDone || Since >= m_Settings.m_StopTime - StopReserve) {
-    m_Parts.m_Log.record(base::LogLevel::Warning, "router_stopped",
-                         {{"sessions", m_Context.m_Sessions}, {"grants_returned", IsDone}});
+    m_Parts.m_Log.record(
+        base::LogLevel::Warning, "router_stopped",
+        {{"sessions", m_Context.m_Sessions}, {"grants_returned", m_Grants.isDrained()}});
     m_Stopped();
     return;
   }
