Probe the store with a cheap read; let watches wait 15 s

Cause: after a cut of 8 s the routers of a large fleet took the store for unreachable 3 s longer. The watch of the targets told reachability, and an attempt that began in the cut ended before its wait of 1 s did. Short waits also cost a call each second, though targets change seldom.

Change: StoreMonitor reads one key, allowed to be stale, each second, and at once when a write failed. Watches of a large fleet wait 15 s and are begun anew when the store is back.

--- a/src/budget/grantservice.h
+++ b/src/budget/grantservice.h
@@ -48,6 +48,11 @@
   }
   auto setStoreReachable(bool IsReachable) -> void;
 
+  /// The callback is told of each call to the store without an answer.
+  auto setOnCallFailed(std::function<void()> OnCallFailed) -> void {
+    m_OnCallFailed = std::move(OnCallFailed);
+  }
+
   /// Takes a changed record that a watch has shown; other keys are ignored.
   auto noteItem(const keyvalue::KeyValue &Item) -> void;
 
@@ -117,6 +122,7 @@
   std::int64_t m_Routers = 1;
   std::set<std::string> m_Alive;
   base::SteadyTime m_Started;
+  std::function<void()> m_OnCallFailed = [] {};
   base::TimerId m_Timer = 0;
   bool m_IsPumping = false;
 };
--- a/src/budget/internal/grantservice.cpp
+++ b/src/budget/internal/grantservice.cpp
@@ -358,9 +358,11 @@
   case keyvalue::TransactionOutcome::LeaseEnded:
   case keyvalue::TransactionOutcome::NotDone:
     m_Book.onNotDone(Now);
+    m_OnCallFailed();
     break;
   case keyvalue::TransactionOutcome::Unknown:
     m_Book.onUnknown(Now);
+    m_OnCallFailed();
     break;
   }
   pump();
--- a/src/keyvalue/internal/storefollower.cpp
+++ b/src/keyvalue/internal/storefollower.cpp
@@ -20,7 +20,7 @@
       onFailure(Result.status(), &StoreFollower::list);
       return;
     }
-    onAnswer();
+    m_Failures = 0;
     m_Revision = Result->m_Revision;
     m_Log.record(base::LogLevel::Info, "store_listed",
                  {{"revision", m_Revision}, {"keys", Result->m_Items.size()}});
@@ -31,41 +31,45 @@
 
 auto StoreFollower::watch() -> void {
   m_LastCall = m_Clock.steadyNow();
-  m_Store.watch(m_Prefix, m_Revision, m_Options.m_Wait, [this](absl::StatusOr<WatchResult> Result) {
-    if (m_IsStopped) {
-      return;
-    }
-    if (Result.status().code() == absl::StatusCode::kOutOfRange) {
-      onAnswer();
-      m_Log.record(base::LogLevel::Warning, "store_history_gone", {{"revision", m_Revision}});
-      list();
-      return;
-    }
-    if (!Result.ok()) {
-      onFailure(Result.status(), &StoreFollower::watch);
-      return;
-    }
-    onAnswer();
-    m_Revision = std::max(m_Revision, Result->m_Revision);
-    m_Listener.onChanges(*Result);
-    later(std::max(m_LastCall + m_Options.m_Pace, m_Clock.steadyNow()), &StoreFollower::watch);
-  });
+  m_IsWatching = true;
+  m_Store.watch(m_Prefix, m_Revision, m_Options.m_Wait,
+                [this, Watch = ++m_Watch](const absl::StatusOr<WatchResult> &Result) {
+                  if (!m_IsStopped && Watch == m_Watch) {
+                    m_IsWatching = false;
+                    onWatched(Result);
+                  }
+                });
 }
 
-auto StoreFollower::onAnswer() -> void {
-  m_LastAnswer = m_Clock.steadyNow();
-  m_Failures = 0;
-  if (!std::exchange(m_IsReachable, true)) {
-    m_Log.record(base::LogLevel::Info, "store_regained", {{"revision", m_Revision}});
-    m_Listener.onReachable(m_Prefix, true);
+auto StoreFollower::watchAgain() -> void {
+  if (m_IsWatching && !m_IsStopped) {
+    watch();
+  }
+}
+
+auto StoreFollower::onWatched(const absl::StatusOr<WatchResult> &Result) -> void {
+  if (Result.status().code() == absl::StatusCode::kOutOfRange) {
+    m_Failures = 0;
+    m_Log.record(base::LogLevel::Warning, "store_history_gone", {{"revision", m_Revision}});
+    list();
+    return;
   }
+  if (!Result.ok()) {
+    onFailure(Result.status(), &StoreFollower::watch);
+    return;
+  }
+  m_Failures = 0;
+  m_Revision = std::max(m_Revision, Result->m_Revision);
+  m_Listener.onChanges(*Result);
+  later(std::max(m_LastCall + m_Options.m_Pace, m_Clock.steadyNow()), &StoreFollower::watch);
 }
 
 auto StoreFollower::onFailure(const absl::Status &Status, void (StoreFollower::*Next)()) -> void {
-  if (std::exchange(m_IsReachable, false)) {
-    m_Log.record(base::LogLevel::Warning, "store_lost",
-                 {{"reason", std::string(Status.message())}, {"revision", m_Revision}});
-    m_Listener.onReachable(m_Prefix, false);
+  if (m_Failures == 0) {
+    m_Log.record(base::LogLevel::Info, "store_follow_failed",
+                 {{"prefix", m_Prefix},
+                  {"reason", std::string(Status.message())},
+                  {"revision", m_Revision}});
   }
   const auto Pause = m_Options.m_FirstPause * (1 << std::min(m_Failures++, 4));
   later(m_Clock.steadyNow() + std::min<std::chrono::milliseconds>(Pause, m_Options.m_LongestPause),
--- /dev/null
+++ b/src/keyvalue/internal/storemonitor.cpp
@@ -0,0 +1,63 @@
+#include "keyvalue/storemonitor.h"
+
+namespace geraniumlift::keyvalue {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Time between probes of a store that answers. Each costs a tenth of a call.
+constexpr auto ProbePeriod = 1000ms;
+
+/// The same while it does not answer, so that its return is noticed soon.
+constexpr auto RetryPeriod = 300ms;
+
+/// The key that is read; it need not exist.
+constexpr auto ProbeKey = "geraniumlift/probe";
+
+} // namespace
+
+StoreMonitor::StoreMonitor(ITransactionStore &Store, base::ITimers &Timers,
+                           const base::IClock &Clock, base::IEventLog &Log, OnChange Changed)
+    : m_Store(Store), m_Timers(Timers), m_Clock(Clock), m_Log(Log), m_Changed(std::move(Changed)) {}
+
+auto StoreMonitor::suspect() -> void {
+  if (m_IsReachable.value_or(false) && !m_IsProbing) {
+    m_Timers.cancel(std::exchange(m_Timer, 0));
+    probe();
+  }
+}
+
+auto StoreMonitor::probe() -> void {
+  m_IsProbing = true;
+  m_Store.readStale(ProbeKey, [this](const absl::StatusOr<std::optional<KeyValue>> &Result) {
+    m_IsProbing = false;
+    onResult(Result.status());
+    m_Timer =
+        m_Timers.start(m_Clock.steadyNow() + (Result.ok() ? ProbePeriod : RetryPeriod), [this] {
+          m_Timer = 0;
+          probe();
+        });
+  });
+}
+
+auto StoreMonitor::onResult(const absl::Status &Status) -> void {
+  if (m_IsReachable == Status.ok()) {
+    return;
+  }
+  const auto Now = m_Clock.steadyNow();
+  const auto Lasted = std::chrono::duration_cast<std::chrono::milliseconds>(Now - m_Since).count();
+  if (Status.ok()) {
+    m_Log.record(base::LogLevel::Warning, "store_regained",
+                 {{"after_ms", m_IsReachable ? Lasted : 0}});
+  } else {
+    m_Log.record(
+        base::LogLevel::Warning, "store_lost",
+        {{"reason", std::string(Status.message())}, {"after_ms", m_IsReachable ? Lasted : 0}});
+  }
+  m_Since = Now;
+  m_IsReachable = Status.ok();
+  m_Changed(Status.ok());
+}
+
+} // namespace geraniumlift::keyvalue
--- a/src/keyvalue/itransactionstore.h
+++ b/src/keyvalue/itransactionstore.h
@@ -5,6 +5,7 @@
 #include <absl/status/statusor.h>
 #include <chrono>
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace geraniumlift::keyvalue {
@@ -15,6 +16,7 @@
 public:
   using TransactionCallback = std::function<void(TransactionResult)>;
   using ListCallback = std::function<void(absl::StatusOr<ListResult>)>;
+  using ReadCallback = std::function<void(absl::StatusOr<std::optional<KeyValue>>)>;
   using WatchCallback = std::function<void(absl::StatusOr<WatchResult>)>;
   using LeaseCallback = std::function<void(absl::StatusOr<LeaseId>)>;
   using StatusCallback = std::function<void(absl::Status)>;
@@ -26,6 +28,10 @@
   /// Reads all keys that begin with the prefix.
   virtual auto list(std::string Prefix, ListCallback Done) -> void = 0;
 
+  /// Reads a key at a lower price; the answer may be seconds old. Nothing if the key does not
+  /// exist.
+  virtual auto readStale(std::string Key, ReadCallback Done) -> void = 0;
+
   /// Waits for changes after the revision. OutOfRange means that the history does not reach back
   /// that far and the keys must be listed again. The result is empty if nothing changed within the
   /// wait.
--- a/src/keyvalue/storefollower.h
+++ b/src/keyvalue/storefollower.h
@@ -16,9 +16,6 @@
 
   /// Changes in their order. Keys of a list that was read page by page may come once more.
   virtual auto onChanges(const WatchResult &Result) -> void = 0;
-
-  /// The store answers the follower of this prefix again, or not any more.
-  virtual auto onReachable(std::string_view Prefix, bool IsReachable) -> void = 0;
 };
 
 /// Pace and limits of following.
@@ -49,14 +46,15 @@
   /// Makes no further calls; what still arrives is dropped.
   auto stop() -> void { m_IsStopped = true; }
 
-  /// When the newest answer of the store arrived; the beginning of time if there was none.
-  [[nodiscard]] auto lastAnswer() const -> base::SteadyTime { return m_LastAnswer; }
+  /// Watches on a new connection if a watch is waiting: after a time without the store its answer
+  /// may have been lost on the way.
+  auto watchAgain() -> void;
 
 private:
   auto list() -> void;
   auto watch() -> void;
-  auto onAnswer() -> void;
   auto onFailure(const absl::Status &Status, void (StoreFollower::*Next)()) -> void;
+  auto onWatched(const absl::StatusOr<WatchResult> &Result) -> void;
   auto later(base::SteadyTime When, void (StoreFollower::*Next)()) -> void;
 
   std::string m_Prefix;
@@ -68,9 +66,11 @@
   IStoreListener &m_Listener;
   std::int64_t m_Revision = 0;
   base::SteadyTime m_LastCall;
-  base::SteadyTime m_LastAnswer;
   int m_Failures = 0;
-  bool m_IsReachable = false;
+
+  /// Numbers the watches; the answer of one that was given up is dropped.
+  std::uint64_t m_Watch = 0;
+  bool m_IsWatching = false;
   bool m_IsStopped = false;
 };
 
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -45,9 +45,13 @@
 /// still fits in if the first one fails.
 constexpr auto FollowPace = 0.35;
 
-/// Wait of a watch of keys that seldom change. Keep-alive probes show a connection that went
-/// silent.
-constexpr auto SeldomWait = 5000ms;
+/// The same in a large fleet, where each call is one of many.
+constexpr auto FollowPaceOfLargeFleet = 0.5;
+
+/// Wait of a watch of keys that change seldom, as all do but the records of budgets. Each call is
+/// priced, and the users' store keeps 20 s of history. Keep-alive probes show a connection that
+/// went silent.
+constexpr auto SeldomWait = 15000ms;
 
 /// Part of the memory that bodies of requests may take.
 constexpr auto BodyMemoryShare = 4;
@@ -88,9 +92,9 @@
   return Options;
 }
 
-auto followerOptions(const RouterSettings &Settings) -> keyvalue::FollowerOptions {
+auto followerOptions(const RouterSettings &Settings, double Pace) -> keyvalue::FollowerOptions {
   auto Options = keyvalue::FollowerOptions();
-  Options.m_Pace = duration_cast<milliseconds>(Settings.m_ChangeTime * FollowPace);
+  Options.m_Pace = duration_cast<milliseconds>(Settings.m_ChangeTime * Pace);
   return Options;
 }
 
@@ -138,7 +142,11 @@
                 base::RandomEngine(seedOf(m_Settings, m_Incarnation))},
       m_CallerServer(Parts.m_Loop, Parts.m_Timers, serverOptions(m_Settings)),
       m_ReadinessServer(Parts.m_Loop, Parts.m_Timers, transport::ServerOptions{64}),
-      m_DirectoryServer(Parts.m_Loop, Parts.m_Timers, transport::ServerOptions{512}) {}
+      m_DirectoryServer(Parts.m_Loop, Parts.m_Timers, transport::ServerOptions{512}),
+      m_StoreMonitor(Parts.m_Store, Parts.m_Timers, Parts.m_Clock, Parts.m_Log,
+                     [this](bool IsReachable) { onReachable(IsReachable); }) {
+  m_Grants.setOnCallFailed([this] { m_StoreMonitor.suspect(); });
+}
 
 auto Router::start() -> absl::Status {
   const auto Directory = [this](const http1::RequestHead &Head) { return answerDirectory(Head); };
@@ -160,7 +168,8 @@
                         {"callers", splitPort(Settings.m_Callers)},
                         {"store", splitPort(Settings.m_Store)}});
   m_Peers.put(ownRecord(), now());
-  follow(std::string(), followerOptions(m_Settings));
+  m_StoreMonitor.start();
+  follow(std::string(), followerOptions(m_Settings, FollowPace));
   beat();
   return absl::OkStatus();
 }
@@ -220,11 +229,11 @@
   for (const auto &Follower : m_Followers) {
     Follower->stop();
   }
-  auto Seldom = followerOptions(m_Settings);
-  Seldom.m_Wait = SeldomWait;
-  follow(m_Parts.m_Documents.routingPrefix(), Seldom);
-  follow(std::string(fleet::RouterPrefix), Seldom);
-  follow(m_Parts.m_Documents.targetPrefix(), followerOptions(m_Settings));
+  auto Options = followerOptions(m_Settings, FollowPaceOfLargeFleet);
+  Options.m_Wait = SeldomWait;
+  follow(m_Parts.m_Documents.routingPrefix(), Options);
+  follow(std::string(fleet::RouterPrefix), Options);
+  follow(m_Parts.m_Documents.targetPrefix(), Options);
 }
 
 auto Router::onList(std::string_view Prefix, const keyvalue::ListResult &Result) -> void {
@@ -258,10 +267,11 @@
   m_TargetDirectory.applyRemovals(now());
 }
 
-auto Router::onReachable(std::string_view Prefix, bool IsReachable) -> void {
-  // One of the followers speaks for all.
-  if (!m_Parts.m_Documents.targetPrefix().starts_with(Prefix)) {
-    return;
+auto Router::onReachable(bool IsReachable) -> void {
+  for (const auto &Follower : m_Followers) {
+    if (IsReachable) {
+      Follower->watchAgain();
+    }
   }
   m_TargetDirectory.setStoreReachable(IsReachable, now());
   m_Grants.setStoreReachable(IsReachable);
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -4,6 +4,7 @@
 #include "fleet/peertable.h"
 #include "forwarding/targetdirectory.h"
 #include "keyvalue/storefollower.h"
+#include "keyvalue/storemonitor.h"
 #include "router/internal/peerlink.h"
 #include "router/internal/requestmetrics.h"
 #include "router/istoredocuments.h"
@@ -47,9 +48,9 @@
 private:
   auto onList(std::string_view Prefix, const keyvalue::ListResult &Result) -> void override;
   auto onChanges(const keyvalue::WatchResult &Result) -> void override;
-  auto onReachable(std::string_view Prefix, bool IsReachable) -> void override;
+  auto onReachable(bool IsReachable) -> void;
 
-  /// Follows the keys with a prefix. A watch of keys that seldom change waits longer.
+  /// Follows the keys with a prefix.
   auto follow(const std::string &Prefix, keyvalue::FollowerOptions Options) -> void;
 
   /// In a large fleet the records of budgets change so often that a small VM cannot follow them:
@@ -92,6 +93,7 @@
   transport::CallerServer m_CallerServer;
   transport::CallerServer m_ReadinessServer;
   transport::CallerServer m_DirectoryServer;
+  keyvalue::StoreMonitor m_StoreMonitor;
   std::vector<std::unique_ptr<keyvalue::StoreFollower>> m_Followers;
   bool m_FollowsBudgets = true;
   bool m_IsListed = false;
--- a/testing/fakes/memorytransactionstore.h
+++ b/testing/fakes/memorytransactionstore.h
@@ -16,9 +16,13 @@
   /// While set, calls fail.
   bool m_IsAway = false;
 
+  /// While set, watches get no answer.
+  bool m_LosesWatches = false;
+
   /// While set, watches report that the history is gone.
   bool m_HistoryGone = false;
   int m_Lists = 0;
+  int m_StaleReads = 0;
   int m_Watches = 0;
   int m_Writes = 0;
   std::map<std::string, keyvalue::KeyValue> m_Keys;
@@ -75,9 +79,24 @@
     });
   }
 
+  auto readStale(std::string Key, ReadCallback Done) -> void override {
+    ++m_StaleReads;
+    answer([this, Key = std::move(Key), Done = std::move(Done)] {
+      if (m_IsAway) {
+        Done(absl::UnavailableError("away"));
+        return;
+      }
+      const auto Found = m_Keys.find(Key);
+      Done(Found == m_Keys.end() ? std::optional<keyvalue::KeyValue>() : Found->second);
+    });
+  }
+
   auto watch(std::string Prefix, std::int64_t After, std::chrono::milliseconds /*Wait*/,
              WatchCallback Done) -> void override {
     ++m_Watches;
+    if (m_LosesWatches) {
+      return;
+    }
     answer([this, Prefix = std::move(Prefix), After, Done = std::move(Done)] {
       if (m_IsAway) {
         Done(absl::UnavailableError("away"));
--- a/testing/standins/platform/storestandin.cpp
+++ b/testing/standins/platform/storestandin.cpp
@@ -146,6 +146,10 @@
   if (Target.starts_with("/kv-range")) {
     return range(queryValue(Target, "pathPrefix"));
   }
+  if (Target.starts_with("/kv-key")) {
+    const auto Key = queryValue(Target, "key");
+    return m_Store.find(Key) ? jsonReply(200, itemText(Key)) : jsonReply(404, "{}");
+  }
   if (Target.starts_with("/kv-watch")) {
     return watch(queryValue(Target, "pathPrefix"), std::stoll(queryValue(Target, "after")));
   }
