Reserve of a keeper covers 12 s; count store calls by kind and status

Calls to the store were counted but not reported.

Change: the keeper of a part holds the forecast of 12 s, small fleets 9 s as before. geraniumlift_store_calls_total tells kind and status on the metrics address; the store client and the requests share one set of metrics.

--- a/src/budget/grantbook.h
+++ b/src/budget/grantbook.h
@@ -32,6 +32,9 @@
     m_Fleet = std::max<std::int64_t>(1, Fleet);
   }
 
+  /// Whether budgets are kept by single routers that draw for all.
+  auto setHasKeepers(bool HasKeepers) -> void { m_HasKeepers = HasKeepers; }
+
   /// Budgets of which nothing is held in reserve; tokens are drawn only for requests that wait.
   auto setWithoutReserve(std::set<std::string> Budgets) -> void {
     m_WithoutReserve = std::move(Budgets);
@@ -53,9 +56,9 @@
   /// Counts tokens as used if they are held. This is no demand of this router's own callers.
   auto withdraw(const std::string &Budget, Tokens Amount) -> bool;
 
-  /// What can be passed on to other routers, of each budget that is kept in reserve and in demand,
-  /// with what can be drawn for them.
-  [[nodiscard]] auto offers(bool DrawsForOthers) const -> std::vector<BudgetOffer>;
+  /// What can be passed on to other routers, of each budget that is kept in reserve and in demand.
+  /// A keeper also draws for others.
+  [[nodiscard]] auto offers() const -> std::vector<BudgetOffer>;
 
   /// Adds tokens that another router has counted as used.
   auto receive(const std::string &Budget, Tokens Amount) -> void;
@@ -198,6 +201,7 @@
   std::set<std::string> m_WithoutReserve;
   std::int64_t m_Routers = 1;
   std::int64_t m_Fleet = 1;
+  bool m_HasKeepers = false;
   bool m_IsReachable = true;
   bool m_IsDraining = false;
 
--- a/src/budget/grantservice.h
+++ b/src/budget/grantservice.h
@@ -43,9 +43,7 @@
   auto onTransfer(const TransferMessage &Message) -> void;
 
   /// What this router can pass on, for the others.
-  [[nodiscard]] auto offers() const -> std::vector<BudgetOffer> {
-    return m_Book.offers(hasKeepers());
-  }
+  [[nodiscard]] auto offers() const -> std::vector<BudgetOffer> { return m_Book.offers(); }
   auto setStoreReachable(bool IsReachable) -> void;
 
   /// The callback is told of each call to the store without an answer.
--- a/src/budget/granttypes.h
+++ b/src/budget/granttypes.h
@@ -86,6 +86,10 @@
   /// Demand that a grant covers. Cuts from the store last 7 to 9 s on the users' standard days.
   std::chrono::milliseconds m_Horizon{9000};
 
+  /// The same for the keeper of a part. Demand may rise within a cut, and a kill of one router
+  /// strands little of what a large fleet holds.
+  std::chrono::milliseconds m_KeeperHorizon{12000};
+
   /// Part of its even share of the free tokens that a router holds in reserve. At 1, about half of
   /// what nobody has used is held.
   double m_ReserveShare = 0.9;
--- a/src/budget/internal/grantbook.cpp
+++ b/src/budget/internal/grantbook.cpp
@@ -103,7 +103,8 @@
                                          m_Options.m_ReserveShare / static_cast<double>(m_Routers));
   const auto Decay =
       std::exp(-asMs(Now - Item.m_RateTime) / static_cast<double>(m_Options.m_RateWindow.count()));
-  const auto Demand = Item.m_RatePerMs * Decay * static_cast<double>(m_Options.m_Horizon.count());
+  const auto Horizon = m_HasKeepers ? m_Options.m_KeeperHorizon : m_Options.m_Horizon;
+  const auto Demand = Item.m_RatePerMs * Decay * static_cast<double>(Horizon.count());
   // Arrivals vary; one standard deviation of a Poisson process is held on top.
   const auto Margin = std::sqrt(Demand * Item.m_MeanSize);
   const auto Forecast = static_cast<Tokens>(Demand + Margin);
@@ -182,12 +183,12 @@
   Item.m_Used += Amount - UsedOfReceived;
 }
 
-auto GrantBook::offers(bool DrawsForOthers) const -> std::vector<BudgetOffer> {
+auto GrantBook::offers() const -> std::vector<BudgetOffer> {
   auto Result = std::vector<BudgetOffer>();
   for (const auto &[Name, Item] : m_Lines) {
     if (Item.m_HasDemand && !m_WithoutReserve.contains(Name)) {
       Result.push_back(
-          {Name, spendable(Name) + (DrawsForOthers && m_IsReachable ? freeOf(Item) : 0)});
+          {Name, spendable(Name) + (m_HasKeepers && m_IsReachable ? freeOf(Item) : 0)});
     }
   }
   return Result;
--- a/src/budget/internal/grantservice.cpp
+++ b/src/budget/internal/grantservice.cpp
@@ -200,6 +200,7 @@
 }
 
 auto GrantService::updateKeepers() -> void {
+  m_Book.setHasKeepers(hasKeepers());
   auto Foreign = std::set<std::string>();
   if (hasKeepers()) {
     for (const auto &Item : m_Parts->split(m_Prepaid)) {
--- a/src/router/internal/requestmetrics.h
+++ b/src/router/internal/requestmetrics.h
@@ -8,12 +8,13 @@
 /// Counts requests by kind, pool and result, and keeps their times.
 class RequestMetrics final : public forwarding::IForwardingMetrics {
 public:
+  explicit RequestMetrics(telemetry::IMetrics &Metrics) : m_Metrics(Metrics) {}
+
   auto onRequestEnded(const forwarding::RequestOutcome &Outcome) -> void override;
   auto onRepeated(std::string_view Pool) -> void override;
-  [[nodiscard]] auto metrics() -> telemetry::Metrics & { return m_Metrics; }
 
 private:
-  telemetry::Metrics m_Metrics;
+  telemetry::IMetrics &m_Metrics;
 };
 
 } // namespace geraniumlift::router
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -129,17 +129,17 @@
                     return m_Peers.loadOfOthers(Target.m_Id, now());
                   }),
       m_Connector(Parts.m_Loop, Parts.m_Timers, Parts.m_Clock, ConnectTimeout),
-      m_Context{Parts.m_Clock,
-                Parts.m_Timers,
-                Parts.m_Dialect,
-                m_Connector,
-                m_Grants,
-                Parts.m_Log,
-                m_Metrics,
-                m_Targets,
-                m_Placement,
-                forwardingOptions(m_Settings),
-                base::RandomEngine(seedOf(m_Settings, m_Incarnation))},
+      m_Metrics(Parts.m_Metrics), m_Context{Parts.m_Clock,
+                                            Parts.m_Timers,
+                                            Parts.m_Dialect,
+                                            m_Connector,
+                                            m_Grants,
+                                            Parts.m_Log,
+                                            m_Metrics,
+                                            m_Targets,
+                                            m_Placement,
+                                            forwardingOptions(m_Settings),
+                                            base::RandomEngine(seedOf(m_Settings, m_Incarnation))},
       m_CallerServer(Parts.m_Loop, Parts.m_Timers, serverOptions(m_Settings)),
       m_ReadinessServer(Parts.m_Loop, Parts.m_Timers, transport::ServerOptions{64}),
       m_DirectoryServer(Parts.m_Loop, Parts.m_Timers, transport::ServerOptions{512}),
@@ -370,7 +370,7 @@
 
 auto Router::answerReadiness(const http1::RequestHead &Head) -> transport::DirectAnswer {
   if (Head.m_Target == "/metrics") {
-    return {200, "OK", "text/plain; version=0.0.4", m_Metrics.metrics().render()};
+    return {200, "OK", "text/plain; version=0.0.4", m_Parts.m_Metrics.render()};
   }
   if (!m_Parts.m_Directory.asksReadiness(Head)) {
     return {404, "Not Found", "application/json", "{}"};
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -25,6 +25,7 @@
   transport::AsioTimers &m_Timers;
   const base::IClock &m_Clock;
   base::IEventLog &m_Log;
+  telemetry::IMetrics &m_Metrics;
   keyvalue::ITransactionStore &m_Store;
   const forwarding::IMessageDialect &m_Dialect;
   const IStoreDocuments &m_Documents;
