--- a/src/budget/internal/grantservice.cpp
+++ b/src/budget/internal/grantservice.cpp
@@ -41,7 +41,9 @@
       m_Started(Clock.steadyNow()) {
   m_Exchange.setGrants(
       [this](const std::string &Part, Tokens Amount, base::SteadyTime Deadline,
-             std::function<void(Tokens)> Done) { withdraw(Part, Amount, Deadline, Done); },
+             std::function<void(Tokens)> Done) {
+        withdraw(Part, Amount, Deadline, std::move(Done));
+      },
       [this](const std::string &Into, Tokens Amount) { m_Book.receive(Into, Amount); });
 }
 
@@ -88,18 +90,22 @@
 
 auto GrantService::searchOn(const std::shared_ptr<Search> &Item) -> void {
   const auto &Home = Item->m_Parts.front();
-  if (m_Clock.steadyNow() >= Item->m_Deadline) {
-    endSearch(Item);
-  } else if (Item->m_Drawn == 0 && !keeps(Home) &&
-             m_Book.reserveNow(Home, Item->m_WorstCase, m_Clock.steadyNow())) {
+  const auto Now = m_Clock.steadyNow();
+  const auto IsFirst = Item->m_Drawn == 0 && !Item->m_HasAsked;
+  if (IsFirst && !keeps(Home) && m_Book.reserveNow(Home, Item->m_WorstCase, Now)) {
     Item->m_Done({GrantAnswer::Granted, Home});
-  } else if (!Item->m_HasAsked && !Item->m_IsExhausted && (Item->m_Drawn > 0 || !keeps(Home))) {
+    return;
+  }
+  // A router that keeps the part draws on it first; the others ask its keeper first.
+  const auto MayAsk = !Item->m_HasAsked && !Item->m_IsExhausted && (!IsFirst || !keeps(Home));
+  const auto MayDraw = Item->m_Drawn < std::min(Item->m_Parts.size(), MaxPartsDrawn);
+  if (Now >= Item->m_Deadline || (!MayAsk && !MayDraw)) {
+    endSearch(Item);
+  } else if (MayAsk) {
     Item->m_HasAsked = true;
     askRouters(Item);
-  } else if (Item->m_Drawn < std::min(Item->m_Parts.size(), MaxPartsDrawn)) {
-    draw(Item);
   } else {
-    endSearch(Item);
+    draw(Item);
   }
 }
 
--- a/src/budget/tests/grantworld.h
+++ b/src/budget/tests/grantworld.h
@@ -156,7 +156,12 @@
                                                       m_Clock, m_Log);
     Item.m_Exchange->setGrants(
         [this, &Item](const std::string &Name, Tokens Amount, base::SteadyTime Deadline,
-                      std::function<void(Tokens)> Done) {
+                      const std::function<void(Tokens)> &Done) {
+          // Half of the routers give only what they hold, the others also draw, as keepers do.
+          if (Item.m_Name.back() % 2 == 0) {
+            Done(Item.m_Book->withdraw(Name, Amount) ? Amount : 0);
+            return;
+          }
           const auto Life = Item.m_Life;
           Item.m_Book->reserve(Name, Amount, Deadline, m_Now,
                                [this, &Item, Life, Amount, Done](GrantAnswer Answer) {
