Draw for routers that are cut off; reserve what is left over while asking

In cuts of some routers the others reached the store and were not asked to draw. Requests that asked for tokens at the same time counted on the same remainder, and two of twenty fell short. Reading the code showed that a budget that left the configuration during a search ended the process (std::out_of_range), and that its reservations were forgotten.

Change: a router draws for one that asks, and offers what is free. The remainder is reserved while a search asks for the rest. A budget with open reservations is kept when the configuration drops it.

--- a/src/budget/grantbook.h
+++ b/src/budget/grantbook.h
@@ -56,8 +56,8 @@
   /// Counts tokens as used if they are held. This is no demand of this router's own callers.
   auto withdraw(const std::string &Budget, Tokens Amount) -> bool;
 
-  /// What can be passed on to other routers, of each budget that is kept in reserve and in demand.
-  /// A keeper also draws for others.
+  /// What can be passed on to other routers, of each budget that is kept in reserve and in demand,
+  /// with what can be drawn for them.
   [[nodiscard]] auto offers() const -> std::vector<BudgetOffer>;
 
   /// Adds tokens that another router has counted as used.
--- a/src/budget/internal/grantbook.cpp
+++ b/src/budget/internal/grantbook.cpp
@@ -28,7 +28,9 @@
 auto GrantBook::setPrepaid(const std::map<std::string, Tokens> &Prepaid, base::SteadyTime Now)
     -> void {
   std::erase_if(m_Lines, [&Prepaid](const auto &Item) {
-    return !Prepaid.contains(Item.first) && Item.second.m_Granted == 0;
+    const auto &Line = Item.second;
+    return !Prepaid.contains(Item.first) && Line.m_Granted == 0 && Line.m_Reserved == 0 &&
+           Line.m_Waiting == 0;
   });
   for (auto &[Name, Item] : m_Lines) {
     if (!Prepaid.contains(Name)) {
@@ -160,20 +162,22 @@
 
 auto GrantBook::reserveNow(const std::string &Budget, Tokens WorstCase, base::SteadyTime Now)
     -> bool {
-  if (spendable(Budget) < WorstCase) {
+  const auto Found = m_Lines.find(Budget);
+  if (Found == m_Lines.end() || spendable(Budget) < WorstCase) {
     return false;
   }
-  auto &Item = m_Lines.at(Budget);
+  auto &Item = Found->second;
   noteDemand(Item, WorstCase, Now);
   Item.m_Reserved += WorstCase;
   return true;
 }
 
 auto GrantBook::withdraw(const std::string &Budget, Tokens Amount) -> bool {
-  if (spendable(Budget) < Amount) {
+  const auto Found = m_Lines.find(Budget);
+  if (Found == m_Lines.end() || spendable(Budget) < Amount) {
     return false;
   }
-  use(m_Lines.at(Budget), Amount);
+  use(Found->second, Amount);
   return true;
 }
 
@@ -187,8 +191,7 @@
   auto Result = std::vector<BudgetOffer>();
   for (const auto &[Name, Item] : m_Lines) {
     if (Item.m_HasDemand && !m_WithoutReserve.contains(Name)) {
-      Result.push_back(
-          {Name, spendable(Name) + (m_HasKeepers && m_IsReachable ? freeOf(Item) : 0)});
+      Result.push_back({Name, spendable(Name) + (m_IsReachable ? freeOf(Item) : 0)});
     }
   }
   return Result;
--- a/src/budget/internal/grantservice.cpp
+++ b/src/budget/internal/grantservice.cpp
@@ -49,9 +49,9 @@
 
 auto GrantService::withdraw(const std::string &Part, Tokens Amount, base::SteadyTime Deadline,
                             std::function<void(Tokens)> Done) -> void {
-  if (!hasKeepers()) {
-    // Every router draws for itself, and counts the demand.
-    Done(m_Book.withdraw(Part, Amount) ? Amount : 0);
+  // Without keepers a router counts its demand itself. It is drawn for only if it is cut off.
+  if (!hasKeepers() && m_Book.withdraw(Part, Amount)) {
+    Done(Amount);
     return;
   }
   m_Book.reserve(Part, Amount, Deadline, m_Clock.steadyNow(),
@@ -154,14 +154,22 @@
 
 auto GrantService::askRouters(const std::shared_ptr<Search> &Item) -> void {
   const auto &Home = Item->m_Parts.front();
-  const auto Missing = Item->m_WorstCase - m_Book.spendable(Home);
+  // What is held is reserved meanwhile, so that no other search counts on it.
+  const auto Held = std::min(m_Book.spendable(Home), Item->m_WorstCase);
+  const auto Missing = Item->m_WorstCase - Held;
+  if (m_Book.reserveNow(Home, Held, m_Clock.steadyNow()) && Missing == 0) {
+    Item->m_Done({GrantAnswer::Granted, Home});
+    return;
+  }
   m_Exchange.ask(candidatesFor(Item->m_Parts, Missing), Home, Missing, Item->m_Deadline,
-                 [this, Item, Home](Tokens Received) {
+                 [this, Item, Home, Held](Tokens Received) {
+                   const auto Now = m_Clock.steadyNow();
                    m_Book.receive(Home, Received);
-                   if (m_Book.reserveNow(Home, Item->m_WorstCase, m_Clock.steadyNow())) {
+                   if (Received > 0 && m_Book.reserveNow(Home, Received, Now)) {
                      Item->m_Done({GrantAnswer::Granted, Home});
                      return;
                    }
+                   m_Book.settle(Home, Held, 0, Now);
                    searchOn(Item);
                  });
 }
--- a/src/budget/tests/grantbook_test.cpp
+++ b/src/budget/tests/grantbook_test.cpp
@@ -277,6 +277,23 @@
   cr_expect_leq(*Book.nextWake(Start + 5s), Start + 5s + 20ms);
 }
 
+// A configuration may drop a budget and bring it back while a request with passed tokens runs.
+Test(grantbook, droppedBudgetKeepsItsReservations) {
+  auto Book = readyBook(1000000);
+  Book.receive("b", 2000);
+  cr_assert(Book.reserveNow("b", 2000, Start));
+  Book.setPrepaid({}, Start);
+  Book.settle("b", 2000, 700, Start);
+  Book.setPrepaid({{"b", 1000000}}, Start);
+  cr_expect_eq(Book.spendable("b"), 1300, "what the request did not use is left");
+}
+
+Test(grantbook, unknownBudgetHasNoTokens) {
+  auto Book = readyBook(1000000);
+  cr_expect_not(Book.reserveNow("other", 0, Start));
+  cr_expect_not(Book.withdraw("other", 0));
+}
+
 // Tokens that came from another router are used first and are never returned to the store, where
 // they count as used.
 Test(grantbook, receivedTokensAreNotReturned) {
--- a/src/budget/tests/grantservice_test.cpp
+++ b/src/budget/tests/grantservice_test.cpp
@@ -196,6 +196,26 @@
   cr_expect(Play.m_Log.has("budget_transfer_given"));
 }
 
+// Where only some routers are cut off, the others draw for them.
+Test(grantservice, routerInTouchDrawsForOneThatIsCutOff) {
+  auto Play = World();
+  auto First = Play.service("vm-1", 2, {"vm-1", "vm-2"});
+  auto Second = Play.service("vm-2", 2, {"vm-1", "vm-2"});
+  Play.m_Timers.runFor(5s);
+  Play.reserve(*First, 100);
+  Play.reserve(*Second, 100);
+  First->setStoreReachable(false);
+  auto Granted = 0;
+  for (auto Number = 0; Number < 20; ++Number) {
+    First->reserve("b", 14000, Play.m_Clock.steadyNow() + 400ms,
+                   [&Granted](const Reservation &Answer) {
+                     Granted += Answer.m_Answer == GrantAnswer::Granted ? 1 : 0;
+                   });
+  }
+  Play.m_Timers.runFor(400ms);
+  cr_expect_eq(Granted, 20, "%d of 20 requests are served", Granted);
+}
+
 // A lost answer must not make the asker wait, and its tokens are not spent by anyone.
 Test(grantservice, aSilentRouterDelaysButDoesNotBlock) {
   auto Play = World();
