--- a/src/budget/internal/budgetparts.cpp
+++ b/src/budget/internal/budgetparts.cpp
@@ -1,5 +1,7 @@
 #include "budget/budgetparts.h"
 
+#include "base/rendezvous.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <xxhash.h>
@@ -41,12 +43,9 @@
 
 auto BudgetParts::keeperOf(std::string_view Part, const std::set<std::string> &Alive)
     -> std::string {
-  // Rendezvous hashing: a router that leaves moves only the parts that it kept.
   auto Best = std::pair<std::uint64_t, std::string_view>();
-  const auto Seed = XXH3_64bits(Part.data(), Part.size());
   for (const auto &Router : Alive) {
-    const auto Score = XXH3_64bits_withSeed(Router.data(), Router.size(), Seed);
-    Best = std::max(Best, {Score, std::string_view(Router)});
+    Best = std::max(Best, {base::rendezvousRank(Part, Router), std::string_view(Router)});
   }
   return std::string(Best.second);
 }
--- a/src/budget/internal/grantservice.cpp
+++ b/src/budget/internal/grantservice.cpp
@@ -92,12 +92,13 @@
   const auto &Home = Item->m_Parts.front();
   const auto Now = m_Clock.steadyNow();
   const auto IsFirst = Item->m_Drawn == 0 && !Item->m_HasAsked;
-  if (IsFirst && !keeps(Home) && m_Book.reserveNow(Home, Item->m_WorstCase, Now)) {
+  const auto AsksFirst = IsFirst && !keeps(Home);
+  if (AsksFirst && m_Book.reserveNow(Home, Item->m_WorstCase, Now)) {
     Item->m_Done({GrantAnswer::Granted, Home});
     return;
   }
   // A router that keeps the part draws on it first; the others ask its keeper first.
-  const auto MayAsk = !Item->m_HasAsked && !Item->m_IsExhausted && (!IsFirst || !keeps(Home));
+  const auto MayAsk = !Item->m_HasAsked && !Item->m_IsExhausted && (!IsFirst || AsksFirst);
   const auto MayDraw = Item->m_Drawn < std::min(Item->m_Parts.size(), MaxPartsDrawn);
   if (Now >= Item->m_Deadline || (!MayAsk && !MayDraw)) {
     endSearch(Item);
--- a/src/budget/tests/grantservice_test.cpp
+++ b/src/budget/tests/grantservice_test.cpp
@@ -219,14 +219,6 @@
 // A lost answer must not make the asker wait, and its tokens are not spent by anyone.
 Test(grantservice, aSilentRouterDelaysButDoesNotBlock) {
   auto Play = World();
-  auto First = Play.service("vm-1", 2, {"vm-1", "vm-2"});
-  auto Second = Play.service("vm-2", 2, {"vm-1", "vm-2"});
-  Play.m_Timers.runFor(5s);
-  Play.reserve(*First, 100);
-  Play.reserve(*Second, 100);
-  First->setStoreReachable(false);
-  Second->setStoreReachable(false);
-  Play.reserve(*First, 14000);
   struct SilentLink final : ITransferLink {
     [[nodiscard]] auto offersOf(const std::string &) const -> std::vector<RouterOffer> override {
       return {{"vm-2", 100000}};
--- a/src/fleet/internal/fleetcodec.cpp
+++ b/src/fleet/internal/fleetcodec.cpp
@@ -1,5 +1,7 @@
 #include "fleet/fleettypes.h"
 
+#include "base/boundedread.h"
+
 #include <cereal/archives/json.hpp>
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/string.hpp>
@@ -38,21 +40,7 @@
 
 /// A fleet has far fewer targets and a router tells far fewer budgets than this; more means that
 /// the bytes are no heartbeat.
-constexpr auto MaxEntries = cereal::size_type{4096};
-
-/// The size is checked before memory is taken, since the bytes come from the network.
-template <typename Archive, typename Entry>
-auto readEntries(Archive &Data, std::vector<Entry> &Into) -> void {
-  auto Count = cereal::size_type{0};
-  Data(cereal::make_size_tag(Count));
-  if (Count > MaxEntries) {
-    throw cereal::Exception("too many entries");
-  }
-  Into.resize(Count);
-  for (auto &Item : Into) {
-    Data(Item);
-  }
-}
+constexpr auto MaxEntries = std::size_t{4096};
 
 } // namespace
 
@@ -89,16 +77,10 @@
     auto Stream = std::istringstream(std::string(Bytes));
     auto Archive = cereal::PortableBinaryInputArchive(Stream);
     auto Message = Heartbeat();
-    auto NameSize = cereal::size_type{0};
-    Archive(cereal::make_size_tag(NameSize));
-    if (NameSize > Bytes.size()) {
-      return absl::InvalidArgumentError("the name is too long");
-    }
-    Message.m_Router.resize(NameSize);
-    Archive(cereal::binary_data(Message.m_Router.data(), NameSize));
+    base::readText(Archive, Message.m_Router, Bytes.size());
     Archive(Message.m_Incarnation, Message.m_Sequence, Message.m_IsLeaving);
-    readEntries(Archive, Message.m_Loads);
-    readEntries(Archive, Message.m_Budgets);
+    base::readEntries(Archive, Message.m_Loads, MaxEntries);
+    base::readEntries(Archive, Message.m_Budgets, MaxEntries);
     return Message;
   } catch (const std::exception &Error) {
     return absl::InvalidArgumentError(Error.what());
--- a/src/fleet/internal/peertable.cpp
+++ b/src/fleet/internal/peertable.cpp
@@ -43,10 +43,13 @@
   return IsChange;
 }
 
-auto PeerTable::isAlive(const Peer &Item, base::SteadyTime Now) const -> bool {
+auto PeerTable::lastSign(const Peer &Item) -> base::SteadyTime {
   // A router that has just written its record gets the time to be heard.
-  const auto Since = Item.m_WasHeard ? std::max(Item.m_Heard, Item.m_Known) : Item.m_Known;
-  return Now - Since <= m_Options.m_SilenceLimit;
+  return Item.m_WasHeard ? std::max(Item.m_Heard, Item.m_Known) : Item.m_Known;
+}
+
+auto PeerTable::isAlive(const Peer &Item, base::SteadyTime Now) const -> bool {
+  return Now - lastSign(Item) <= m_Options.m_SilenceLimit;
 }
 
 auto PeerTable::loadOfOthers(std::string_view TargetId, base::SteadyTime Now) const
@@ -64,8 +67,8 @@
 }
 
 auto PeerTable::offersOf(std::string_view Budget, base::SteadyTime Now) const
-    -> std::vector<Offer> {
-  auto Result = std::vector<Offer>();
+    -> std::vector<budget::RouterOffer> {
+  auto Result = std::vector<budget::RouterOffer>();
   const auto Hash = hashOfName(Budget);
   for (const auto &[Name, Item] : m_Peers) {
     const auto Found = Item.m_Budgets.find(Hash);
@@ -112,8 +115,8 @@
 auto PeerTable::routersDrawing(base::SteadyTime Now) const -> std::int64_t {
   auto Count = std::int64_t{1};
   for (const auto &[Name, Item] : m_Peers) {
-    const auto Since = Item.m_WasHeard ? std::max(Item.m_Heard, Item.m_Known) : Item.m_Known;
-    if (Name != m_Options.m_Self && Item.m_HasRecord && Now - Since <= m_Options.m_ForgetAfter) {
+    if (Name != m_Options.m_Self && Item.m_HasRecord &&
+        Now - lastSign(Item) <= m_Options.m_ForgetAfter) {
       ++Count;
     }
   }
--- a/src/fleet/peertable.h
+++ b/src/fleet/peertable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "budget/itransferlink.h"
 #include "fleet/fleettypes.h"
 
 #include <map>
@@ -46,15 +47,10 @@
   [[nodiscard]] auto loadOfOthers(std::string_view TargetId, base::SteadyTime Now) const
       -> forwarding::TargetLoad;
 
-  /// What the other routers have reported lately that they can pass on of a budget.
-  struct Offer {
-    std::string m_Router;
-    base::Tokens m_Available = 0;
-  };
-
-  /// The largest offer first.
+  /// What the other routers have reported lately that they can pass on of a budget, the largest
+  /// offer first.
   [[nodiscard]] auto offersOf(std::string_view Budget, base::SteadyTime Now) const
-      -> std::vector<Offer>;
+      -> std::vector<budget::RouterOffer>;
 
   /// The other routers that are alive and not leaving.
   [[nodiscard]] auto aliveRouters(base::SteadyTime Now) const -> std::set<std::string>;
@@ -88,6 +84,8 @@
     std::map<std::uint32_t, std::uint32_t> m_Budgets;
   };
 
+  /// When the router gave its last sign of life.
+  [[nodiscard]] static auto lastSign(const Peer &Item) -> base::SteadyTime;
   [[nodiscard]] auto isAlive(const Peer &Item, base::SteadyTime Now) const -> bool;
 
   /// Whether the router is another one that is alive and not leaving.
--- a/src/forwarding/internal/placement.cpp
+++ b/src/forwarding/internal/placement.cpp
@@ -1,15 +1,13 @@
 #include "forwarding/placement.h"
 
-#include <xxhash.h>
+#include "base/rendezvous.h"
+
+#include <algorithm>
 
 namespace geraniumlift::forwarding {
 
 namespace {
 
-auto rank(std::string_view Part, std::string_view Target) -> std::uint64_t {
-  return XXH3_64bits_withSeed(Target.data(), Target.size(), XXH3_64bits(Part.data(), Part.size()));
-}
-
 /// The last part that other requests share; nothing if the prompt has no shared part.
 auto lastSharedPart(const PromptFigures *Prompt) -> const PromptPart * {
   if (Prompt == nullptr || Prompt->m_Parts.size() < 2) {
@@ -30,8 +28,8 @@
     -> const TargetState * {
   return *std::max_element(Candidates.begin(), Candidates.end(),
                            [&Part](const TargetState *Left, const TargetState *Right) {
-                             return rank(Part.m_Id, Left->record().m_Id) <
-                                    rank(Part.m_Id, Right->record().m_Id);
+                             return base::rendezvousRank(Part.m_Id, Left->record().m_Id) <
+                                    base::rendezvousRank(Part.m_Id, Right->record().m_Id);
                            });
 }
 
--- a/src/router/internal/peerlink.cpp
+++ b/src/router/internal/peerlink.cpp
@@ -3,11 +3,7 @@
 namespace geraniumlift::router {
 
 auto PeerLink::offersOf(const std::string &Budget) const -> std::vector<budget::RouterOffer> {
-  auto Result = std::vector<budget::RouterOffer>();
-  for (auto &Offer : m_Peers.offersOf(Budget, m_Clock.steadyNow())) {
-    Result.push_back({std::move(Offer.m_Router), Offer.m_Available});
-  }
-  return Result;
+  return m_Peers.offersOf(Budget, m_Clock.steadyNow());
 }
 
 auto PeerLink::send(const std::string &Router, const budget::TransferMessage &Message) -> void {
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -438,16 +438,18 @@
     onTransfer(Bytes.substr(1));
     return;
   }
+  noteUnreadable("unknown kind", Bytes.size());
+}
+
+auto Router::noteUnreadable(const std::string &Reason, std::size_t Size) -> void {
   m_Parts.m_Log.record(base::LogLevel::Warning, "datagram_unreadable",
-                       {{"reason", "unknown kind"}, {"bytes", Bytes.size()}});
+                       {{"reason", Reason}, {"bytes", Size}});
 }
 
 auto Router::onTransfer(std::string_view Bytes) -> void {
   const auto Message = budget::decodeTransfer(Bytes);
   if (!Message.ok()) {
-    m_Parts.m_Log.record(
-        base::LogLevel::Warning, "datagram_unreadable",
-        {{"reason", std::string(Message.status().message())}, {"bytes", Bytes.size()}});
+    noteUnreadable(std::string(Message.status().message()), Bytes.size());
     return;
   }
   m_Grants.onTransfer(*Message);
@@ -456,9 +458,7 @@
 auto Router::onHeartbeat(std::string_view Bytes) -> void {
   const auto Message = fleet::decodeHeartbeat(Bytes);
   if (!Message.ok()) {
-    m_Parts.m_Log.record(
-        base::LogLevel::Warning, "datagram_unreadable",
-        {{"reason", std::string(Message.status().message())}, {"bytes", Bytes.size()}});
+    noteUnreadable(std::string(Message.status().message()), Bytes.size());
     return;
   }
   if (Message->m_Router != m_Settings.m_Vm && m_Peers.noteHeartbeat(*Message, now())) {
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -69,6 +69,7 @@
   auto beat() -> void;
   auto sendHeartbeats() -> void;
   auto onDatagram(std::string_view Bytes) -> void;
+  auto noteUnreadable(const std::string &Reason, std::size_t Size) -> void;
   auto onHeartbeat(std::string_view Bytes) -> void;
   auto onTransfer(std::string_view Bytes) -> void;
   auto answerDirectory(const http1::RequestHead &Head) -> transport::DirectAnswer;
