Relay heartbeats in large fleets; list samples of the whole fleet to callers

Cause: every router sent its heartbeat to all others (195 routers: 485 datagrams a second in and out of each VM of 0.12 core), summed loads over all peers for each candidate of each placement, and hashed all routers for each shard of each request. Callers were told of the first 64 routers by name. Followers, grants and registrations went on calling a store that was known to be away.

Change: above 17 routers a router reports to the relay of its data centre and gets a digest of the fleet back; relays exchange the heartbeats of their data centres (FleetExchange, RelayTracker; the first that answers in an order on which all agree). Load sums are kept per target, shard owners per shard (ShardOwners). Each router lists its own pseudo-random sample of the fleet (AddressSelector). StoreFollower can be suspended; no grant call or registration is made while the store cannot be reached.

--- a/src/budget/budgetshards.h
+++ b/src/budget/budgetshards.h
@@ -3,7 +3,6 @@
 #include "base/identifiers.h"
 
 #include <map>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -11,9 +10,10 @@
 namespace geraniumlift::budget {
 
 /// Splits each budget of a large fleet into shards with a record of their own. Each shard has one
-/// owner, the router that draws on the record for all others; they request tokens from it, so that
-/// writes seldom conflict. Every router has one home shard of each budget and uses other shards
-/// when that one is used up. In a small fleet there is one shard, and every router draws on it.
+/// owner (ShardOwners), the router that draws on the record for all others; they request tokens
+/// from it, so that writes seldom conflict. Every router has one home shard of each budget and uses
+/// other shards when that one is used up. In a small fleet there is one shard, and every router
+/// draws on it.
 class BudgetShards {
 public:
   /// Largest fleet with a single shard. Up to this size nine in ten writes do not conflict with
@@ -51,11 +51,6 @@
   /// Whether budgets have several shards, each with an owner.
   [[nodiscard]] auto isSharded() const -> bool { return m_Count > 1; }
 
-  /// Returns the live router that owns the shard; routers with the same list agree on it. Empty if
-  /// the list is empty.
-  [[nodiscard]] static auto ownerOf(std::string_view Shard,
-                                    const std::set<std::string> &LiveRouters) -> std::string;
-
 private:
   std::int64_t m_Count;
   std::int64_t m_Home;
--- a/src/budget/grantallocator.h
+++ b/src/budget/grantallocator.h
@@ -205,6 +205,9 @@
                                  base::SteadyTime Now) const -> Tokens;
   [[nodiscard]] auto isWriteDue(base::SteadyTime Now) const -> bool;
 
+  /// Whether a call may be made once it is due.
+  [[nodiscard]] auto mayCall() const -> bool;
+
   /// Whether changes for which no request waits may be written now.
   [[nodiscard]] auto isRefreshDue(base::SteadyTime Now) const -> bool;
   [[nodiscard]] auto writeInterval() const -> std::chrono::milliseconds;
--- a/src/budget/grantservice.h
+++ b/src/budget/grantservice.h
@@ -4,6 +4,7 @@
 #include "base/itimers.h"
 #include "budget/budgetshards.h"
 #include "budget/grantallocator.h"
+#include "budget/shardowners.h"
 #include "budget/tokenexchange.h"
 #include "keyvalue/itransactionstore.h"
 
@@ -140,7 +141,7 @@
   std::map<std::string, Tokens> m_Prepaid;
   std::optional<BudgetShards> m_Shards;
   std::int64_t m_Routers = 1;
-  std::set<std::string> m_LiveRouters;
+  ShardOwners m_Owners;
   base::SteadyTime m_StartTime;
   std::function<void()> m_OnCallFailed = [] {};
   base::TimerId m_Timer = 0;
--- a/src/budget/internal/budgetshards.cpp
+++ b/src/budget/internal/budgetshards.cpp
@@ -1,7 +1,5 @@
 #include "budget/budgetshards.h"
 
-#include "base/rendezvous.h"
-
 #include <algorithm>
 #include <fmt/format.h>
 #include <xxhash.h>
@@ -41,13 +39,4 @@
   return Result;
 }
 
-auto BudgetShards::ownerOf(std::string_view Shard, const std::set<std::string> &LiveRouters)
-    -> std::string {
-  auto Best = std::pair<std::uint64_t, std::string_view>();
-  for (const auto &Router : LiveRouters) {
-    Best = std::max(Best, {base::rendezvousRank(Shard, Router), std::string_view(Router)});
-  }
-  return std::string(Best.second);
-}
-
 } // namespace geraniumlift::budget
--- a/src/budget/internal/grantallocator.cpp
+++ b/src/budget/internal/grantallocator.cpp
@@ -305,8 +305,15 @@
   });
 }
 
+auto GrantAllocator::mayCall() const -> bool {
+  // Calls to a store that is known to be unreachable are left out. A stopping router has no time to
+  // wait for the next probe.
+  return !m_IsCallInFlight && !m_IsSuperseded && !m_Budgets.empty() &&
+         (m_IsStoreReachable || m_IsDraining);
+}
+
 auto GrantAllocator::nextCall(base::SteadyTime Now) const -> GrantCall {
-  if (m_IsCallInFlight || m_IsSuperseded || m_Budgets.empty() || Now < m_NextCallTime) {
+  if (!mayCall() || Now < m_NextCallTime) {
     return GrantCall::None;
   }
   if (m_MustRead) {
@@ -320,7 +327,7 @@
   for (const auto &Item : m_WaitingRequests) {
     Wake = std::min(Wake.value_or(Item.m_Deadline), Item.m_Deadline);
   }
-  if (!m_IsCallInFlight && !m_IsSuperseded && !m_Budgets.empty()) {
+  if (mayCall()) {
     const auto Call = std::max({m_NextCallTime, m_LastRefresh + writeInterval(), Now + 1ms});
     const auto IsUrgent =
         m_MustRead || !m_WaitingRequests.empty() || (m_IsDraining && !isDrained());
--- a/src/budget/internal/grantservice.cpp
+++ b/src/budget/internal/grantservice.cpp
@@ -39,7 +39,8 @@
     : m_Router(std::move(Router)), m_Store(Store), m_Timers(Timers), m_Clock(Clock), m_Log(Log),
       m_Link(Link), m_Allocator(Options),
       m_TokenExchange(m_Router, Options.m_Session, Link, Timers, Clock, Log),
-      m_LiveRouters({m_Router}), m_StartTime(Clock.steadyNow()) {
+      m_StartTime(Clock.steadyNow()) {
+  m_Owners.setRouters({m_Router});
   m_TokenExchange.setGrantCallbacks(
       [this](const std::string &Shard, Tokens Amount, base::SteadyTime Deadline,
              std::function<void(Tokens)> Done) {
@@ -87,7 +88,7 @@
 }
 
 auto GrantService::ownsShard(const std::string &Shard) const -> bool {
-  return !isSharded() || BudgetShards::ownerOf(Shard, m_LiveRouters) == m_Router;
+  return !isSharded() || m_Owners.ownerOf(Shard) == m_Router;
 }
 
 auto GrantService::continueReservation(const std::shared_ptr<PendingReservation> &Item) -> void {
@@ -145,7 +146,7 @@
       continue;
     }
     // A shard owner offers nothing before it has seen demand, so it is asked without an offer.
-    const auto Owner = BudgetShards::ownerOf(Shard, m_LiveRouters);
+    const auto &Owner = m_Owners.ownerOf(Shard);
     const auto HasOffered = std::any_of(Offers.begin(), Offers.end(), [&Owner](const auto &Offer) {
       return Offer.m_Router == Owner;
     });
@@ -210,8 +211,7 @@
 auto GrantService::setFleet(std::int64_t RouterCount, std::set<std::string> LiveRouters) -> void {
   m_Routers = std::max<std::int64_t>(1, RouterCount);
   LiveRouters.insert(m_Router);
-  const auto HasChanged = LiveRouters != m_LiveRouters;
-  m_LiveRouters = std::move(LiveRouters);
+  const auto HasChanged = m_Owners.setRouters(std::move(LiveRouters));
   m_Allocator.setRouterCounts(isSharded() ? AssumedShardSharers : m_Routers, m_Routers);
   if (HasChanged) {
     updateShardOwnership();
@@ -246,7 +246,7 @@
     m_Shards.emplace(*Count, m_Router);
     m_Log.record(base::LogLevel::Info, "budget_layout_known", {{"parts", *Count}});
     applyPrepaid();
-    setFleet(m_Routers, m_LiveRouters);
+    setFleet(m_Routers, m_Owners.routers());
   }
 }
 
--- a/src/budget/tests/grantbook_test.cpp
+++ b/src/budget/tests/grantbook_test.cpp
@@ -1,5 +1,6 @@
 #include "budget/budgetshards.h"
 #include "budget/internal/grantcodec.h"
+#include "budget/shardowners.h"
 #include "budget/tests/grantsimulation.h"
 
 #include <criterion/criterion.h>
@@ -178,6 +179,23 @@
   cr_assert_eq(*Answer, ReservationOutcome::Unavailable);
 }
 
+// Guards against priced calls to a store that is known to be unreachable.
+Test(grantallocator, noCallIsDueWithoutTheStore) {
+  auto Allocator = readyAllocator(1000000);
+  static_cast<void>(Allocator.composeWrite(Start));
+  Allocator.onWriteLanded(4, Start);
+  const auto Held = Allocator.spendable("b");
+  cr_assert(Allocator.tryReserve("b", Held, Start));
+  cr_assert_eq(Allocator.nextCall(Start + 10s), GrantCall::Write);
+  Allocator.setStoreReachable(false);
+  cr_assert_eq(Allocator.nextCall(Start + 10s), GrantCall::None);
+  cr_assert_not(Allocator.nextWakeTime(Start + 10s), "only the store's return changes that");
+  Allocator.settle("b", Held, 0, Start + 10s);
+  Allocator.drain(Start + 10s);
+  cr_assert_neq(Allocator.nextCall(Start + 10s), GrantCall::None,
+                "a stopping router cannot wait for the store's return");
+}
+
 // Another process uses this router's name, so this one must stop spending.
 Test(grantallocator, newerIncarnationStopsTheAllocator) {
   auto Allocator = readyAllocator(1000000);
@@ -228,29 +246,54 @@
   cr_expect_eq(BudgetShards::shardCountFor(73), 3);
 }
 
-Test(budgetshards, routerLeavingMovesOnlyItsOwnShards) {
+Test(shardowners, routerLeavingMovesOnlyItsOwnShards) {
   auto LiveRouters = std::set<std::string>();
   for (auto Number = 0; Number < 73; ++Number) {
     LiveRouters.insert("vm-" + std::to_string(Number));
   }
+  auto Current = ShardOwners();
+  cr_assert(Current.setRouters(LiveRouters));
+  cr_assert_not(Current.setRouters(LiveRouters));
   auto Owners = std::map<std::string, std::string>();
   auto ShardsOfRouter = std::map<std::string, int>();
   for (auto Number = 0; Number < 300; ++Number) {
     const auto Shard = "b" + std::to_string(Number) + "/0";
-    Owners[Shard] = BudgetShards::ownerOf(Shard, LiveRouters);
+    Owners[Shard] = Current.ownerOf(Shard);
     ++ShardsOfRouter[Owners[Shard]];
   }
   for (const auto &[Router, Count] : ShardsOfRouter) {
     cr_expect_leq(Count, 15, "%s owns %d of 300 shards", Router.c_str(), Count);
   }
   LiveRouters.erase("vm-7");
+  cr_assert(Current.setRouters(LiveRouters));
   for (const auto &[Shard, Owner] : Owners) {
-    const auto Next = BudgetShards::ownerOf(Shard, LiveRouters);
+    const auto &Next = Current.ownerOf(Shard);
     cr_expect(Next == Owner || Owner == "vm-7");
     cr_expect_neq(Next, "vm-7");
   }
 }
 
+// Guards against routers that disagree on the owner because they learnt of the others in a
+// different order.
+Test(shardowners, ownersDoNotDependOnTheOrderOfChanges) {
+  auto Random = geraniumlift::base::RandomEngine(5);
+  auto LiveRouters = std::set<std::string>();
+  auto Current = ShardOwners();
+  for (auto Round = 0; Round < 300; ++Round) {
+    const auto Name = "vm-" + std::to_string(Random() % 40);
+    if (LiveRouters.erase(Name) == 0) {
+      LiveRouters.insert(Name);
+    }
+    Current.setRouters(LiveRouters);
+    auto Fresh = ShardOwners();
+    Fresh.setRouters(LiveRouters);
+    for (auto Shard = 0; Shard < 20; ++Shard) {
+      const auto Text = "b/" + std::to_string(Shard);
+      cr_assert_eq(Current.ownerOf(Text), Fresh.ownerOf(Text), "round %d", Round);
+    }
+  }
+}
+
 // Callers repeat refused requests. If refused attempts counted as demand, the router would hold
 // more than is used, and a kill of the process would strand it.
 Test(grantallocator, refusedRequestsDoNotCountAsDemand) {
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "base/nametable.h"
 #include "forwarding/targettable.h"
 
 #include <absl/status/statusor.h>
 #include <cstdint>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace geraniumlift::fleet {
@@ -21,6 +23,9 @@
   std::string m_PeerAddress;
   std::uint16_t m_PeerPort = 0;
 
+  /// Processor cores that the VM may use; 0 if unknown. VMs with more of them relay first.
+  double m_Cores = 0.0;
+
   auto operator==(const RouterRecord &) const -> bool = default;
 };
 
@@ -43,7 +48,8 @@
   std::uint32_t m_Available = 0;
 };
 
-/// Message that each router sends to the others several times a second.
+/// State of one router. In a small fleet each router sends it to all others several times a second,
+/// in a large one to the relay of its data centre.
 struct Heartbeat {
   std::string m_Router;
 
@@ -57,6 +63,66 @@
   /// Loads of the targets that have any.
   std::vector<ReportedLoad> m_Loads;
   std::vector<ReportedBudget> m_Budgets;
+
+  /// Whether the receiver is to answer with a digest.
+  bool m_WantsDigest = false;
+};
+
+/// A heartbeat that another router passes on.
+struct RelayedHeartbeat {
+  Heartbeat m_Heartbeat;
+
+  /// Milliseconds since the passing router received it.
+  std::uint32_t m_AgeMs = 0;
+};
+
+/// Heartbeats that a relay passes on to the relays of other data centres, or that a router which is
+/// not a relay passes on to its relay for those that report to it.
+struct HeartbeatBatch {
+  std::string m_Relay;
+
+  /// Whether the relay is stopping, so that its readers should choose another one.
+  bool m_IsLeaving = false;
+  std::vector<RelayedHeartbeat> m_Heartbeats;
+};
+
+/// A relay's answer to a heartbeat: what the router needs to know of the fleet.
+struct FleetDigest {
+  std::string m_Relay;
+
+  /// Start of the relay's process in milliseconds since 1970.
+  std::uint64_t m_Incarnation = 0;
+
+  /// Increases with each digest of one incarnation.
+  std::uint32_t m_Sequence = 0;
+
+  /// Whether the relay is stopping.
+  bool m_IsLeaving = false;
+
+  /// hashName() of the routers with a record that are silent, and of those that are leaving.
+  std::vector<std::uint32_t> m_Silent;
+  std::vector<std::uint32_t> m_Leaving;
+
+  /// Load of all routers but the receiver, summed up by target.
+  std::vector<ReportedLoad> m_Loads;
+};
+
+using FleetMessage = std::variant<Heartbeat, HeartbeatBatch, FleetDigest>;
+
+/// How a router learns of the others.
+enum class FleetRole {
+  /// The fleet is small; all routers send heartbeats to all others.
+  Direct,
+  /// The router collects the heartbeats of its data centre and exchanges them with other relays.
+  Relay,
+  /// The router reports to a relay and gets digests from it.
+  Member,
+};
+
+inline constexpr auto FleetRoleNames = std::array{
+    base::NamedValue<FleetRole>{FleetRole::Direct, "direct"},
+    base::NamedValue<FleetRole>{FleetRole::Relay, "relay"},
+    base::NamedValue<FleetRole>{FleetRole::Member, "member"},
 };
 
 /// Key prefix of the routers' records in the store.
@@ -67,10 +133,15 @@
 /// Returns InvalidArgument if the text is not an encoded record. Safe for untrusted input.
 auto decodeRouter(std::string_view Text) -> absl::StatusOr<RouterRecord>;
 
-auto encodeHeartbeat(const Heartbeat &Message) -> std::string;
+/// Encodes a message between routers in cereal's portable binary format, behind a byte that tells
+/// its kind.
+auto encodeMessage(const FleetMessage &Message) -> std::string;
+
+/// Returns InvalidArgument if the bytes are not an encoded message. Safe for untrusted input.
+auto decodeMessage(std::string_view Bytes) -> absl::StatusOr<FleetMessage>;
 
-/// Returns InvalidArgument if the bytes are not an encoded heartbeat. Safe for untrusted input.
-auto decodeHeartbeat(std::string_view Bytes) -> absl::StatusOr<Heartbeat>;
+/// Whether the bytes begin like an encoded message.
+auto isFleetMessage(std::string_view Bytes) -> bool;
 
 /// Hash that stands for the ID of a target or the name of a budget in heartbeats.
 auto hashName(std::string_view Name) -> std::uint32_t;
--- a/src/fleet/internal/fleetcodec.cpp
+++ b/src/fleet/internal/fleetcodec.cpp
@@ -12,12 +12,27 @@
 namespace geraniumlift::fleet {
 
 template <typename Archive>
-auto serialize(Archive &Data, RouterRecord &Record) -> void {
+auto save(Archive &Data, const RouterRecord &Record) -> void {
+  Data(cereal::make_nvp("name", Record.m_Name),
+       cereal::make_nvp("data_centre", Record.m_DataCentre),
+       cereal::make_nvp("caller_address", Record.m_CallerAddress),
+       cereal::make_nvp("peer_address", Record.m_PeerAddress),
+       cereal::make_nvp("peer_port", Record.m_PeerPort), cereal::make_nvp("cores", Record.m_Cores));
+}
+
+template <typename Archive>
+auto load(Archive &Data, RouterRecord &Record) -> void {
   Data(cereal::make_nvp("name", Record.m_Name),
        cereal::make_nvp("data_centre", Record.m_DataCentre),
        cereal::make_nvp("caller_address", Record.m_CallerAddress),
        cereal::make_nvp("peer_address", Record.m_PeerAddress),
        cereal::make_nvp("peer_port", Record.m_PeerPort));
+  try {
+    Data(cereal::make_nvp("cores", Record.m_Cores));
+  } catch (const cereal::Exception &) {
+    // Records of earlier versions lack the field.
+    Record.m_Cores = 0.0;
+  }
 }
 
 template <typename Archive>
@@ -30,17 +45,74 @@
   Data(Budget.m_BudgetHash, Budget.m_Available);
 }
 
-template <typename Archive>
-auto serialize(Archive &Data, Heartbeat &Message) -> void {
+namespace {
+
+/// Limit on the length of each list in a message. All lists are far shorter in practice, so more
+/// entries mean that the bytes are not a message.
+constexpr auto MaxEntries = std::size_t{4096};
+
+using InputArchive = cereal::PortableBinaryInputArchive;
+using OutputArchive = cereal::PortableBinaryOutputArchive;
+
+/// First byte of an encoded message, in the order of the alternatives of FleetMessage.
+constexpr auto KindBytes = std::string_view("HBD");
+
+auto write(OutputArchive &Data, const Heartbeat &Message) -> void {
   Data(Message.m_Router, Message.m_Incarnation, Message.m_Sequence, Message.m_IsLeaving,
-       Message.m_Loads, Message.m_Budgets);
+       Message.m_WantsDigest, Message.m_Loads, Message.m_Budgets);
 }
 
-namespace {
+auto write(OutputArchive &Data, const HeartbeatBatch &Message) -> void {
+  Data(Message.m_Relay, Message.m_IsLeaving,
+       cereal::make_size_tag(static_cast<cereal::size_type>(Message.m_Heartbeats.size())));
+  for (const auto &Item : Message.m_Heartbeats) {
+    Data(Item.m_AgeMs);
+    write(Data, Item.m_Heartbeat);
+  }
+}
 
-/// Limit on the loads and on the budgets of a heartbeat. Both lists are far shorter in practice, so
-/// more entries mean that the bytes are not a heartbeat.
-constexpr auto MaxEntries = std::size_t{4096};
+auto write(OutputArchive &Data, const FleetDigest &Message) -> void {
+  Data(Message.m_Relay, Message.m_Incarnation, Message.m_Sequence, Message.m_IsLeaving,
+       Message.m_Silent, Message.m_Leaving, Message.m_Loads);
+}
+
+auto read(InputArchive &Data, Heartbeat &Message, std::size_t Size) -> void {
+  base::readText(Data, Message.m_Router, Size);
+  Data(Message.m_Incarnation, Message.m_Sequence, Message.m_IsLeaving, Message.m_WantsDigest);
+  base::readEntries(Data, Message.m_Loads, MaxEntries);
+  base::readEntries(Data, Message.m_Budgets, MaxEntries);
+}
+
+auto read(InputArchive &Data, HeartbeatBatch &Message, std::size_t Size) -> void {
+  base::readText(Data, Message.m_Relay, Size);
+  Data(Message.m_IsLeaving);
+  Message.m_Heartbeats.resize(base::readSize(Data, MaxEntries));
+  for (auto &Item : Message.m_Heartbeats) {
+    Data(Item.m_AgeMs);
+    read(Data, Item.m_Heartbeat, Size);
+  }
+}
+
+auto read(InputArchive &Data, FleetDigest &Message, std::size_t Size) -> void {
+  base::readText(Data, Message.m_Relay, Size);
+  Data(Message.m_Incarnation, Message.m_Sequence, Message.m_IsLeaving);
+  base::readEntries(Data, Message.m_Silent, MaxEntries);
+  base::readEntries(Data, Message.m_Leaving, MaxEntries);
+  base::readEntries(Data, Message.m_Loads, MaxEntries);
+}
+
+/// Reads the alternative of FleetMessage with the index of KindBytes.
+template <std::size_t Index = 0>
+auto readAlternative(std::size_t Kind, InputArchive &Data, std::size_t Size) -> FleetMessage {
+  if constexpr (Index + 1 < std::variant_size_v<FleetMessage>) {
+    if (Kind != Index) {
+      return readAlternative<Index + 1>(Kind, Data, Size);
+    }
+  }
+  auto Message = std::variant_alternative_t<Index, FleetMessage>();
+  read(Data, Message, Size);
+  return Message;
+}
 
 } // namespace
 
@@ -65,23 +137,26 @@
   }
 }
 
-auto encodeHeartbeat(const Heartbeat &Message) -> std::string {
+auto encodeMessage(const FleetMessage &Message) -> std::string {
   auto Bytes = std::ostringstream();
-  auto Archive = cereal::PortableBinaryOutputArchive(Bytes);
-  Archive(Message);
+  Bytes.put(KindBytes[Message.index()]);
+  auto Archive = OutputArchive(Bytes);
+  std::visit([&Archive](const auto &Item) { write(Archive, Item); }, Message);
   return Bytes.str();
 }
 
-auto decodeHeartbeat(std::string_view Bytes) -> absl::StatusOr<Heartbeat> {
+auto isFleetMessage(std::string_view Bytes) -> bool {
+  return !Bytes.empty() && KindBytes.find(Bytes.front()) != std::string_view::npos;
+}
+
+auto decodeMessage(std::string_view Bytes) -> absl::StatusOr<FleetMessage> {
+  if (!isFleetMessage(Bytes)) {
+    return absl::InvalidArgumentError("unknown kind of message");
+  }
   try {
-    auto Stream = std::istringstream(std::string(Bytes));
-    auto Archive = cereal::PortableBinaryInputArchive(Stream);
-    auto Message = Heartbeat();
-    base::readText(Archive, Message.m_Router, Bytes.size());
-    Archive(Message.m_Incarnation, Message.m_Sequence, Message.m_IsLeaving);
-    base::readEntries(Archive, Message.m_Loads, MaxEntries);
-    base::readEntries(Archive, Message.m_Budgets, MaxEntries);
-    return Message;
+    auto Stream = std::istringstream(std::string(Bytes.substr(1)));
+    auto Archive = InputArchive(Stream);
+    return readAlternative(KindBytes.find(Bytes.front()), Archive, Bytes.size());
   } catch (const std::exception &Error) {
     return absl::InvalidArgumentError(Error.what());
   }
--- a/src/fleet/tests/peertable_test.cpp
+++ b/src/fleet/tests/peertable_test.cpp
@@ -25,6 +25,12 @@
           {{hashName("b"), static_cast<std::uint32_t>(1000 * Number)}}};
 }
 
+/// The addresses that vm0 would tell a caller.
+auto callerAddresses(const PeerTable &Peers, bool IsSelfLeaving, base::SteadyTime Now)
+    -> std::vector<std::string> {
+  return AddressSelector("vm0").choose(Peers.addressCandidates(IsSelfLeaving, Now));
+}
+
 /// The table of vm0 in a fleet of nine routers; all others have sent a heartbeat at Start.
 auto table() -> PeerTable {
   auto Options = PeerOptions();
@@ -47,9 +53,9 @@
   for (auto Number = 2; Number < 9; ++Number) {
     Peers.recordHeartbeat(heartbeat(Number, 2, Number == 2), Later);
   }
-  const auto Addresses = Peers.callerAddresses(false, Later);
+  const auto Addresses = callerAddresses(Peers, false, Later);
   cr_assert_eq(Addresses.size(), 7U, "vm1 is silent and vm2 is leaving");
-  cr_assert_eq(Peers.callerAddresses(true, Later).size(), 6U,
+  cr_assert_eq(callerAddresses(Peers, true, Later).size(), 6U,
                "a leaving router does not list itself");
 }
 
@@ -57,7 +63,7 @@
 // addresses from callers, who can still reach them.
 Test(peertable, isolatedRouterListsAllAddresses) {
   auto Peers = table();
-  cr_assert_eq(Peers.callerAddresses(false, Start + 8s).size(), 9U);
+  cr_assert_eq(callerAddresses(Peers, false, Start + 8s).size(), 9U);
 }
 
 Test(peertable, loadsOfSilentRoutersDoNotCount) {
@@ -94,7 +100,7 @@
   auto Peers = table();
   Peers.recordHeartbeat(heartbeat(3, 9), Start + 100ms);
   Peers.recordHeartbeat(heartbeat(3, 8, true), Start + 200ms);
-  cr_assert_eq(Peers.callerAddresses(false, Start + 200ms).size(), 9U);
+  cr_assert_eq(callerAddresses(Peers, false, Start + 200ms).size(), 9U);
 }
 
 // Guards against ignoring a restarted router for good: if its clock was set back across the
@@ -107,18 +113,44 @@
   cr_assert_eq(Peers.peerLoad("t", Start + 3s).m_ActiveRequests, 2);
 }
 
+// Guards against records of an earlier version, which lack the number of cores, being ignored.
+Test(fleetcodec, recordOfAnEarlierVersionIsRead) {
+  const auto Record =
+      decodeRouter(R"({"router":{"name":"vm3","data_centre":"a","caller_address":"10.0.0.3:80",)"
+                   R"("peer_address":"10.0.0.3","peer_port":7000}})");
+  cr_assert(Record.ok());
+  cr_assert(*Record == record(3));
+}
+
 Test(fleetcodec, messagesRoundTripAndMalformedInputIsRejected) {
-  const auto Message = decodeHeartbeat(encodeHeartbeat(heartbeat(4, 7, true)));
-  cr_assert(Message.ok());
-  cr_assert_eq(Message->m_Router, "vm4");
-  cr_assert_eq(Message->m_Loads.size(), 1U);
-  cr_assert_eq(Message->m_Loads[0].m_PendingPromptTokens, 500U);
-  cr_assert(*decodeRouter(encodeRouter(record(3))) == record(3));
-  const auto Whole = encodeHeartbeat(heartbeat(4, 7));
-  for (std::size_t Size = 0; Size < Whole.size(); ++Size) {
-    cr_expect_not(decodeHeartbeat(std::string_view(Whole).substr(0, Size)).ok());
+  auto Digest = FleetDigest();
+  Digest.m_Relay = "vm1";
+  Digest.m_Sequence = 9;
+  Digest.m_Silent = {1, 2};
+  Digest.m_Leaving = {3};
+  Digest.m_Loads = {{4, 5, 6}};
+  for (const auto &Original :
+       {FleetMessage(heartbeat(4, 7, true)),
+        FleetMessage(HeartbeatBatch{"vm2", true, {{heartbeat(4, 7), 250}, {heartbeat(5, 8), 0}}}),
+        FleetMessage(Digest)}) {
+    const auto Whole = encodeMessage(Original);
+    const auto Message = decodeMessage(Whole);
+    cr_assert(Message.ok());
+    cr_assert_eq(Message->index(), Original.index());
+    cr_assert_eq(encodeMessage(*Message), Whole, "nothing is lost");
+    for (std::size_t Size = 0; Size < Whole.size(); ++Size) {
+      cr_expect_not(decodeMessage(std::string_view(Whole).substr(0, Size)).ok());
+    }
+    cr_expect_not(decodeMessage(Whole.substr(0, 1) + std::string(200, '\xff')).ok());
   }
-  cr_expect_not(decodeHeartbeat(std::string(200, '\xff')).ok());
+  const auto Message = decodeMessage(encodeMessage(heartbeat(4, 7, true)));
+  const auto &Heard = std::get<Heartbeat>(*Message);
+  cr_assert_eq(Heard.m_Router, "vm4");
+  cr_assert_eq(Heard.m_Loads.size(), 1U);
+  cr_assert_eq(Heard.m_Loads[0].m_PendingPromptTokens, 500U);
+  cr_assert(*decodeRouter(encodeRouter(record(3))) == record(3));
+  cr_expect_not(decodeMessage("").ok());
+  cr_expect_not(decodeMessage("X").ok());
   cr_expect_not(decodeRouter("{}").ok());
   cr_expect_not(decodeRouter("nonsense").ok());
 }
--- a/src/keyvalue/internal/storefollower.cpp
+++ b/src/keyvalue/internal/storefollower.cpp
@@ -42,9 +42,15 @@
                 });
 }
 
-auto StoreFollower::restartWatch() -> void {
-  if (m_IsWatching && !m_IsStopped) {
+auto StoreFollower::resume() -> void {
+  if (m_IsStopped || !std::exchange(m_IsSuspended, false)) {
+    return;
+  }
+  if (m_IsWatching) {
     watch();
+  } else if (const auto Next = std::exchange(m_NextCall, nullptr)) {
+    m_Timers.cancel(std::exchange(m_Timer, 0));
+    (this->*Next)();
   }
 }
 
@@ -80,9 +86,11 @@
 }
 
 auto StoreFollower::schedule(base::SteadyTime When, void (StoreFollower::*Next)()) -> void {
-  m_Timers.start(When, [this, Next] {
-    if (!m_IsStopped) {
-      (this->*Next)();
+  m_NextCall = Next;
+  m_Timer = m_Timers.start(When, [this] {
+    m_Timer = 0;
+    if (!m_IsStopped && !m_IsSuspended) {
+      (this->*std::exchange(m_NextCall, nullptr))();
     }
   });
 }
--- a/src/keyvalue/storefollower.h
+++ b/src/keyvalue/storefollower.h
@@ -48,9 +48,12 @@
   /// Makes no further calls to the store and ignores results that arrive later.
   auto stop() -> void { m_IsStopped = true; }
 
-  /// Replaces a pending watch by a new one on a new connection; does nothing if none is pending.
-  /// The response of a watch that was pending while the store was unreachable may have been lost.
-  auto restartWatch() -> void;
+  /// Makes no further calls until resume(). The result of a call that is in flight still counts.
+  auto suspend() -> void { m_IsSuspended = true; }
+
+  /// Continues after suspend(). A watch that is still pending is replaced by a new one on a new
+  /// connection, since its response may have been lost.
+  auto resume() -> void;
 
 private:
   auto list() -> void;
@@ -73,6 +76,11 @@
   /// Number of the newest watch; the result of a watch with an older number is ignored.
   std::uint64_t m_LatestWatch = 0;
   bool m_IsWatching = false;
+
+  /// The call that is due and its timer; nullptr while a call is in flight.
+  void (StoreFollower::*m_NextCall)() = nullptr;
+  base::TimerId m_Timer = 0;
+  bool m_IsSuspended = false;
   bool m_IsStopped = false;
 };
 
--- a/src/keyvalue/tests/storefollower_test.cpp
+++ b/src/keyvalue/tests/storefollower_test.cpp
@@ -97,7 +97,7 @@
 
 // Guards against missed changes when the response of a watch is lost with the connection to the
 // store: a new watch must report them.
-Test(storefollower, restartedWatchReportsMissedChanges) {
+Test(storefollower, watchAfterAnOutageReportsMissedChanges) {
   auto Fixture = FollowerFixture();
   Fixture.m_Store.put("a", "1");
   Fixture.m_Follower.start();
@@ -107,8 +107,46 @@
   Fixture.m_Store.put("a", "2");
   Fixture.m_Timers.runFor(5s);
   cr_assert_eq(Fixture.m_Values.size(), 1U, "the lost watch must still be pending");
-  Fixture.m_Follower.restartWatch();
+  Fixture.m_Follower.suspend();
+  Fixture.m_Follower.resume();
   Fixture.m_Timers.runFor(100ms);
   cr_assert_eq(Fixture.m_Values.size(), 2U);
   cr_expect_eq(Fixture.m_Values.back(), "2");
 }
+
+// Guards against calls to a store that is known to be unreachable: each is priced, and those of all
+// routers together delay its recovery.
+Test(storefollower, suspendedFollowerMakesNoCalls) {
+  auto Fixture = FollowerFixture();
+  Fixture.m_Follower.start();
+  Fixture.m_Timers.runFor(1s);
+  Fixture.m_Store.m_IsAway = true;
+  Fixture.m_Follower.suspend();
+  const auto Before = Fixture.m_Store.m_Watches + Fixture.m_Store.m_Lists;
+  Fixture.m_Store.put("a", "new");
+  Fixture.m_Timers.runFor(10s);
+  cr_assert_leq(Fixture.m_Store.m_Watches + Fixture.m_Store.m_Lists, Before + 1);
+  Fixture.m_Store.m_IsAway = false;
+  Fixture.m_Follower.resume();
+  Fixture.m_Timers.runFor(10ms);
+  cr_assert_eq(Fixture.m_Values.size(), 1U);
+  cr_assert_eq(Fixture.m_Values.back(), "new");
+  Fixture.m_Follower.resume();
+  Fixture.m_Timers.runFor(10s);
+  cr_assert_leq(Fixture.m_Store.m_Watches, 32, "resuming twice must not double the calls");
+}
+
+Test(storefollower, followerThatStartsInAnOutageListsAfterIt) {
+  auto Fixture = FollowerFixture();
+  Fixture.m_Store.put("a", "1");
+  Fixture.m_Store.m_IsAway = true;
+  Fixture.m_Follower.start();
+  Fixture.m_Follower.suspend();
+  Fixture.m_Timers.runFor(5s);
+  cr_assert_eq(Fixture.m_Store.m_Lists, 1);
+  Fixture.m_Store.m_IsAway = false;
+  Fixture.m_Follower.resume();
+  Fixture.m_Timers.runFor(10ms);
+  cr_assert_eq(Fixture.m_ListCalls, 1);
+  cr_assert_eq(Fixture.m_Values.size(), 1U);
+}
--- a/src/router/internal/peerlink.cpp
+++ b/src/router/internal/peerlink.cpp
@@ -11,14 +11,17 @@
   // as lost.
   if (const auto *Record = m_Peers.findRecord(Router)) {
     m_Socket.send(Record->m_PeerAddress, Record->m_PeerPort,
-                  static_cast<char>(DatagramKind::Transfer) + encodeTransfer(Message));
+                  TransferByte + encodeTransfer(Message));
   }
 }
 
-auto PeerLink::broadcast(const fleet::Heartbeat &Message) -> void {
-  const auto Bytes = static_cast<char>(DatagramKind::Heartbeat) + encodeHeartbeat(Message);
-  for (const auto &Peer : m_Peers.otherRouters()) {
-    m_Socket.send(Peer.m_PeerAddress, Peer.m_PeerPort, Bytes);
+auto PeerLink::send(const fleet::OutgoingMessage &Message) -> void {
+  const auto Bytes = encodeMessage(Message.m_Message);
+  for (const auto &Router : Message.m_Routers) {
+    // A router that has no record any more has left the fleet.
+    if (const auto *Record = m_Peers.findRecord(Router)) {
+      m_Socket.send(Record->m_PeerAddress, Record->m_PeerPort, Bytes);
+    }
   }
 }
 
--- a/src/router/internal/peerlink.h
+++ b/src/router/internal/peerlink.h
@@ -2,13 +2,14 @@
 
 #include "base/iclock.h"
 #include "budget/itransferlink.h"
-#include "fleet/peertable.h"
+#include "fleet/fleetexchange.h"
 #include "transport/datagramsocket.h"
 
 namespace geraniumlift::router {
 
-/// First byte of each datagram between routers; the encoded message follows.
-enum class DatagramKind : char { Heartbeat = 'H', Transfer = 'T' };
+/// First byte of a datagram with a transfer message. The messages of module fleet have first bytes
+/// of their own.
+constexpr auto TransferByte = 'T';
 
 /// Sends messages to the other routers as datagrams, which may be lost.
 class PeerLink final : public budget::ITransferLink {
@@ -21,8 +22,8 @@
       -> std::vector<budget::RouterOffer> override;
   auto send(const std::string &Router, const budget::TransferMessage &Message) -> void override;
 
-  /// Sends the heartbeat to all other known routers.
-  auto broadcast(const fleet::Heartbeat &Message) -> void;
+  /// Sends the message to its receivers.
+  auto send(const fleet::OutgoingMessage &Message) -> void;
 
 private:
   const fleet::PeerTable &m_Peers;
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -10,20 +10,9 @@
 
 namespace {
 
-/// Interval of heartbeats in a small fleet. With older load reports, routers herd onto the same
-/// targets.
-constexpr auto HeartbeatPeriod = 200ms;
-
-/// Maximum number of heartbeats that a router sends in one HeartbeatPeriod. In larger fleets the
-/// period is longer.
-constexpr auto MaxHeartbeatsPerPeriod = std::int64_t{72};
-
 /// Maximum number of budgets in one heartbeat, so that it fits into one packet.
 constexpr auto MaxOffersPerHeartbeat = std::size_t{64};
 
-/// Number of consecutive heartbeats that may be lost before a router counts as silent.
-constexpr auto MaxLostHeartbeats = 7;
-
 /// Timeout for connecting to a target. A connection within the region takes a few milliseconds; the
 /// rest allows for three lost packets.
 constexpr auto ConnectTimeout = 400ms;
@@ -66,6 +55,13 @@
   return Options;
 }
 
+auto exchangeOptions(const RouterSettings &Settings) -> fleet::ExchangeOptions {
+  auto Options = fleet::ExchangeOptions();
+  Options.m_Self = Settings.m_Vm;
+  Options.m_DataCentre = Settings.m_DataCentre;
+  return Options;
+}
+
 auto seedOf(const RouterSettings &Settings, std::uint64_t Incarnation) -> std::uint64_t {
   return Incarnation ^ std::hash<std::string>()(Settings.m_Vm);
 }
@@ -125,6 +121,7 @@
 Router::Router(RouterDependencies Dependencies, RouterSettings Settings)
     : m_Dependencies(Dependencies), m_Settings(std::move(Settings)),
       m_Incarnation(incarnationOf(Dependencies.m_Clock)), m_Peers(peerOptions(m_Settings)),
+      m_AddressSelector(m_Settings.m_Vm), m_FleetExchange(exchangeOptions(m_Settings), m_Peers),
       m_PeerSocket(Dependencies.m_Loop, [this](std::string_view Bytes) { onDatagram(Bytes); }),
       m_PeerLink(m_Peers, m_PeerSocket, Dependencies.m_Clock),
       m_Targets(forwarding::HealthOptions()), m_TargetDirectory(m_Targets, Dependencies.m_Log),
@@ -188,8 +185,8 @@
 }
 
 auto Router::ownRecord() const -> fleet::RouterRecord {
-  return {m_Settings.m_Vm, m_Settings.m_DataCentre, formatAddress(m_Settings.m_Callers),
-          m_Settings.m_Peers.m_Ip, m_Settings.m_Peers.m_Port};
+  return {m_Settings.m_Vm,         m_Settings.m_DataCentre,   formatAddress(m_Settings.m_Callers),
+          m_Settings.m_Peers.m_Ip, m_Settings.m_Peers.m_Port, m_Settings.m_Cores};
 }
 
 auto Router::ownKey() const -> std::string {
@@ -200,6 +197,10 @@
   if (m_IsLeaving || m_IsRegistering) {
     return;
   }
+  if (!m_IsStoreReachable) {
+    m_MustRegister = true;
+    return;
+  }
   m_IsRegistering = true;
   auto Request = keyvalue::Transaction();
   Request.m_Writes.push_back({ownKey(), encodeRouter(ownRecord())});
@@ -240,6 +241,9 @@
       Prefix, Options, m_Dependencies.m_Store, m_Dependencies.m_Timers, m_Dependencies.m_Clock,
       m_Dependencies.m_Log, *this));
   m_Followers.back()->start();
+  if (!m_IsStoreReachable) {
+    m_Followers.back()->suspend();
+  }
 }
 
 auto Router::followWithoutBudgets() -> void {
@@ -286,11 +290,17 @@
 }
 
 auto Router::onReachable(bool IsReachable) -> void {
+  m_IsStoreReachable = IsReachable;
   for (const auto &Follower : m_Followers) {
     if (IsReachable) {
-      Follower->restartWatch();
+      Follower->resume();
+    } else {
+      Follower->suspend();
     }
   }
+  if (IsReachable && std::exchange(m_MustRegister, false)) {
+    registerSelf();
+  }
   m_TargetDirectory.setStoreReachable(IsReachable, now());
   m_Grants.setStoreReachable(IsReachable);
 }
@@ -405,7 +415,8 @@
   if (!m_Dependencies.m_Directory.isDirectoryRequest(Head)) {
     return {404, "Not Found", "application/json", "{}"};
   }
-  const auto Addresses = m_Peers.callerAddresses(m_IsLeaving || !isReady(), now());
+  const auto Addresses =
+      m_AddressSelector.choose(m_Peers.addressCandidates(m_IsLeaving || !isReady(), now()));
   if (Addresses.empty()) {
     return {503, "Service Unavailable", "application/json", "{}"};
   }
@@ -422,9 +433,7 @@
     followWithoutBudgets();
   }
   sendHeartbeats();
-  const auto Period = HeartbeatPeriod * std::max<std::int64_t>(1, Routers / MaxHeartbeatsPerPeriod);
-  m_Peers.setHeartbeatTimeout(Period * MaxLostHeartbeats);
-  m_Dependencies.m_Timers.start(now() + Period, [this] { runPeriodicTasks(); });
+  m_Dependencies.m_Timers.start(now() + m_FleetExchange.period(), [this] { runPeriodicTasks(); });
 }
 
 auto Router::sendHeartbeats() -> void {
@@ -448,19 +457,26 @@
            static_cast<std::uint32_t>(std::min<base::Tokens>(Offer.m_Available, UINT32_MAX))});
     }
   }
-  m_PeerLink.broadcast(Message);
+  const auto Before = m_Peers.role();
+  for (const auto &Outgoing : m_FleetExchange.advance(std::move(Message), now())) {
+    m_PeerLink.send(Outgoing);
+  }
+  if (m_Peers.role() != Before) {
+    m_Dependencies.m_Log.record(base::LogLevel::Info, "fleet_role_changed",
+                                {{"role", nameOf(fleet::FleetRoleNames, m_Peers.role())},
+                                 {"before", nameOf(fleet::FleetRoleNames, Before)},
+                                 {"routers", m_Peers.recordCount()}});
+  }
 }
 
 auto Router::onDatagram(std::string_view Bytes) -> void {
-  switch (Bytes.empty() ? DatagramKind() : static_cast<DatagramKind>(Bytes.front())) {
-  case DatagramKind::Heartbeat:
-    onHeartbeat(Bytes.substr(1));
-    return;
-  case DatagramKind::Transfer:
+  if (fleet::isFleetMessage(Bytes)) {
+    onFleetMessage(Bytes);
+  } else if (Bytes.starts_with(TransferByte)) {
     onTransfer(Bytes.substr(1));
-    return;
+  } else {
+    logUnreadableDatagram("unknown datagram kind", Bytes.size());
   }
-  logUnreadableDatagram("unknown datagram kind", Bytes.size());
 }
 
 auto Router::logUnreadableDatagram(const std::string &Reason, std::size_t Size) -> void {
@@ -477,17 +493,21 @@
   m_Grants.onTransfer(*Message);
 }
 
-auto Router::onHeartbeat(std::string_view Bytes) -> void {
-  const auto Message = fleet::decodeHeartbeat(Bytes);
+auto Router::onFleetMessage(std::string_view Bytes) -> void {
+  const auto Message = fleet::decodeMessage(Bytes);
   if (!Message.ok()) {
     logUnreadableDatagram(std::string(Message.status().message()), Bytes.size());
     return;
   }
-  if (Message->m_Router != m_Settings.m_Vm && m_Peers.recordHeartbeat(*Message, now())) {
+  const auto Result = m_FleetExchange.receive(*Message, now());
+  for (const auto &Changed : Result.m_ChangedRouters) {
     m_Dependencies.m_Log.record(base::LogLevel::Info, "router_heard",
-                                {{"router", Message->m_Router},
-                                 {"incarnation", Message->m_Incarnation},
-                                 {"leaving", Message->m_IsLeaving}});
+                                {{"router", Changed.m_Router},
+                                 {"incarnation", Changed.m_Incarnation},
+                                 {"leaving", Changed.m_IsLeaving}});
+  }
+  if (Result.m_Answer) {
+    m_PeerLink.send(*Result.m_Answer);
   }
 }
 
--- a/src/router/internal/routersettings.cpp
+++ b/src/router/internal/routersettings.cpp
@@ -91,6 +91,17 @@
   return Status;
 }
 
+/// Reads the number of cores and the share of them that the process may use.
+auto readCores(const toml::table &Table, double &Out) -> absl::Status {
+  auto Share = 1.0;
+  if (auto Status = readNumber(Table, "limits.cores", Out); !Status.ok()) {
+    return Status;
+  }
+  auto Status = readNumber(Table, "limits.processor_share", Share);
+  Out *= Share;
+  return Status;
+}
+
 /// Reads the address for datagrams. The port is the first of the range that is open for traffic
 /// between routers.
 auto readPeers(const toml::table &Table, RouterSettings &Out) -> absl::Status {
@@ -124,7 +135,7 @@
         readAddress(Table, "readiness.listen", Result.m_Readiness),
         readAddress(Table, "directory.listen", Result.m_Directory),
         readAddress(Table, "store.address", Result.m_Store), readPeers(Table, Result),
-        readCount(Table, "limits.memory_mb", Result.m_MemoryMb),
+        readCores(Table, Result.m_Cores), readCount(Table, "limits.memory_mb", Result.m_MemoryMb),
         readCount(Table, "limits.descriptors", Result.m_MaxDescriptors),
         readSeconds(Table, "stop.time_s", Result.m_StopTime),
         readSeconds(Table, "directory.time_to_live_s", Result.m_DirectoryTimeToLive),
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -79,7 +79,7 @@
   auto sendHeartbeats() -> void;
   auto onDatagram(std::string_view Bytes) -> void;
   auto logUnreadableDatagram(const std::string &Reason, std::size_t Size) -> void;
-  auto onHeartbeat(std::string_view Bytes) -> void;
+  auto onFleetMessage(std::string_view Bytes) -> void;
   auto onTransfer(std::string_view Bytes) -> void;
   auto handleDirectoryRequest(const http1::RequestHead &Head) -> transport::DirectResponse;
   auto handleReadinessRequest(const http1::RequestHead &Head) -> transport::DirectResponse;
@@ -94,6 +94,8 @@
   RouterSettings m_Settings;
   std::uint64_t m_Incarnation;
   fleet::PeerTable m_Peers;
+  fleet::AddressSelector m_AddressSelector;
+  fleet::FleetExchange m_FleetExchange;
   transport::DatagramSocket m_PeerSocket;
   PeerLink m_PeerLink;
   forwarding::TargetTable m_Targets;
@@ -113,6 +115,12 @@
   bool m_IsLeaving = false;
   std::int64_t m_OwnRecordRevision = 0;
   bool m_IsRegistering = false;
+
+  /// Result of the last probe of the store; assumed to be positive before the first one.
+  bool m_IsStoreReachable = true;
+
+  /// Whether this router must be registered once the store can be reached.
+  bool m_MustRegister = false;
   bool m_IsDrainingGrants = false;
   std::uint32_t m_HeartbeatSequence = 0;
   base::SteadyTime m_StopStarted;
--- a/src/router/routersettings.h
+++ b/src/router/routersettings.h
@@ -33,6 +33,9 @@
   SocketAddress m_Peers;
   SocketAddress m_Store;
 
+  /// Processor cores that the process may use; 0 if unknown.
+  double m_Cores = 0.0;
+
   /// Memory that the process may use, in megabytes.
   std::int64_t m_MemoryMb = 110;
 
--- a/src/router/tests/routersettings_test.cpp
+++ b/src/router/tests/routersettings_test.cpp
@@ -22,6 +22,8 @@
 address = "10.9.0.1:90"
 change_time_ms = "3000"
 [limits]
+cores = "2"
+processor_share = 0.12
 memory_mb = 260
 descriptors = ""
 [stop]
@@ -43,6 +45,7 @@
   cr_expect_eq(Settings->m_StopTime.count(), 8500);
   cr_expect_eq(Settings->m_ChangeTime.count(), 3000);
   cr_expect_eq(Settings->m_MemoryMb, 260);
+  cr_expect_float_eq(Settings->m_Cores, 0.24, 1e-9);
   cr_expect_eq(Settings->m_MaxDescriptors, RouterSettings().m_MaxDescriptors);
 }
 
@@ -55,6 +58,8 @@
   cr_expect(ErrorNames(withReplaced("vm = \"a-1\"", ""), "vm"));
   cr_expect(ErrorNames(withReplaced("10.0.0.1:80", "10.0.0.1"), "callers.listen"));
   cr_expect(ErrorNames(withReplaced("10.9.0.1:90", "10.9.0.1:99999"), "store.address"));
+  cr_expect(ErrorNames(withReplaced("0.12", "\"some\""), "limits.processor_share"));
+  cr_expect(ErrorNames(withReplaced("\"2\"", "-2"), "limits.cores"));
   cr_expect(ErrorNames(withReplaced("7340,7355", "none"), "peers.ports"));
   cr_expect(ErrorNames(withReplaced("\"8.5\"", "-1"), "stop.time_s"));
   cr_expect(ErrorNames(withReplaced("\"8.5\"", "\"soon\""), "stop.time_s"));
