Request tokens of a shard ahead of demand

Cause: a router that does not own the shard sent its owner a message for each request. Where all callers of a workspace use one VM (fifi310 at front-ch-north-b-7), these messages waited behind answers on a link of 10 Mbit/s, 72 of those that were logged were unanswered, and requests waited up to 400 ms for them.

Change: a router that needs at least two requests' worth a second requests one second's demand at once.

--- a/src/budget/grantallocator.h
+++ b/src/budget/grantallocator.h
@@ -128,6 +128,11 @@
   /// Refuses the waiting requests whose deadline has passed.
   auto expire(base::SteadyTime Now) -> void;
 
+  /// Tokens that this router's requests are expected to reserve in the given time; 0 for an unknown
+  /// budget, and if that is less than two requests.
+  [[nodiscard]] auto demandWithin(const std::string &Budget, std::chrono::milliseconds Span,
+                                  base::SteadyTime Now) const -> Tokens;
+
   /// Tokens that may be reserved now without a write; 0 for an unknown budget.
   [[nodiscard]] auto spendable(const std::string &Budget) const -> Tokens;
 
@@ -216,6 +221,9 @@
   auto jitter(std::chrono::milliseconds MaxDelay) -> std::chrono::milliseconds;
   auto recordDemand(BudgetState &Item, Tokens WorstCase, base::SteadyTime Now) const -> void;
 
+  /// Current demand in tokens per millisecond.
+  [[nodiscard]] auto demandRate(const BudgetState &Item, base::SteadyTime Now) const -> double;
+
   /// Counts tokens as used, received ones first.
   static auto spend(BudgetState &Item, Tokens Amount) -> void;
 
--- a/src/budget/grantservice.h
+++ b/src/budget/grantservice.h
@@ -105,6 +105,11 @@
   /// Reserves what this router holds of the home shard and requests the rest from other routers.
   auto requestFromRouters(const std::shared_ptr<PendingReservation> &Item) -> void;
   auto refuseReservation(const std::shared_ptr<PendingReservation> &Item) -> void;
+
+  /// Requests tokens ahead of demand if this router uses many of a shard that it does not own.
+  /// Answers the load of a workspace whose callers all use one router: a message for each of its
+  /// requests would delay them and cost more than forwarding them.
+  auto refillFromRouters(const std::vector<std::string> &Shards) -> void;
   [[nodiscard]] auto isSharded() const -> bool { return m_Shards && m_Shards->isSharded(); }
 
   /// Takes tokens out of this router's grant for another router. The callback gets all of them or
@@ -142,6 +147,9 @@
   std::optional<BudgetShards> m_Shards;
   std::int64_t m_Routers = 1;
   ShardOwners m_Owners;
+
+  /// Earliest time of the next refill by home shard; far ahead while one is in progress.
+  std::map<std::string, base::SteadyTime> m_NextRefill;
   base::SteadyTime m_StartTime;
   std::function<void()> m_OnCallFailed = [] {};
   base::TimerId m_Timer = 0;
--- a/src/budget/internal/grantallocator.cpp
+++ b/src/budget/internal/grantallocator.cpp
@@ -89,14 +89,29 @@
 auto GrantAllocator::recordDemand(BudgetState &Item, Tokens WorstCase, base::SteadyTime Now) const
     -> void {
   const auto Window = static_cast<double>(m_Options.m_RateWindow.count());
-  const auto Decay = std::exp(-toMs(Now - Item.m_RateUpdated) / Window);
   const auto Size = static_cast<double>(WorstCase);
-  Item.m_TokensPerMs = Item.m_TokensPerMs * Decay + Size / Window;
+  Item.m_TokensPerMs = demandRate(Item, Now) + Size / Window;
   Item.m_RateUpdated = Now;
   Item.m_MeanRequestTokens = Item.m_HasDemand ? 0.9 * Item.m_MeanRequestTokens + 0.1 * Size : Size;
   Item.m_HasDemand = true;
 }
 
+auto GrantAllocator::demandRate(const BudgetState &Item, base::SteadyTime Now) const -> double {
+  const auto Window = static_cast<double>(m_Options.m_RateWindow.count());
+  return Item.m_TokensPerMs * std::exp(-toMs(Now - Item.m_RateUpdated) / Window);
+}
+
+auto GrantAllocator::demandWithin(const std::string &Budget, milliseconds Span,
+                                  base::SteadyTime Now) const -> Tokens {
+  const auto Found = m_Budgets.find(Budget);
+  if (Found == m_Budgets.end()) {
+    return 0;
+  }
+  const auto &Item = Found->second;
+  const auto Demand = demandRate(Item, Now) * static_cast<double>(Span.count());
+  return Demand < 2 * Item.m_MeanRequestTokens ? 0 : static_cast<Tokens>(Demand);
+}
+
 auto GrantAllocator::desiredReserve(const std::string &Name, const BudgetState &Item,
                                     base::SteadyTime Now) const -> Tokens {
   if (m_IsDraining || m_IsSuperseded || m_BudgetsWithoutReserve.contains(Name)) {
@@ -109,10 +124,8 @@
   const auto Share =
       static_cast<Tokens>(static_cast<double>(Free + unreservedTokens(Item)) *
                           m_Options.m_ReserveShare / static_cast<double>(m_SharingRouters));
-  const auto Decay = std::exp(-toMs(Now - Item.m_RateUpdated) /
-                              static_cast<double>(m_Options.m_RateWindow.count()));
   const auto Horizon = m_IsSharded ? m_Options.m_ShardOwnerHorizon : m_Options.m_Horizon;
-  const auto Demand = Item.m_TokensPerMs * Decay * static_cast<double>(Horizon.count());
+  const auto Demand = demandRate(Item, Now) * static_cast<double>(Horizon.count());
   // Arrivals vary, so one standard deviation of a Poisson process is added.
   const auto Margin = std::sqrt(Demand * Item.m_MeanRequestTokens);
   const auto Forecast = static_cast<Tokens>(Demand + Margin);
--- a/src/budget/internal/grantservice.cpp
+++ b/src/budget/internal/grantservice.cpp
@@ -18,6 +18,13 @@
 /// Most shards of a budget that are tried for one request. Each may cost a write.
 constexpr auto MaxShardsTried = std::size_t{3};
 
+/// Time of demand that a router requests ahead from the owner of its home shard. A kill strands
+/// what is held, so it is short.
+constexpr auto RefillSpan = std::chrono::milliseconds(1000);
+
+/// Pause after a refill, so that a used-up shard is not asked for each request.
+constexpr auto RefillPause = std::chrono::milliseconds(100);
+
 /// Routers that a shard owner assumes to share its shard when it limits its reserve to their even
 /// share. With two it holds a little over half of the unused tokens, as all routers of a small
 /// fleet do together.
@@ -83,10 +90,31 @@
   Item->m_WorstCase = WorstCase;
   Item->m_Deadline = Deadline;
   Item->m_Done = std::move(Done);
+  refillFromRouters(Item->m_Shards);
   continueReservation(Item);
   advance();
 }
 
+auto GrantService::refillFromRouters(const std::vector<std::string> &Shards) -> void {
+  const auto &Home = Shards.front();
+  const auto Now = m_Clock.steadyNow();
+  if (!isSharded() || ownsShard(Home) || Now < m_NextRefill[Home]) {
+    return;
+  }
+  const auto Demand = m_Allocator.demandWithin(Home, RefillSpan, Now);
+  const auto Held = m_Allocator.spendable(Home);
+  if (Held >= Demand / 2) {
+    return;
+  }
+  const auto Amount = Demand - Held;
+  m_NextRefill[Home] = base::SteadyTime::max();
+  m_TokenExchange.requestTokens(candidatesFor({Home}, Amount), Home, Amount, Now + RefillSpan,
+                                [this, Home](Tokens Received) {
+                                  m_NextRefill[Home] = m_Clock.steadyNow() + RefillPause;
+                                  m_Allocator.receive(Home, Received);
+                                });
+}
+
 auto GrantService::ownsShard(const std::string &Shard) const -> bool {
   return !isSharded() || m_Owners.ownerOf(Shard) == m_Router;
 }
--- a/src/budget/tests/grantservice_test.cpp
+++ b/src/budget/tests/grantservice_test.cpp
@@ -245,6 +245,41 @@
   cr_expect_eq(Late, 500, "an answer to another process is ignored");
 }
 
+// Guards against a message for each request where all callers of a workspace use one router: its
+// answers then wait behind those messages on a VM with a slow link.
+Test(grantservice, routerWithMuchDemandRequestsTokensAhead) {
+  auto Fleet = TestFleet();
+  const auto Names = std::set<std::string>{"vm-1", "vm-2"};
+  auto First = Fleet.startService("vm-1", 73, Names);
+  auto Second = Fleet.startService("vm-2", 73, Names);
+  Fleet.m_Timers.runFor(5s);
+  auto Owners = ShardOwners();
+  Owners.setRouters(Names);
+  auto &Busy = Owners.ownerOf(BudgetShards(3, "vm-1").homeShard("b")) == "vm-1" ? *Second : *First;
+  const auto IsOwn = [&](const std::string &Name) {
+    return Owners.ownerOf(BudgetShards(3, Name).homeShard("b")) == Name;
+  };
+  cr_assert(!IsOwn(&Busy == First.get() ? "vm-1" : "vm-2"), "choose names that own other shards");
+  const auto Before = Fleet.m_MessageCount;
+  auto Granted = 0;
+  auto Waits = 0;
+  for (auto Number = 0; Number < 600; ++Number) {
+    auto Result = std::optional<Reservation>();
+    Busy.reserve("b", 300, Fleet.m_Clock.steadyNow() + 400ms,
+                 [&Result](const Reservation &Answer) { Result = Answer; });
+    Waits += !Result;
+    Fleet.m_Timers.runFor(20ms);
+    if (Result && Result->m_Outcome == ReservationOutcome::Granted) {
+      ++Granted;
+      Busy.settle(Result->m_Source, 300, 300);
+    }
+  }
+  cr_expect_eq(Granted, 600);
+  cr_expect_leq(Waits, 60, "%d of 600 requests waited for a message", Waits);
+  cr_expect_leq(Fleet.m_MessageCount - Before, 240, "%d messages for 600 requests",
+                Fleet.m_MessageCount - Before);
+}
+
 Test(grantservice, transferMessagesRoundTripAndInvalidBytesAreRejected) {
   const auto Request = TransferMessage(TransferRequest{"vm", 1, 2, "b/1", 300});
   const auto Answer = TransferMessage(TransferAnswer{"vm", 1, 2, 300});
