Bound what a target may send without end; read a final response behind an interim one

Cause: an event that never ends grew in memory until the deadline; a chunk's size line or a trailer without end grew in the parser; interim responses without end kept an attempt busy until the deadline; and a final response in the same packet as an interim one was dropped, so that the attempt hung until its deadline.

Change: limits of 256 KiB for an event, the header limit for unfinished framing, and 8 interim responses, each counted as a failure of the target that may have run the request. Bytes behind an interim response are parsed on.

--- a/src/forwarding/eventsplitter.h
+++ b/src/forwarding/eventsplitter.h
@@ -15,8 +15,9 @@
   /// received; empty if none is.
   auto add(std::string_view Bytes) -> std::string;
 
-  /// Whether bytes follow the last complete event.
+  /// Whether bytes follow the last complete event, and how many.
   [[nodiscard]] auto hasPartialEvent() const -> bool { return !m_Pending.empty(); }
+  [[nodiscard]] auto partialEventBytes() const -> std::size_t { return m_Pending.size(); }
 
   /// Returns the bytes after the last complete event and removes them from the splitter.
   auto takePartialEvent() -> std::string;
--- a/src/forwarding/forwardingcontext.h
+++ b/src/forwarding/forwardingcontext.h
@@ -40,6 +40,10 @@
   /// Maximum body size of a response that is buffered before it is sent to the caller.
   std::size_t m_MaxBufferedResponseBytes = std::size_t{4} * 1024 * 1024;
 
+  /// Maximum size of one event of a stream. A target that sends more without ending the event has
+  /// failed.
+  std::size_t m_MaxEventBytes = std::size_t{256} * 1024;
+
   /// Reading from a target pauses when more than this many bytes are unsent to the caller, and
   /// resumes when all of them are sent.
   std::size_t m_MaxUnsentBytes = std::size_t{256} * 1024;
--- a/src/forwarding/internal/forwardsessionanswer.cpp
+++ b/src/forwarding/internal/forwardsessionanswer.cpp
@@ -67,6 +67,9 @@
 auto ForwardSession::forwardEvents(std::string_view Bytes) -> void {
   auto Complete = m_Events.add(Bytes);
   if (Complete.empty()) {
+    if (m_Events.partialEventBytes() > m_Context.m_Options.m_MaxEventBytes) {
+      attemptFailed(base::Verdict::MayHaveRun, AttemptResult::Failed, "event_too_large");
+    }
     return;
   }
   recordFirstByte();
--- a/src/forwarding/tests/forwardsession_test.cpp
+++ b/src/forwarding/tests/forwardsession_test.cpp
@@ -186,6 +186,30 @@
   cr_assert_eq(Fixture.m_Caller->m_Body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
 }
 
+// Guards against a target that sends bytes without end which never become an event: they would fill
+// the memory, and the caller would wait until its deadline.
+Test(forwardsession, eventWithoutEndFailsTheAttempt) {
+  const auto Piece = std::string(16 * 1024, 'x');
+  for (const auto *Path : {"/stream/1", "/resumable/1"}) {
+    auto Fixture = ForwardingFixture();
+    Fixture.request(Path, true);
+    Fixture.connect();
+    Fixture.answerHead(200, {"signed"});
+    Fixture.body("id: 1\ndata: a\n\n");
+    auto Sent = std::size_t{0};
+    while (!Fixture.attempts()[0]->m_IsClosed && Sent < 1024 * 1024) {
+      Fixture.body(Piece);
+      Sent += Piece.size();
+    }
+    cr_expect_leq(Sent, 300 * 1024, "%s", Path);
+    cr_expect_not(Fixture.m_Caller->m_IsComplete);
+    cr_expect_eq(Fixture.m_Caller->m_Body, "id: 1\ndata: a\n\n", "only whole events are passed on");
+    const auto IsResumed = std::string(Path) == "/resumable/1";
+    cr_expect_eq(Fixture.attempts().size(), IsResumed ? 2U : 1U);
+    cr_expect_eq(Fixture.m_Caller->m_IsAborted, !IsResumed);
+  }
+}
+
 Test(forwardsession, brokenStreamThatIsNotResumableIsAborted) {
   auto Fixture = ForwardingFixture();
   Fixture.request("/stream/1", true);
--- a/src/http1/internal/messageparser.cpp
+++ b/src/http1/internal/messageparser.cpp
@@ -96,10 +96,11 @@
 template <bool IsRequest>
 struct ParserState {
   CollectingParser<IsRequest> m_Parser;
+  std::size_t m_MaxUnconsumed;
   std::string m_Unconsumed;
   bool m_Started = false;
 
-  explicit ParserState(const MessageLimits &Limits) {
+  explicit ParserState(const MessageLimits &Limits) : m_MaxUnconsumed(Limits.m_HeaderBytes) {
     m_Parser.eager(true);
     m_Parser.header_limit(Limits.m_HeaderBytes);
     m_Parser.body_limit(Limits.m_BodyBytes);
@@ -133,6 +134,11 @@
     }
     if (!m_Parser.is_done()) {
       m_Unconsumed.erase(0, Used);
+      // Outside of the header section, which Beast limits, only a chunk's size line or the trailer
+      // can be incomplete.
+      if (m_Unconsumed.size() > m_MaxUnconsumed) {
+        return absl::ResourceExhaustedError("a chunk's size line or the trailer is too large");
+      }
       return Bytes.size();
     }
     // All bytes carried over belong to this message, so only new ones can be left over.
--- a/src/http1/tests/messageparser_test.cpp
+++ b/src/http1/tests/messageparser_test.cpp
@@ -86,3 +86,25 @@
   cr_assert_eq(Fields.all().size(), 1U);
   cr_assert(Fields.has("request-id"));
 }
+
+// Guards against a peer that sends bytes without end where the parser waits for the end of a line:
+// they would fill the memory.
+Test(responseparser, elementsWithoutEndAreRejected) {
+  const auto FedUntilRejected = [](const std::string &Start, const std::string &Endless) {
+    auto Parser = ResponseParser({16 * 1024, 1024 * 1024});
+    auto Fed = Start.size();
+    auto Result = Parser.feed(Start);
+    while (Result.ok() && Fed < 1024 * 1024) {
+      Result = Parser.feed(Endless);
+      Fed += Endless.size();
+    }
+    return Fed;
+  };
+  constexpr auto Limit = std::size_t{40} * 1024;
+  const auto Chunked = std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  cr_expect_leq(FedUntilRejected("HTTP/1.1 200 OK\r\n", "a: b\r\n"), Limit, "fields");
+  cr_expect_leq(FedUntilRejected("HTTP/1.1 200 OK\r\na: ", "bbbbbbbb"), Limit, "a field");
+  cr_expect_leq(FedUntilRejected("HTTP/1.1 200 ", "OK OK OK "), Limit, "the status line");
+  cr_expect_leq(FedUntilRejected(Chunked + "5;", "extension"), Limit, "a chunk's size line");
+  cr_expect_leq(FedUntilRejected(Chunked + "0\r\n", "a: b\r\n"), Limit, "the trailer");
+}
--- a/src/transport/internal/targetconnector.cpp
+++ b/src/transport/internal/targetconnector.cpp
@@ -22,6 +22,10 @@
 /// Maximum header and body size of a target's response in bytes.
 constexpr auto ResponseLimits = http1::MessageLimits{64 * 1024, std::uint64_t{1} << 30U};
 
+/// Interim (1xx) responses that a target may send before the final one. Targets of HTTP/1.1 send at
+/// most one or two.
+constexpr auto MaxInterimResponses = 8;
+
 /// The connection of one attempt. Its pending operations and the session's handle keep it alive;
 /// destroying the handle closes it.
 class Exchange final : public std::enable_shared_from_this<Exchange> {
@@ -135,7 +139,7 @@
       }
       Bytes.remove_prefix(*Used);
       deliver();
-      if (m_Parser.isDone()) {
+      if (m_Parser.isDone() && !skipInterimResponse()) {
         onDone();
         return;
       }
@@ -158,16 +162,23 @@
     }
   }
 
+  /// Prepares for the next response if the one that has ended is an interim (1xx) one; the final
+  /// one follows, perhaps in the same packet. Returns false for a final response.
+  auto skipInterimResponse() -> bool {
+    if (m_Events == nullptr || m_IsHeadDelivered) {
+      return false;
+    }
+    m_Parser = http1::ResponseParser(ResponseLimits, m_IsHeadMethod);
+    if (++m_InterimResponses > MaxInterimResponses) {
+      fail(Verdict::MayHaveRun, "too_many_interim_responses");
+    }
+    return true;
+  }
+
   auto onDone() -> void {
     if (m_Events == nullptr) {
       return;
     }
-    if (!m_IsHeadDelivered) {
-      // An interim (1xx) response; the final one follows.
-      m_Parser = http1::ResponseParser(ResponseLimits, m_IsHeadMethod);
-      read();
-      return;
-    }
     auto *Events = std::exchange(m_Events, nullptr);
     close();
     Events->onEnd();
@@ -175,6 +186,7 @@
 
   auto onClosed() -> void {
     const auto Status = m_Parser.finishAtClose();
+    // After an interim response the parser waits for the final one.
     if (!Status.ok() || !m_Parser.isDone()) {
       fail(Verdict::MayHaveRun, "closed_early");
       return;
@@ -191,6 +203,7 @@
   http1::ResponseParser m_Parser;
   forwarding::ITargetEventHandler *m_Events;
   base::TimerId m_ConnectTimer = 0;
+  int m_InterimResponses = 0;
   bool m_IsHeadDelivered = false;
   bool m_IsPaused = false;
   bool m_IsReading = false;
