Let relays pass store records on; owners tell when a shard is used up; ready only with the gateway's configuration

Every router watched the configuration, targets and routers by itself, and every router that got no tokens from an owner tried to draw on three shards itself.

Change: module mirror. A relay follows the store and passes on changes of configuration, targets and routers by datagram, with the revisions between which they are complete and their age; a reader never goes back, applies nothing over a gap, and follows the store itself when the relay is silent or its knowledge old.

--- a/src/budget/grantservice.h
+++ b/src/budget/grantservice.h
@@ -112,10 +112,17 @@
   auto refillFromRouters(const std::vector<std::string> &Shards) -> void;
   [[nodiscard]] auto isSharded() const -> bool { return m_Shards && m_Shards->isSharded(); }
 
-  /// Takes tokens out of this router's grant for another router. The callback gets all of them or
-  /// 0.
+  /// Takes tokens out of this router's grant for another router.
   auto withdraw(const std::string &Shard, Tokens Amount, base::SteadyTime Deadline,
-                std::function<void(Tokens)> Done) -> void;
+                std::function<void(TokenExchange::Withdrawal)> Done) -> void;
+
+  /// Whether the owner of the shard has recently found too few tokens left for the amount.
+  [[nodiscard]] auto isUsedUp(const std::string &Shard, Tokens Amount) const -> bool;
+
+  /// Whether the owners of all shards have recently found that all of them together cannot cover
+  /// the amount.
+  [[nodiscard]] auto isExhausted(const std::vector<std::string> &Shards, Tokens Amount) const
+      -> bool;
 
   /// Whether this router owns the shard; always true without sharding.
   [[nodiscard]] auto ownsShard(const std::string &Shard) const -> bool;
@@ -148,12 +155,21 @@
   std::int64_t m_Routers = 1;
   ShardOwners m_Owners;
 
+  /// An amount that a shard could not cover, and until when that is taken to be still so.
+  struct UsedUpShard {
+    Tokens m_Amount = 0;
+    Tokens m_Unsettled = 0;
+    base::SteadyTime m_Until;
+  };
+  std::map<std::string, UsedUpShard> m_UsedUpShards;
+
   /// Earliest time of the next refill by home shard; far ahead while one is in progress.
   std::map<std::string, base::SteadyTime> m_NextRefill;
   base::SteadyTime m_StartTime;
   std::function<void()> m_OnCallFailed = [] {};
   base::TimerId m_Timer = 0;
   bool m_IsAdvancing = false;
+  bool m_IsStoreReachable = true;
 };
 
 } // namespace geraniumlift::budget
--- a/src/budget/internal/grantservice.cpp
+++ b/src/budget/internal/grantservice.cpp
@@ -22,6 +22,10 @@
 /// what is held, so it is short.
 constexpr auto RefillSpan = std::chrono::milliseconds(1000);
 
+/// Time for which a shard is not tried again for an amount that its owner could not find in it.
+/// Meanwhile requests may end and release tokens.
+constexpr auto UsedUpRetention = std::chrono::milliseconds(500);
+
 /// Pause after a refill, so that a used-up shard is not asked for each request.
 constexpr auto RefillPause = std::chrono::milliseconds(100);
 
@@ -50,28 +54,57 @@
   m_Owners.setRouters({m_Router});
   m_TokenExchange.setGrantCallbacks(
       [this](const std::string &Shard, Tokens Amount, base::SteadyTime Deadline,
-             std::function<void(Tokens)> Done) {
+             std::function<void(TokenExchange::Withdrawal)> Done) {
         withdraw(Shard, Amount, Deadline, std::move(Done));
       },
-      [this](const std::string &Into, Tokens Amount) { m_Allocator.receive(Into, Amount); });
+      [this](const std::string &Into, Tokens Amount) { m_Allocator.receive(Into, Amount); },
+      [this](const std::string &Shard, Tokens Amount, Tokens Unsettled) {
+        m_UsedUpShards[Shard] = {Amount, Unsettled, m_Clock.steadyNow() + UsedUpRetention};
+      });
 }
 
 auto GrantService::withdraw(const std::string &Shard, Tokens Amount, base::SteadyTime Deadline,
-                            std::function<void(Tokens)> Done) -> void {
+                            std::function<void(TokenExchange::Withdrawal)> Done) -> void {
   // Without shards the requesting router counts the demand itself. Tokens are drawn for it only if
   // it is cut off from the store.
   if (!isSharded() && m_Allocator.withdraw(Shard, Amount)) {
-    Done(Amount);
+    Done({Amount});
     return;
   }
-  m_Allocator.reserve(Shard, Amount, Deadline, m_Clock.steadyNow(),
-                      [this, Shard, Amount, Done = std::move(Done)](ReservationOutcome Answer) {
-                        const auto IsGranted = Answer == ReservationOutcome::Granted;
-                        if (IsGranted) {
-                          m_Allocator.settle(Shard, Amount, Amount, m_Clock.steadyNow());
-                        }
-                        Done(IsGranted ? Amount : 0);
-                      });
+  m_Allocator.reserve(
+      Shard, Amount, Deadline, m_Clock.steadyNow(),
+      [this, Shard, Amount, Done = std::move(Done)](ReservationOutcome Answer) {
+        if (Answer == ReservationOutcome::Granted) {
+          m_Allocator.settle(Shard, Amount, Amount, m_Clock.steadyNow());
+          Done({Amount});
+          return;
+        }
+        const auto Left = m_Allocator.freeTokens(Shard) + m_Allocator.spendable(Shard);
+        Done({0, isSharded() && ownsShard(Shard) && m_IsStoreReachable && Left < Amount,
+              m_Allocator.unsettledTokens(Shard)});
+      });
+}
+
+auto GrantService::isUsedUp(const std::string &Shard, Tokens Amount) const -> bool {
+  const auto Found = m_UsedUpShards.find(Shard);
+  return Found != m_UsedUpShards.end() && Amount >= Found->second.m_Amount &&
+         m_Clock.steadyNow() < Found->second.m_Until;
+}
+
+auto GrantService::isExhausted(const std::vector<std::string> &Shards, Tokens Amount) const
+    -> bool {
+  auto Left = Tokens{0};
+  for (const auto &Shard : Shards) {
+    const auto Found = m_UsedUpShards.find(Shard);
+    if (ownsShard(Shard)) {
+      Left += m_Allocator.unsettledTokens(Shard);
+    } else if (Found != m_UsedUpShards.end() && m_Clock.steadyNow() < Found->second.m_Until) {
+      Left += Found->second.m_Unsettled;
+    } else {
+      return false;
+    }
+  }
+  return Left < Amount;
 }
 
 auto GrantService::reserve(const std::string &Budget, Tokens WorstCase, base::SteadyTime Deadline,
@@ -131,6 +164,10 @@
   // The owner of the home shard draws on it first; other routers ask its owner first.
   const auto MayAskRouters =
       !Item->m_HasAskedRouters && !Item->m_IsExhausted && (!IsFirst || AskRoutersFirst);
+  while (Item->m_ShardsTried < Item->m_Shards.size() &&
+         isUsedUp(Item->m_Shards[Item->m_ShardsTried], Item->m_WorstCase)) {
+    ++Item->m_ShardsTried;
+  }
   const auto MayTryShard = Item->m_ShardsTried < std::min(Item->m_Shards.size(), MaxShardsTried);
   if (Now >= Item->m_Deadline || (!MayAskRouters && !MayTryShard)) {
     refuseReservation(Item);
@@ -164,6 +201,9 @@
     -> std::vector<TokenExchange::Candidate> {
   auto Result = std::vector<TokenExchange::Candidate>();
   for (const auto &Shard : Shards) {
+    if (isUsedUp(Shard, Amount)) {
+      continue;
+    }
     const auto Offers = m_Link.offersOf(Shard);
     for (const auto &Offer : Offers) {
       if (Offer.m_Available >= Amount) {
@@ -209,8 +249,9 @@
 }
 
 auto GrantService::refuseReservation(const std::shared_ptr<PendingReservation> &Item) -> void {
-  Item->m_Done(
-      {Item->m_IsExhausted ? ReservationOutcome::Exhausted : ReservationOutcome::Unavailable, {}});
+  const auto IsExhausted =
+      Item->m_IsExhausted || (isSharded() && isExhausted(Item->m_Shards, Item->m_WorstCase));
+  Item->m_Done({IsExhausted ? ReservationOutcome::Exhausted : ReservationOutcome::Unavailable, {}});
 }
 
 auto GrantService::onTransfer(const TransferMessage &Message) -> void {
@@ -225,6 +266,7 @@
 
 auto GrantService::setPrepaid(const std::map<std::string, Tokens> &Prepaid) -> void {
   m_Prepaid = Prepaid;
+  m_UsedUpShards.clear();
   applyPrepaid();
   advance();
 }
@@ -298,6 +340,7 @@
 }
 
 auto GrantService::setStoreReachable(bool IsReachable) -> void {
+  m_IsStoreReachable = IsReachable;
   m_Allocator.setStoreReachable(IsReachable);
   advance();
 }
--- a/src/budget/internal/tokenexchange.cpp
+++ b/src/budget/internal/tokenexchange.cpp
@@ -38,9 +38,11 @@
   }
 }
 
-auto TokenExchange::setGrantCallbacks(Withdraw Withdraw, AddLateTokens AddLateTokens) -> void {
+auto TokenExchange::setGrantCallbacks(Withdraw Withdraw, AddLateTokens AddLateTokens,
+                                      OnUsedUp OnUsedUp) -> void {
   m_Withdraw = std::move(Withdraw);
   m_AddLateTokens = std::move(AddLateTokens);
+  m_OnUsedUp = std::move(OnUsedUp);
 }
 
 auto TokenExchange::requestTokens(std::vector<Candidate> Candidates,
@@ -107,27 +109,32 @@
   const auto Key = std::pair(Message.m_Session, Message.m_Number);
   const auto Now = m_Clock.steadyNow();
   if (const auto Previous = m_SentAnswers.find(Key); Previous != m_SentAnswers.end()) {
-    if (Previous->second.m_Tokens) {
-      m_Link.send(Message.m_From, TransferAnswer{m_Router, Message.m_Session, Message.m_Number,
-                                                 *Previous->second.m_Tokens});
+    if (Previous->second.m_Outcome) {
+      sendAnswer(Message, *Previous->second.m_Outcome);
     }
     return;
   }
   m_SentAnswers[Key] = {std::nullopt, Now + MessageRetention};
   m_Withdraw(Message.m_Budget, Message.m_Tokens, Now + AnswerTimeout,
-             [this, Message, Key](Tokens Amount) {
-               m_SentAnswers[Key] = {Amount, m_Clock.steadyNow() + MessageRetention};
+             [this, Message, Key](const Withdrawal &Outcome) {
+               m_SentAnswers[Key] = {Outcome, m_Clock.steadyNow() + MessageRetention};
                m_Log.record(base::LogLevel::Debug, "budget_transfer_given",
                             {{"to", Message.m_From},
                              {"number", Message.m_Number},
                              {"budget", Message.m_Budget},
                              {"asked", Message.m_Tokens},
-                             {"given", Amount}});
-               m_Link.send(Message.m_From,
-                           TransferAnswer{m_Router, Message.m_Session, Message.m_Number, Amount});
+                             {"given", Outcome.m_Tokens},
+                             {"used_up", Outcome.m_IsUsedUp}});
+               sendAnswer(Message, Outcome);
              });
 }
 
+auto TokenExchange::sendAnswer(const TransferRequest &Request, const Withdrawal &Outcome) -> void {
+  m_Link.send(Request.m_From,
+              TransferAnswer{m_Router, Request.m_Session, Request.m_Number, Outcome.m_Tokens,
+                             Outcome.m_IsUsedUp, Outcome.m_Unsettled});
+}
+
 auto TokenExchange::onAnswer(const TransferAnswer &Message) -> void {
   const auto Found = m_SentRequests.find(Message.m_Number);
   if (Message.m_Session != m_Session || Found == m_SentRequests.end()) {
@@ -153,6 +160,10 @@
     std::exchange(Item->m_Done, nullptr)(Message.m_Tokens);
     return;
   }
+  if (Message.m_IsUsedUp) {
+    m_OnUsedUp(Item->m_Candidates[Item->m_CandidateIndex].m_Budget, Item->m_Amount,
+               Message.m_Unsettled);
+  }
   ++Item->m_CandidateIndex;
   requestFromNextCandidate(Item);
 }
@@ -167,7 +178,7 @@
     return !Item.second.m_Transfer && Item.second.m_Expires <= Now;
   });
   std::erase_if(m_SentAnswers, [Now](const auto &Item) {
-    return Item.second.m_Tokens && Item.second.m_Expires <= Now;
+    return Item.second.m_Outcome && Item.second.m_Expires <= Now;
   });
 }
 
--- a/src/budget/internal/transfercodec.cpp
+++ b/src/budget/internal/transfercodec.cpp
@@ -28,7 +28,8 @@
   } else {
     const auto &Answer = std::get<TransferAnswer>(Message);
     Data(MessageKind::Answer);
-    Data(Answer.m_From, Answer.m_Session, Answer.m_Number, Answer.m_Tokens);
+    Data(Answer.m_From, Answer.m_Session, Answer.m_Number, Answer.m_Tokens, Answer.m_IsUsedUp,
+         Answer.m_Unsettled);
   }
   return Bytes.str();
 }
@@ -52,7 +53,8 @@
       return Request;
     case MessageKind::Answer:
       base::readText(Data, Answer.m_From, MaxNameBytes);
-      Data(Answer.m_Session, Answer.m_Number, Answer.m_Tokens);
+      Data(Answer.m_Session, Answer.m_Number, Answer.m_Tokens, Answer.m_IsUsedUp,
+           Answer.m_Unsettled);
       if (Answer.m_Tokens < 0) {
         return absl::InvalidArgumentError("the number of tokens is negative");
       }
--- a/src/budget/tests/grantservice_test.cpp
+++ b/src/budget/tests/grantservice_test.cpp
@@ -280,9 +280,44 @@
                 Fleet.m_MessageCount - Before);
 }
 
+// Guards against writes that can only conflict: with a used-up budget, each router tried to draw on
+// three shards for each request, and two writes in three conflicted.
+Test(grantservice, usedUpBudgetCostsNoWritesOfOtherRouters) {
+  auto Fleet = TestFleet();
+  const auto Names = std::set<std::string>{"vm-1", "vm-2"};
+  auto First = Fleet.startService("vm-1", 73, Names);
+  auto Second = Fleet.startService("vm-2", 73, Names);
+  Fleet.m_Timers.runFor(5s);
+  auto Refused = 0;
+  for (auto Number = 0; Number < 60; ++Number) {
+    auto &Service = Number % 2 == 0 ? *First : *Second;
+    const auto Answer = Fleet.reserve(Service, 20000);
+    if (Answer->m_Outcome == ReservationOutcome::Granted) {
+      Service.settle(Answer->m_Source, 20000, 20000);
+    } else {
+      ++Refused;
+    }
+  }
+  cr_assert_geq(Refused, 10, "the budget is used up");
+  Fleet.m_Timers.runFor(20s);
+  const auto Before = Fleet.m_Store.m_Writes;
+  auto Exhausted = 0;
+  for (auto Number = 0; Number < 100; ++Number) {
+    auto Result = std::optional<Reservation>();
+    Second->reserve("b", 100000, Fleet.m_Clock.steadyNow() + 400ms,
+                    [&Result](const Reservation &Answer) { Result = Answer; });
+    Fleet.m_Timers.runFor(20ms);
+    cr_assert(Result && Result->m_Outcome != ReservationOutcome::Granted,
+              "what cannot be served is refused at once");
+    Exhausted += Result->m_Outcome == ReservationOutcome::Exhausted;
+  }
+  cr_expect_geq(Exhausted, 80, "the records prove it: %d of 100", Exhausted);
+  cr_expect_leq(Fleet.m_Store.m_Writes - Before, 8, "%d writes", Fleet.m_Store.m_Writes - Before);
+}
+
 Test(grantservice, transferMessagesRoundTripAndInvalidBytesAreRejected) {
   const auto Request = TransferMessage(TransferRequest{"vm", 1, 2, "b/1", 300});
-  const auto Answer = TransferMessage(TransferAnswer{"vm", 1, 2, 300});
+  const auto Answer = TransferMessage(TransferAnswer{"vm", 1, 2, 300, true, 70});
   cr_assert(*decodeTransfer(encodeTransfer(Request)) == Request);
   cr_assert(*decodeTransfer(encodeTransfer(Answer)) == Answer);
   const auto Bytes = encodeTransfer(Request);
--- a/src/budget/tests/grantsimulation.h
+++ b/src/budget/tests/grantsimulation.h
@@ -161,11 +161,11 @@
                                                       m_Clock, m_Log);
     Item.m_Exchange->setGrantCallbacks(
         [this, &Item](const std::string &Name, Tokens Amount, base::SteadyTime Deadline,
-                      const std::function<void(Tokens)> &Done) {
+                      const std::function<void(TokenExchange::Withdrawal)> &Done) {
           // Half of the routers transfer only what they hold; the others also draw, as shard owners
           // do.
           if (Item.m_Name.back() % 2 == 0) {
-            Done(Item.m_Allocator->withdraw(Name, Amount) ? Amount : 0);
+            Done({Item.m_Allocator->withdraw(Name, Amount) ? Amount : 0});
             return;
           }
           const auto ProcessNumber = Item.m_ProcessNumber;
@@ -179,7 +179,7 @@
                 if (IsGranted) {
                   Item.m_Allocator->settle(Budget, Amount, Amount, m_Now);
                 }
-                Done(IsGranted ? Amount : 0);
+                Done({IsGranted ? Amount : 0});
               });
         },
         [&Item](const std::string &Into, Tokens Amount) {
--- a/src/budget/tokenexchange.h
+++ b/src/budget/tokenexchange.h
@@ -18,9 +18,21 @@
 /// each answer once, so that no token is spent twice; tokens of a lost answer are never spent.
 class TokenExchange {
 public:
-  /// Takes tokens out of this router's grant. The callback gets their number: all or 0.
-  using Withdraw = std::function<void(const std::string &Budget, Tokens Amount,
-                                      base::SteadyTime Deadline, std::function<void(Tokens)> Done)>;
+  /// Outcome of a withdrawal; see TransferAnswer.
+  struct Withdrawal {
+    Tokens m_Tokens = 0;
+    bool m_IsUsedUp = false;
+    Tokens m_Unsettled = 0;
+  };
+
+  /// Takes tokens out of this router's grant: all or none.
+  using Withdraw =
+      std::function<void(const std::string &Budget, Tokens Amount, base::SteadyTime Deadline,
+                         std::function<void(Withdrawal)> Done)>;
+
+  /// Learns that another router has found too few tokens left of a budget for an amount, and how
+  /// many of them the store does not count as used.
+  using OnUsedUp = std::function<void(const std::string &Budget, Tokens Amount, Tokens Unsettled)>;
 
   /// Receives tokens of an answer that came after the request had timed out.
   using AddLateTokens = std::function<void(const std::string &CreditedBudget, Tokens Amount)>;
@@ -34,7 +46,9 @@
   auto operator=(const TokenExchange &) -> TokenExchange & = delete;
 
   /// Sets the callbacks to this router's grants; must be called before any message arrives.
-  auto setGrantCallbacks(Withdraw Withdraw, AddLateTokens AddLateTokens) -> void;
+  auto setGrantCallbacks(
+      Withdraw Withdraw, AddLateTokens AddLateTokens,
+      OnUsedUp OnUsedUp = [](const std::string &, Tokens, Tokens) {}) -> void;
 
   /// A router to ask, and the budget or shard from which it takes the tokens.
   struct Candidate {
@@ -75,7 +89,7 @@
   /// The answer to a request of another router.
   struct SentAnswer {
     /// Nothing until the withdrawal has ended.
-    std::optional<Tokens> m_Tokens;
+    std::optional<Withdrawal> m_Outcome;
     base::SteadyTime m_Expires;
   };
 
@@ -83,6 +97,7 @@
   auto sendRequest(std::uint64_t Number, bool IsResend) -> void;
   auto onRequest(const TransferRequest &Message) -> void;
   auto onAnswer(const TransferAnswer &Message) -> void;
+  auto sendAnswer(const TransferRequest &Request, const Withdrawal &Outcome) -> void;
   auto removeExpired() -> void;
 
   std::string m_Router;
@@ -93,6 +108,7 @@
   base::IEventLog &m_Log;
   Withdraw m_Withdraw;
   AddLateTokens m_AddLateTokens;
+  OnUsedUp m_OnUsedUp;
   std::uint64_t m_LastNumber = 0;
   std::map<std::uint64_t, SentRequest> m_SentRequests;
 
--- a/src/budget/transfertypes.h
+++ b/src/budget/transfertypes.h
@@ -38,6 +38,13 @@
   /// The requested number of tokens, or 0 if the request is refused.
   Tokens m_Tokens = 0;
 
+  /// Whether the request is refused because the store has too few tokens left, so that drawing on
+  /// the shard directly would fail too.
+  bool m_IsUsedUp = false;
+
+  /// If it is used up, the tokens of the shard that the store does not count as used.
+  Tokens m_Unsettled = 0;
+
   auto operator==(const TransferAnswer &) const -> bool = default;
 };
 
--- a/src/fleet/fleetexchange.h
+++ b/src/fleet/fleetexchange.h
@@ -58,6 +58,11 @@
   /// Applies a message of another router.
   auto receive(const FleetMessage &Message, base::SteadyTime Now) -> ReceiveResult;
 
+  /// Routers to which this one reported in the current period; empty unless it is a member.
+  [[nodiscard]] auto currentRelays() const -> const std::vector<std::string> & {
+    return m_CurrentRelays;
+  }
+
   /// Time until the next call of advance().
   [[nodiscard]] auto period() const -> std::chrono::milliseconds;
 
@@ -88,6 +93,7 @@
 
   /// This router's heartbeat of the current period.
   Heartbeat m_Own;
+  std::vector<std::string> m_CurrentRelays;
   std::uint32_t m_DigestSequence = 0;
 };
 
--- a/src/fleet/internal/fleetexchange.cpp
+++ b/src/fleet/internal/fleetexchange.cpp
@@ -54,6 +54,7 @@
   auto Out = std::vector<OutgoingMessage>();
   if (m_Peers.recordCount() <= m_Options.m_MaxDirectFleet) {
     setRole(FleetRole::Direct, Now);
+    m_CurrentRelays.clear();
     m_Own = std::move(Own);
     Out.push_back({m_Peers.otherRouters(), m_Own});
     return Out;
@@ -67,6 +68,7 @@
   OwnTracker.setSelfLeaving(Own.m_IsLeaving);
   const auto Relays = OwnTracker.nextDestinations(Now);
   setRole(OwnTracker.isSelfRelay() ? FleetRole::Relay : FleetRole::Member, Now);
+  m_CurrentRelays = m_Peers.role() == FleetRole::Member ? Relays : std::vector<std::string>();
   if (!Relays.empty()) {
     Out.push_back({Relays, std::move(Own)});
   }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -61,6 +61,10 @@
   /// Replaces the targets by those of the snapshot. Thread-safe.
   auto setConfiguration(configuration::SnapshotPointer Snapshot) -> void;
 
+  /// Generation of the snapshot by which requests are handled; 0 before the first one. It follows
+  /// setConfiguration() only after the scheduler has run. Thread-safe.
+  [[nodiscard]] auto generationInForce() const -> configuration::Generation;
+
   /// Records whether a target is leaving, as reported by a source other than the configuration.
   /// Thread-safe.
   auto setTargetLeaving(const std::string &Target, bool Leaving) -> void;
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -8,6 +8,7 @@
 #include "gateway/internal/servicecall.h"
 
 #include <absl/strings/numbers.h>
+#include <atomic>
 #include <fmt/format.h>
 
 namespace geraniumlift::gateway {
@@ -45,8 +46,11 @@
       }
     }
     publishTargets();
+    m_GenerationInForce = m_State.m_Snapshot->m_Generation;
   }
 
+  auto generationInForce() const -> configuration::Generation { return m_GenerationInForce; }
+
   auto setTargetLeaving(const std::string &Target, bool Leaving) -> void {
     const auto Changed = Leaving ? m_State.m_LeavingTargets.insert(Target).second
                                  : m_State.m_LeavingTargets.erase(Target) > 0;
@@ -203,6 +207,9 @@
   }
 
   GatewayState m_State;
+
+  /// Read by other threads.
+  std::atomic<configuration::Generation> m_GenerationInForce = 0;
 };
 
 Gateway::Gateway(GatewayOptions Options, GatewayDependencies Dependencies)
@@ -221,6 +228,10 @@
   });
 }
 
+auto Gateway::generationInForce() const -> configuration::Generation {
+  return m_Implementation->generationInForce();
+}
+
 auto Gateway::setTargetLeaving(const std::string &Target, bool Leaving) -> void {
   m_Implementation->scheduler().post(
       [Self = m_Implementation, Target, Leaving] { Self->setTargetLeaving(Target, Leaving); });
--- a/src/gateway/tests/gateway_test.cpp
+++ b/src/gateway/tests/gateway_test.cpp
@@ -308,3 +308,15 @@
   cr_assert_eq(Test.m_Budgets.m_RequestIds[0], Test.m_Budgets.m_RequestIds[1]);
   cr_assert_neq(Test.m_Budgets.m_RequestIds[0], Test.m_Budgets.m_RequestIds[2]);
 }
+
+// Guards against a router that reports itself ready before its gateway knows the configuration: it
+// then answers 401 to valid keys.
+Test(gateway, generationIsInForceOnlyWhenRequestsAreHandledByIt) {
+  auto Test = Fixture();
+  cr_assert_eq(Test.m_Gateway->generationInForce(), 1U);
+  Test.m_Gateway->setConfiguration(std::make_shared<configuration::Snapshot>(
+      configuration::Snapshot{2, "publication", testObjects()}));
+  cr_assert_eq(Test.m_Gateway->generationInForce(), 1U, "the scheduler has not run yet");
+  Test.m_Scheduler.runFor(std::chrono::nanoseconds{0});
+  cr_assert_eq(Test.m_Gateway->generationInForce(), 2U);
+}
--- a/src/geraniumliftd/operatorpages.cpp
+++ b/src/geraniumliftd/operatorpages.cpp
@@ -14,7 +14,8 @@
   if (Sources.m_Draining) {
     return plainText(503, "draining\n");
   }
-  if (Sources.m_Configuration.current()->m_Generation == 0) {
+  // The gateway gets a snapshot later than the configuration service; until then it knows no key.
+  if (Sources.m_Gateway.generationInForce() == 0) {
     return plainText(503, "no configuration was adopted yet\n");
   }
   return plainText(200, "ready\n");
--- a/src/geraniumliftd/operatorpages.h
+++ b/src/geraniumliftd/operatorpages.h
@@ -2,6 +2,7 @@
 
 #include "budget/ibudgetservice.h"
 #include "configuration/iconfigurationsource.h"
+#include "gateway/gateway.h"
 #include "geraniumliftd/operatorhandler.h"
 #include "geraniumliftd/peernetwork.h"
 #include "keyvalue/etcdkeyvaluestore.h"
@@ -18,6 +19,7 @@
   const settings::Settings &m_Settings;
   const base::HolderId &m_Holder;
   const configuration::IConfigurationSource &m_Configuration;
+  const gateway::Gateway &m_Gateway;
   budget::IBudgetService &m_Budgets;
   const keyvalue::EtcdKeyValueStore &m_KeyValues;
   const keyvalue::HttpVmList &m_VmList;
--- a/src/geraniumliftd/router.cpp
+++ b/src/geraniumliftd/router.cpp
@@ -120,8 +120,8 @@
                          m_Gateway.handle(std::move(Exchange));
                        }) {
     addOperatorPages(m_OperatorHandler,
-                     {m_Settings, m_Holder, m_Configuration, m_Budgets, m_KeyValues, m_VmList,
-                      m_PeerNetwork, m_Metrics, m_Draining});
+                     {m_Settings, m_Holder, m_Configuration, m_Gateway, m_Budgets, m_KeyValues,
+                      m_VmList, m_PeerNetwork, m_Metrics, m_Draining});
   }
 
   auto start() -> absl::Status {
--- a/src/keyvalue/internal/storefollower.cpp
+++ b/src/keyvalue/internal/storefollower.cpp
@@ -1,7 +1,5 @@
 #include "keyvalue/storefollower.h"
 
-#include <algorithm>
-
 namespace geraniumlift::keyvalue {
 
 StoreFollower::StoreFollower(std::string Prefix, StoreFollowerOptions Options,
@@ -11,6 +9,11 @@
     : m_Prefix(std::move(Prefix)), m_Options(Options), m_Store(Store), m_Timers(Timers),
       m_Clock(Clock), m_Log(Log), m_Listener(Listener) {}
 
+auto StoreFollower::startAfter(std::int64_t Revision) -> void {
+  m_Revision = Revision;
+  watch();
+}
+
 auto StoreFollower::list() -> void {
   m_LastCallTime = m_Clock.steadyNow();
   m_Store.list(m_Prefix, [this](absl::StatusOr<ListResult> Result) {
@@ -67,7 +70,7 @@
   }
   m_ConsecutiveFailures = 0;
   m_Revision = std::max(m_Revision, Result->m_Revision);
-  m_Listener.onChanges(*Result);
+  m_Listener.onChanges(m_Prefix, *Result);
   schedule(std::max(m_LastCallTime + m_Options.m_MinWatchInterval, m_Clock.steadyNow()),
            &StoreFollower::watch);
 }
--- a/src/keyvalue/storefollower.h
+++ b/src/keyvalue/storefollower.h
@@ -4,6 +4,8 @@
 #include "base/itimers.h"
 #include "keyvalue/itransactionstore.h"
 
+#include <algorithm>
+
 namespace geraniumlift::keyvalue {
 
 /// Receives the keys and changes that a follower reads from the store.
@@ -16,7 +18,7 @@
 
   /// Called with changes in their order. A change that a list read in pages already contains may
   /// be reported again.
-  virtual auto onChanges(const WatchResult &Result) -> void = 0;
+  virtual auto onChanges(std::string_view Prefix, const WatchResult &Result) -> void = 0;
 };
 
 /// Intervals and timeouts of a StoreFollower.
@@ -45,6 +47,17 @@
 
   auto start() -> void { list(); }
 
+  /// Starts with a watch for the changes after a revision up to which they are known already.
+  auto startAfter(std::int64_t Revision) -> void;
+
+  [[nodiscard]] auto prefix() const -> const std::string & { return m_Prefix; }
+
+  /// Revision up to which all changes are known; 0 before the first list.
+  [[nodiscard]] auto revision() const -> std::int64_t { return m_Revision; }
+
+  /// Records that all changes up to the revision are known from elsewhere.
+  auto advanceTo(std::int64_t Revision) -> void { m_Revision = std::max(m_Revision, Revision); }
+
   /// Makes no further calls to the store and ignores results that arrive later.
   auto stop() -> void { m_IsStopped = true; }
 
--- a/src/keyvalue/tests/storefollower_test.cpp
+++ b/src/keyvalue/tests/storefollower_test.cpp
@@ -25,7 +25,7 @@
       m_Values.push_back(Item.m_Value);
     }
   }
-  auto onChanges(const WatchResult &Result) -> void override {
+  auto onChanges(std::string_view /*Prefix*/, const WatchResult &Result) -> void override {
     for (const auto &Event : Result.m_Events) {
       m_Values.push_back(Event.m_Item.m_Value);
     }
@@ -150,3 +150,15 @@
   cr_assert_eq(Fixture.m_ListCalls, 1);
   cr_assert_eq(Fixture.m_Values.size(), 1U);
 }
+
+Test(storefollower, knownRevisionNeedsNoList) {
+  auto Fixture = FollowerFixture();
+  Fixture.m_Store.put("a", "known");
+  const auto Known = Fixture.m_Store.m_Revision;
+  Fixture.m_Store.put("b", "new");
+  Fixture.m_Follower.startAfter(Known);
+  Fixture.m_Timers.runFor(100ms);
+  cr_assert_eq(Fixture.m_ListCalls, 0);
+  cr_assert_eq(Fixture.m_Values.size(), 1U);
+  cr_assert_eq(Fixture.m_Values.back(), "new");
+}
--- /dev/null
+++ b/src/mirror/internal/mirrorexchange.cpp
@@ -0,0 +1,87 @@
+#include "mirror/mirrorexchange.h"
+
+#include <algorithm>
+
+namespace geraniumlift::mirror {
+
+MirrorExchange::MirrorExchange(std::string Self, std::vector<std::string> Prefixes,
+                               ReaderOptions Options)
+    : m_Self(std::move(Self)), m_Prefixes(std::move(Prefixes)),
+      m_Reader(m_Prefixes.size(), Options), m_ConfirmedAt(m_Prefixes.size()) {}
+
+auto MirrorExchange::put(const keyvalue::KeyValue &Item, std::string Meaning) -> void {
+  m_Mirror.put(Item, std::move(Meaning));
+}
+
+auto MirrorExchange::remove(const std::string &Key, std::int64_t Revision, base::SteadyTime Now)
+    -> void {
+  m_Mirror.remove(Key, Revision, Now);
+}
+
+auto MirrorExchange::onConfirmed(std::string_view Prefix, std::int64_t Revision,
+                                 base::SteadyTime Now) -> void {
+  for (std::size_t Index = 0; Index < m_Prefixes.size(); ++Index) {
+    if (m_Prefixes[Index].starts_with(Prefix)) {
+      m_Reader.advanceTo(Index, Revision);
+      m_ConfirmedAt[Index] = Now;
+    }
+  }
+}
+
+auto MirrorExchange::onListed(std::string_view Prefix, const std::set<std::string> &Keys,
+                              std::int64_t Revision, base::SteadyTime Now) -> void {
+  for (const auto &Mirrored : m_Prefixes) {
+    if (Mirrored.starts_with(Prefix)) {
+      m_Mirror.keepOnly(Mirrored, Keys, Revision, Now);
+    }
+  }
+  onConfirmed(Prefix, Revision, Now);
+}
+
+auto MirrorExchange::revisionOf(std::string_view Prefix) const -> std::int64_t {
+  const auto Found = std::find(m_Prefixes.begin(), m_Prefixes.end(), Prefix);
+  return Found == m_Prefixes.end()
+             ? 0
+             : m_Reader.revisions()[static_cast<std::size_t>(Found - m_Prefixes.begin())];
+}
+
+auto MirrorExchange::buildRequest() const -> MirrorRequest {
+  return {m_Self, m_Reader.revisions()};
+}
+
+auto MirrorExchange::answer(const MirrorRequest &Message, base::SteadyTime Now) const
+    -> MirrorUpdate {
+  auto Update = MirrorUpdate{m_Self, {}};
+  if (Message.m_Revisions.size() != m_Prefixes.size()) {
+    return Update;
+  }
+  for (std::size_t Index = 0; Index < m_Prefixes.size(); ++Index) {
+    auto Changes = PrefixChanges();
+    if (m_ConfirmedAt[Index]) {
+      Changes = m_Mirror.changesAfter(m_Prefixes[Index], Message.m_Revisions[Index],
+                                      m_Reader.revisions()[Index], MaxUpdateBytes);
+      const auto IsTooLarge = [](const keyvalue::WatchEvent &Event) {
+        return Event.m_Item.m_Value.size() > MaxRecordBytes;
+      };
+      if (std::any_of(Changes.m_Events.begin(), Changes.m_Events.end(), IsTooLarge)) {
+        Changes = PrefixChanges();
+      }
+      Changes.m_AgeMs = static_cast<std::uint32_t>(
+          std::chrono::duration_cast<std::chrono::milliseconds>(Now - *m_ConfirmedAt[Index])
+              .count());
+    }
+    Update.m_Prefixes.push_back(std::move(Changes));
+  }
+  return Update;
+}
+
+auto MirrorExchange::apply(const MirrorUpdate &Message, base::SteadyTime Now)
+    -> std::vector<keyvalue::WatchEvent> {
+  auto Result = std::vector<keyvalue::WatchEvent>();
+  for (const auto &Events : m_Reader.apply(Message, Now)) {
+    Result.insert(Result.end(), Events.begin(), Events.end());
+  }
+  return Result;
+}
+
+} // namespace geraniumlift::mirror
--- /dev/null
+++ b/src/mirror/mirrorexchange.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "mirror/mirrorreader.h"
+#include "mirror/storemirror.h"
+
+namespace geraniumlift::mirror {
+
+/// Passes store records on between routers: answers requests from what this router knows, and
+/// applies the updates that it gets. Does no input or output itself.
+class MirrorExchange {
+public:
+  /// Self is the router's name; the prefixes must be the same on all routers.
+  MirrorExchange(std::string Self, std::vector<std::string> Prefixes, ReaderOptions Options);
+
+  /// Sets or removes a record; see StoreMirror.
+  auto put(const keyvalue::KeyValue &Item, std::string Meaning) -> void;
+  auto remove(const std::string &Key, std::int64_t Revision, base::SteadyTime Now) -> void;
+
+  /// Records that the store has confirmed all changes of the keys with the prefix up to the
+  /// revision. The prefix may be shorter than the mirrored ones.
+  auto onConfirmed(std::string_view Prefix, std::int64_t Revision, base::SteadyTime Now) -> void;
+
+  /// Records that only these keys with the prefix exist, as of the revision.
+  auto onListed(std::string_view Prefix, const std::set<std::string> &Keys, std::int64_t Revision,
+                base::SteadyTime Now) -> void;
+
+  [[nodiscard]] auto prefixes() const -> const std::vector<std::string> & { return m_Prefixes; }
+
+  /// Revision up to which all changes of the keys with a mirrored prefix are known.
+  [[nodiscard]] auto revisionOf(std::string_view Prefix) const -> std::int64_t;
+
+  [[nodiscard]] auto buildRequest() const -> MirrorRequest;
+  [[nodiscard]] auto answer(const MirrorRequest &Message, base::SteadyTime Now) const
+      -> MirrorUpdate;
+
+  /// Returns the changes of the update that are new to this router.
+  auto apply(const MirrorUpdate &Message, base::SteadyTime Now)
+      -> std::vector<keyvalue::WatchEvent>;
+
+  /// Whether this router must follow the store itself.
+  [[nodiscard]] auto mustFollowStore(base::SteadyTime Now) const -> bool {
+    return m_Reader.mustFollowStore(Now);
+  }
+
+  /// Drops what is no longer needed.
+  auto removeExpired(base::SteadyTime Now) -> void { m_Mirror.dropOldRemovals(Now); }
+
+private:
+  /// Size of the changes of one prefix in an update, in bytes. A reader gets the rest with its next
+  /// request.
+  static constexpr auto MaxUpdateBytes = std::size_t{8} * 1024;
+
+  /// Size of a record in bytes above which it is not passed on, since an update must fit into one
+  /// datagram. Its readers follow the store themselves.
+  static constexpr auto MaxRecordBytes = std::size_t{40} * 1024;
+
+  std::string m_Self;
+  std::vector<std::string> m_Prefixes;
+  StoreMirror m_Mirror;
+  MirrorReader m_Reader;
+
+  /// When the store last confirmed the knowledge of each prefix to this router itself.
+  std::vector<std::optional<base::SteadyTime>> m_ConfirmedAt;
+};
+
+} // namespace geraniumlift::mirror
--- a/src/router/internal/peerlink.cpp
+++ b/src/router/internal/peerlink.cpp
@@ -7,21 +7,19 @@
 }
 
 auto PeerLink::send(const std::string &Router, const budget::TransferMessage &Message) -> void {
-  // A router without a record has left the fleet. The message is dropped, and the sender treats it
-  // as lost.
-  if (const auto *Record = m_Peers.findRecord(Router)) {
-    m_Socket.send(Record->m_PeerAddress, Record->m_PeerPort,
-                  TransferByte + encodeTransfer(Message));
-  }
+  send(Router, TransferByte + encodeTransfer(Message));
 }
 
 auto PeerLink::send(const fleet::OutgoingMessage &Message) -> void {
   const auto Bytes = encodeMessage(Message.m_Message);
   for (const auto &Router : Message.m_Routers) {
-    // A router that has no record any more has left the fleet.
-    if (const auto *Record = m_Peers.findRecord(Router)) {
-      m_Socket.send(Record->m_PeerAddress, Record->m_PeerPort, Bytes);
-    }
+    send(Router, Bytes);
+  }
+}
+
+auto PeerLink::send(const std::string &Router, const std::string &Bytes) -> void {
+  if (const auto *Record = m_Peers.findRecord(Router)) {
+    m_Socket.send(Record->m_PeerAddress, Record->m_PeerPort, Bytes);
   }
 }
 
--- a/src/router/internal/peerlink.h
+++ b/src/router/internal/peerlink.h
@@ -7,9 +7,11 @@
 
 namespace geraniumlift::router {
 
-/// First byte of a datagram with a transfer message. The messages of module fleet have first bytes
-/// of their own.
+/// First byte of a datagram of each kind. The messages of module fleet have first bytes of their
+/// own.
 constexpr auto TransferByte = 'T';
+constexpr auto MirrorRequestByte = 'Q';
+constexpr auto MirrorUpdateByte = 'U';
 
 /// Sends messages to the other routers as datagrams, which may be lost.
 class PeerLink final : public budget::ITransferLink {
@@ -25,6 +27,10 @@
   /// Sends the message to its receivers.
   auto send(const fleet::OutgoingMessage &Message) -> void;
 
+  /// Sends an encoded message to a router. Does nothing if the router has left the fleet; the
+  /// message then counts as lost.
+  auto send(const std::string &Router, const std::string &Bytes) -> void;
+
 private:
   const fleet::PeerTable &m_Peers;
   transport::DatagramSocket &m_Socket;
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -37,14 +37,16 @@
 /// room for a second watch if the first one fails.
 constexpr auto WatchIntervalShare = 0.35;
 
-/// The same share in a large fleet. It is higher because the calls of all routers add up at the
-/// store.
-constexpr auto LargeFleetWatchIntervalShare = 0.5;
+/// The same share in a large fleet, where relays pass the changes on to the other routers.
+constexpr auto LargeFleetWatchIntervalShare = 0.25;
 
-/// Wait time of a watch on keys that rarely change, which are all except the budget records. Long
-/// waits save calls, each of which is priced; the users' store keeps 20 s of history. TCP
-/// keep-alive probes detect a connection that went silent.
-constexpr auto RareChangeWatchWait = 15000ms;
+/// Wait time of a watch on the records of targets and routers. Readers rely on a relay only as far
+/// as the store has confirmed its knowledge, which the end of a watch does.
+constexpr auto MirroredWatchWait = 1000ms;
+
+/// Upper limit of the random time that is added to MirrorReader's patience, so that the readers of
+/// a failed relay do not go to the store at the same moment.
+constexpr auto MaxPatienceSpread = 400;
 
 /// Request bodies may use the memory limit divided by this.
 constexpr auto BodyMemoryDivisor = 4;
@@ -62,6 +64,18 @@
   return Options;
 }
 
+auto readerOptions(std::uint64_t Seed) -> mirror::ReaderOptions {
+  auto Options = mirror::ReaderOptions();
+  Options.m_Patience += milliseconds(static_cast<std::int64_t>(Seed % MaxPatienceSpread));
+  return Options;
+}
+
+/// The part of a target's record that matters to routers; targets rewrite the rest all the time.
+auto meaningOf(const forwarding::TargetRecord &Record) -> std::string {
+  return fmt::format("{} {} {}:{} {} {}", Record.m_Incarnation, Record.m_Pool, Record.m_Address,
+                     Record.m_Port, Record.m_DataCentre, Record.m_IsLeaving);
+}
+
 auto seedOf(const RouterSettings &Settings, std::uint64_t Incarnation) -> std::uint64_t {
   return Incarnation ^ std::hash<std::string>()(Settings.m_Vm);
 }
@@ -122,6 +136,10 @@
     : m_Dependencies(Dependencies), m_Settings(std::move(Settings)),
       m_Incarnation(incarnationOf(Dependencies.m_Clock)), m_Peers(peerOptions(m_Settings)),
       m_AddressSelector(m_Settings.m_Vm), m_FleetExchange(exchangeOptions(m_Settings), m_Peers),
+      m_Mirror(m_Settings.m_Vm,
+               {Dependencies.m_Documents.targetPrefix(), std::string(fleet::RouterPrefix),
+                Dependencies.m_Documents.routingPrefix()},
+               readerOptions(seedOf(m_Settings, m_Incarnation))),
       m_PeerSocket(Dependencies.m_Loop, [this](std::string_view Bytes) { onDatagram(Bytes); }),
       m_PeerLink(m_Peers, m_PeerSocket, Dependencies.m_Clock),
       m_Targets(forwarding::HealthOptions()), m_TargetDirectory(m_Targets, Dependencies.m_Log),
@@ -236,32 +254,82 @@
       });
 }
 
-auto Router::follow(const std::string &Prefix, keyvalue::StoreFollowerOptions Options) -> void {
-  m_Followers.push_back(std::make_unique<keyvalue::StoreFollower>(
+auto Router::follow(const std::string &Prefix, keyvalue::StoreFollowerOptions Options,
+                    std::int64_t KnownRevision) -> void {
+  auto &Follower = *m_Followers.emplace_back(std::make_unique<keyvalue::StoreFollower>(
       Prefix, Options, m_Dependencies.m_Store, m_Dependencies.m_Timers, m_Dependencies.m_Clock,
       m_Dependencies.m_Log, *this));
-  m_Followers.back()->start();
+  if (KnownRevision == 0) {
+    Follower.start();
+  } else {
+    Follower.startAfter(KnownRevision);
+  }
   if (!m_IsStoreReachable) {
-    m_Followers.back()->suspend();
+    Follower.suspend();
   }
 }
 
 auto Router::followWithoutBudgets() -> void {
   m_FollowsBudgets = false;
+  const auto KnownRevision = m_Followers.back()->revision();
+  m_Followers.back()->stop();
+  m_StoppedFollower = std::move(m_Followers.back());
+  m_Followers.clear();
+  auto Options = followerOptions(m_Settings, LargeFleetWatchIntervalShare);
+  Options.m_WatchTimeout = MirroredWatchWait;
+  for (const auto &Prefix : m_Mirror.prefixes()) {
+    follow(Prefix, Options, KnownRevision);
+  }
+}
+
+auto Router::updateFollowers() -> void {
+  // Relays do not pass on budget records.
+  const auto MustFollow = m_FollowsBudgets || m_Peers.role() != fleet::FleetRole::Member ||
+                          m_Mirror.mustFollowStore(now());
   for (const auto &Follower : m_Followers) {
-    Follower->stop();
+    if (MustFollow && m_IsStoreReachable) {
+      Follower->advanceTo(m_Mirror.revisionOf(Follower->prefix()));
+      Follower->resume();
+    } else {
+      Follower->suspend();
+    }
+  }
+  if (MustFollow != m_FollowsMirrored) {
+    m_FollowsMirrored = MustFollow;
+    m_Dependencies.m_Log.record(
+        base::LogLevel::Info, MustFollow ? "store_followed_directly" : "store_followed_by_relay",
+        {{"role", nameOf(fleet::FleetRoleNames, m_Peers.role())},
+         {"revision", m_Mirror.revisionOf(m_Dependencies.m_Documents.targetPrefix())}});
   }
-  auto Options = followerOptions(m_Settings, LargeFleetWatchIntervalShare);
-  Options.m_WatchTimeout = RareChangeWatchWait;
-  follow(m_Dependencies.m_Documents.routingPrefix(), Options);
-  follow(std::string(fleet::RouterPrefix), Options);
-  follow(m_Dependencies.m_Documents.targetPrefix(), Options);
+}
+
+auto Router::onMirrorRequest(std::string_view Bytes) -> void {
+  const auto Request = mirror::decodeRequest(Bytes);
+  if (!Request.ok()) {
+    logUnreadableDatagram(std::string(Request.status().message()), Bytes.size());
+    return;
+  }
+  if (m_Peers.role() == fleet::FleetRole::Relay) {
+    m_PeerLink.send(Request->m_Router,
+                    MirrorUpdateByte + encodeUpdate(m_Mirror.answer(*Request, now())));
+  }
+}
+
+auto Router::onMirrorUpdate(std::string_view Bytes) -> void {
+  const auto Update = mirror::decodeUpdate(Bytes);
+  if (!Update.ok()) {
+    logUnreadableDatagram(std::string(Update.status().message()), Bytes.size());
+    return;
+  }
+  applyEvents(m_Mirror.apply(*Update, now()));
 }
 
 auto Router::onList(std::string_view Prefix, const keyvalue::ListResult &Result) -> void {
   auto Targets = std::set<std::string>();
+  auto Keys = std::set<std::string>();
   auto IsRegistered = false;
   for (const auto &Item : Result.m_Items) {
+    Keys.insert(Item.m_Key);
     if (m_Dependencies.m_Documents.kindOf(Item.m_Key) == DocumentKind::Target) {
       Targets.insert(m_Dependencies.m_Documents.targetIdOf(Item.m_Key));
     }
@@ -273,13 +341,19 @@
     m_TargetDirectory.applyRemovals(now());
     m_HasTargetList = true;
   }
+  m_Mirror.onListed(Prefix, Keys, Result.m_Revision, now());
   if (!IsRegistered && fleet::RouterPrefix.starts_with(Prefix)) {
     registerSelf();
   }
 }
 
-auto Router::onChanges(const keyvalue::WatchResult &Result) -> void {
-  for (const auto &Event : Result.m_Events) {
+auto Router::onChanges(std::string_view Prefix, const keyvalue::WatchResult &Result) -> void {
+  applyEvents(Result.m_Events);
+  m_Mirror.onConfirmed(Prefix, Result.m_Revision, now());
+}
+
+auto Router::applyEvents(const std::vector<keyvalue::WatchEvent> &Events) -> void {
+  for (const auto &Event : Events) {
     if (Event.m_IsRemoved) {
       applyRemoval(Event.m_Item);
     } else {
@@ -291,13 +365,7 @@
 
 auto Router::onReachable(bool IsReachable) -> void {
   m_IsStoreReachable = IsReachable;
-  for (const auto &Follower : m_Followers) {
-    if (IsReachable) {
-      Follower->resume();
-    } else {
-      Follower->suspend();
-    }
-  }
+  updateFollowers();
   if (IsReachable && std::exchange(m_MustRegister, false)) {
     registerSelf();
   }
@@ -325,12 +393,14 @@
 
 auto Router::applyRemoval(const keyvalue::KeyValue &Item) -> void {
   if (m_Dependencies.m_Documents.kindOf(Item.m_Key) == DocumentKind::Target) {
+    m_Mirror.remove(Item.m_Key, Item.m_ModRevision, now());
     m_TargetDirectory.remove(m_Dependencies.m_Documents.targetIdOf(Item.m_Key), Item.m_ModRevision);
     return;
   }
   if (!Item.m_Key.starts_with(fleet::RouterPrefix)) {
     return;
   }
+  m_Mirror.remove(Item.m_Key, Item.m_ModRevision, now());
   if (Item.m_Key == ownKey()) {
     m_OwnRecordRevision = 0;
     registerSelf();
@@ -341,6 +411,7 @@
 }
 
 auto Router::applyRouting(const keyvalue::KeyValue &Item) -> void {
+  m_Mirror.put(Item, Item.m_Value);
   const auto Table = m_Dependencies.m_Documents.decodeRouting(Item.m_Value);
   if (!Table.ok()) {
     m_Dependencies.m_Log.record(
@@ -370,6 +441,7 @@
 
 auto Router::applyTarget(const keyvalue::KeyValue &Item) -> void {
   const auto Record = m_Dependencies.m_Documents.decodeTarget(Item.m_Key, Item.m_Value);
+  m_Mirror.put(Item, Record.ok() ? meaningOf(*Record) : "unreadable");
   if (Record.ok()) {
     m_TargetDirectory.put(*Record, Item.m_ModRevision);
     return;
@@ -381,6 +453,7 @@
 }
 
 auto Router::applyRouter(const keyvalue::KeyValue &Item) -> void {
+  m_Mirror.put(Item, Item.m_Value);
   if (Item.m_Key == ownKey()) {
     m_OwnRecordRevision = std::max(m_OwnRecordRevision, Item.m_ModRevision);
     return;
@@ -433,6 +506,8 @@
     followWithoutBudgets();
   }
   sendHeartbeats();
+  updateFollowers();
+  m_Mirror.removeExpired(now());
   m_Dependencies.m_Timers.start(now() + m_FleetExchange.period(), [this] { runPeriodicTasks(); });
 }
 
@@ -461,6 +536,10 @@
   for (const auto &Outgoing : m_FleetExchange.advance(std::move(Message), now())) {
     m_PeerLink.send(Outgoing);
   }
+  const auto Request = MirrorRequestByte + encodeRequest(m_Mirror.buildRequest());
+  for (const auto &Relay : m_FleetExchange.currentRelays()) {
+    m_PeerLink.send(Relay, Request);
+  }
   if (m_Peers.role() != Before) {
     m_Dependencies.m_Log.record(base::LogLevel::Info, "fleet_role_changed",
                                 {{"role", nameOf(fleet::FleetRoleNames, m_Peers.role())},
@@ -474,6 +553,10 @@
     onFleetMessage(Bytes);
   } else if (Bytes.starts_with(TransferByte)) {
     onTransfer(Bytes.substr(1));
+  } else if (Bytes.starts_with(MirrorRequestByte)) {
+    onMirrorRequest(Bytes.substr(1));
+  } else if (Bytes.starts_with(MirrorUpdateByte)) {
+    onMirrorUpdate(Bytes.substr(1));
   } else {
     logUnreadableDatagram("unknown datagram kind", Bytes.size());
   }
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -5,6 +5,7 @@
 #include "forwarding/targetdirectory.h"
 #include "keyvalue/storefollower.h"
 #include "keyvalue/storemonitor.h"
+#include "mirror/mirrorexchange.h"
 #include "router/internal/peerlink.h"
 #include "router/internal/requestmetrics.h"
 #include "router/istoredocumentdecoder.h"
@@ -54,15 +55,23 @@
 
 private:
   auto onList(std::string_view Prefix, const keyvalue::ListResult &Result) -> void override;
-  auto onChanges(const keyvalue::WatchResult &Result) -> void override;
+  auto onChanges(std::string_view Prefix, const keyvalue::WatchResult &Result) -> void override;
   auto onReachable(bool IsReachable) -> void;
 
-  /// Starts a follower of all keys with the prefix.
-  auto follow(const std::string &Prefix, keyvalue::StoreFollowerOptions Options) -> void;
+  /// Starts a follower of all keys with the prefix. Without a known revision it lists them first.
+  auto follow(const std::string &Prefix, keyvalue::StoreFollowerOptions Options,
+              std::int64_t KnownRevision = 0) -> void;
 
-  /// Replaces the followers by ones of the configuration, the targets and the routers only. In a
+  /// Replaces the follower by ones of the configuration, the targets and the routers only. In a
   /// large fleet the budget records change so often that a small VM cannot follow them.
   auto followWithoutBudgets() -> void;
+
+  /// Lets a relay tell this router of the configuration, the targets and the routers while it can,
+  /// and otherwise follows the store.
+  auto updateFollowers() -> void;
+  auto onMirrorRequest(std::string_view Bytes) -> void;
+  auto onMirrorUpdate(std::string_view Bytes) -> void;
+  auto applyEvents(const std::vector<keyvalue::WatchEvent> &Events) -> void;
   auto applyItem(const keyvalue::KeyValue &Item) -> void;
   auto applyRemoval(const keyvalue::KeyValue &Item) -> void;
   auto applyRouting(const keyvalue::KeyValue &Item) -> void;
@@ -96,6 +105,7 @@
   fleet::PeerTable m_Peers;
   fleet::AddressSelector m_AddressSelector;
   fleet::FleetExchange m_FleetExchange;
+  mirror::MirrorExchange m_Mirror;
   transport::DatagramSocket m_PeerSocket;
   PeerLink m_PeerLink;
   forwarding::TargetTable m_Targets;
@@ -110,7 +120,13 @@
   transport::CallerServer m_DirectoryServer;
   keyvalue::StoreMonitor m_StoreMonitor;
   std::vector<std::unique_ptr<keyvalue::StoreFollower>> m_Followers;
+
+  /// The follower of all keys that a large fleet replaced; calls to the store still refer to it.
+  std::unique_ptr<keyvalue::StoreFollower> m_StoppedFollower;
   bool m_FollowsBudgets = true;
+
+  /// Whether this router follows the store itself.
+  bool m_FollowsMirrored = true;
   bool m_HasTargetList = false;
   bool m_IsLeaving = false;
   std::int64_t m_OwnRecordRevision = 0;
