--- a/src/base/boundedlog.h
+++ b/src/base/boundedlog.h
@@ -22,8 +22,8 @@
 };
 
 /// Writes one line of key=value pairs for each event to a file descriptor without blocking. Lines
-/// over the rate or buffer limit are dropped and counted; the total is logged before the next line.
-/// Not thread-safe.
+/// over the rate or buffer limit are dropped and counted; the total is logged before a later line,
+/// at most once a second. Not thread-safe.
 class BoundedLog final : public IEventLog {
 public:
   /// Sets the descriptor to non-blocking mode; the caller keeps ownership of it. The clock must
@@ -54,6 +54,7 @@
   SteadyTime m_LastRefill;
   std::uint64_t m_Dropped = 0;
   std::uint64_t m_ReportedDropped = 0;
+  SteadyTime m_NextDroppedReport;
 };
 
 } // namespace geraniumlift::base
--- a/src/base/internal/boundedlog.cpp
+++ b/src/base/internal/boundedlog.cpp
@@ -13,6 +13,9 @@
 /// Buffered bytes from which record() writes at once instead of waiting for the next flush().
 constexpr auto FlushThreshold = std::size_t{4096};
 
+/// Shortest time between two lines that tell the number of dropped lines.
+constexpr auto DroppedReportInterval = std::chrono::seconds(1);
+
 } // namespace
 
 BoundedLog::BoundedLog(int Descriptor, const IClock &Clock, LogOptions Options)
@@ -42,8 +45,9 @@
 auto BoundedLog::append(LogLevel Level, std::string_view Event,
                         std::initializer_list<LogField> Fields) -> void {
   const auto Now = std::chrono::time_point_cast<std::chrono::milliseconds>(m_Clock.systemNow());
-  m_Pending +=
-      fmt::format("time={:%FT%T}Z {}\n", fmt::gmtime(Now), formatEvent(Level, Event, Fields));
+  const auto Seconds = std::chrono::floor<std::chrono::seconds>(Now);
+  m_Pending += fmt::format("time={:%FT%T}.{:03}Z {}\n", fmt::gmtime(Seconds),
+                           (Now - Seconds).count(), formatEvent(Level, Event, Fields));
 }
 
 auto BoundedLog::record(LogLevel Level, std::string_view Event,
@@ -51,9 +55,10 @@
   if (!tryAcquireLine(Level)) {
     return;
   }
-  if (m_ReportedDropped != m_Dropped) {
+  if (m_ReportedDropped != m_Dropped && m_Clock.steadyNow() >= m_NextDroppedReport) {
     append(LogLevel::Warning, "log_lines_dropped", {{"total", m_Dropped}});
     m_ReportedDropped = m_Dropped;
+    m_NextDroppedReport = m_Clock.steadyNow() + DroppedReportInterval;
   }
   append(Level, Event, Fields);
   if (m_Pending.size() >= FlushThreshold) {
--- a/src/base/tests/boundedlog_test.cpp
+++ b/src/base/tests/boundedlog_test.cpp
@@ -80,6 +80,45 @@
 }
 
 // Guards against a write error that ends the process.
+// Guards against an overloaded process that spends its time on telling how many lines it dropped.
+Test(boundedlog, droppedLinesAreToldOnceASecond) {
+  auto Ends = Pipe();
+  auto Clock = ManualClock();
+  auto Log = BoundedLog(Ends.m_Ends[1], Clock, LogOptions{10.0, 1.0, 0.0, 100000});
+  for (auto Step = 0; Step < 3000; ++Step) {
+    Log.record(LogLevel::Warning, "line", {});
+    Clock.advance(1ms);
+  }
+  Log.flush();
+  const auto Text = Ends.read();
+  auto Reports = 0;
+  for (auto At = Text.find("log_lines_dropped"); At != std::string::npos;
+       At = Text.find("log_lines_dropped", At + 1)) {
+    ++Reports;
+  }
+  cr_expect_geq(Reports, 2);
+  cr_expect_leq(Reports, 3);
+}
+
+Test(boundedlog, timesHaveMilliseconds) {
+  auto Ends = Pipe();
+  auto Clock = ManualClock();
+  auto Log = BoundedLog(Ends.m_Ends[1], Clock, LogOptions());
+  Clock.advance(1s);
+  Log.record(LogLevel::Info, "first", {});
+  Clock.advance(7ms);
+  Log.record(LogLevel::Info, "second", {});
+  Log.flush();
+  const auto Text = Ends.read();
+  const auto Millisecond = [&Text](const std::string &Event) {
+    const auto Line = Text.rfind("time=", Text.find("event=" + Event));
+    const auto Dot = Text.find('.', Line);
+    cr_assert_eq(Text[Dot + 4], 'Z');
+    return std::stoi(Text.substr(Dot + 1, 3));
+  };
+  cr_assert_eq((Millisecond("second") - Millisecond("first") + 1000) % 1000, 7);
+}
+
 Test(boundedlog, invalidDescriptorDiscardsLines) {
   auto Clock = ManualClock();
   auto Log = BoundedLog(-1, Clock, LogOptions());
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -75,14 +75,19 @@
                                        Self->m_Timer = 0;
                                        Self->fail();
                                      });
-    if (m_Pool->m_Idle.empty()) {
-      connect();
-      return;
+    while (!m_Pool->m_Idle.empty()) {
+      m_Socket = std::move(m_Pool->m_Idle.back());
+      m_Pool->m_Idle.pop_back();
+      // Bytes that arrived on an idle connection, such as a second copy of an answer, would be
+      // taken for the answer to this call.
+      auto Error = error_code();
+      if (m_Socket.available(Error) == 0 && !Error) {
+        m_IsReused = true;
+        send();
+        return;
+      }
     }
-    m_IsReused = true;
-    m_Socket = std::move(m_Pool->m_Idle.back());
-    m_Pool->m_Idle.pop_back();
-    send();
+    connect();
   }
 
 private:
--- /dev/null
+++ b/src/transport/tests/httpclient_test.cpp
@@ -0,0 +1,89 @@
+#include "transport/httpclient.h"
+
+#include "transport/asiotimers.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+#include <list>
+
+using namespace geraniumlift;
+using namespace geraniumlift::transport;
+using namespace std::chrono_literals;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+/// A service that numbers its answers. It sends a second copy of the first one after a while.
+class RepeatingService {
+public:
+  RepeatingService(boost::asio::io_context &Loop, AsioTimers &Timers)
+      : m_Timers(Timers),
+        m_Acceptor(Loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)) {
+    accept();
+  }
+
+  [[nodiscard]] auto port() const -> std::uint16_t { return m_Acceptor.local_endpoint().port(); }
+
+private:
+  struct Connection {
+    tcp::socket m_Socket;
+    std::array<char, 4096> m_Buffer;
+    std::string m_Answer;
+  };
+
+  auto accept() -> void {
+    m_Acceptor.async_accept([this](const error_code &Error, tcp::socket Socket) {
+      if (!Error) {
+        read(m_Connections.emplace_back(Connection{std::move(Socket), {}, {}}));
+        accept();
+      }
+    });
+  }
+
+  auto read(Connection &Item) -> void {
+    Item.m_Socket.async_read_some(boost::asio::buffer(Item.m_Buffer),
+                                  [this, &Item](const error_code &Error, std::size_t) {
+                                    if (!Error) {
+                                      answer(Item);
+                                      read(Item);
+                                    }
+                                  });
+  }
+
+  auto answer(Connection &Item) -> void {
+    Item.m_Answer = fmt::format("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n{}", ++m_Answers);
+    boost::asio::write(Item.m_Socket, boost::asio::buffer(Item.m_Answer));
+    if (m_Answers == 1) {
+      m_Timers.start(base::SteadyTime::clock::now() + 20ms, [&Item, Copy = Item.m_Answer] {
+        boost::asio::write(Item.m_Socket, boost::asio::buffer(Copy));
+      });
+    }
+  }
+
+  AsioTimers &m_Timers;
+  tcp::acceptor m_Acceptor;
+  std::list<Connection> m_Connections;
+  int m_Answers = 0;
+};
+
+} // namespace
+
+// Guards against a caller that gets the answer of an earlier call, because the service sent a
+// second copy of it on a connection that was kept.
+Test(httpclient, lateCopyOfAnAnswerIsNotTakenForTheNextOne) {
+  auto Loop = boost::asio::io_context();
+  auto Timers = AsioTimers(Loop);
+  auto Service = RepeatingService(Loop, Timers);
+  auto Client = HttpClient(Loop, Timers, "127.0.0.1", Service.port());
+  auto Answers = std::vector<std::string>();
+  for (auto Call = 0; Call < 3; ++Call) {
+    Client.call({"POST", "/", "{}"}, [&Answers](const CallResult &Result) {
+      Answers.push_back(Result.m_Response ? Result.m_Response->m_Body : "none");
+    });
+    Loop.run_for(100ms);
+  }
+  cr_assert(Answers == (std::vector<std::string>{"1", "2", "3"}));
+}
