--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-/// Maximum number of budgets in one heartbeat, so that it fits into one packet.
-constexpr auto MaxOffersPerHeartbeat = std::size_t{64};
-
 /// Timeout for connecting to a target. A connection within the region takes a few milliseconds; the
 /// rest allows for three lost packets.
 constexpr auto ConnectTimeout = 400ms;
@@ -282,48 +279,6 @@
   }
 }
 
-auto Router::updateFollowers() -> void {
-  // Relays do not pass on budget records.
-  const auto MustFollow = m_FollowsBudgets || m_Peers.role() != fleet::FleetRole::Member ||
-                          m_Mirror.mustFollowStore(now());
-  for (const auto &Follower : m_Followers) {
-    if (MustFollow && m_IsStoreReachable) {
-      Follower->advanceTo(m_Mirror.revisionOf(Follower->prefix()));
-      Follower->resume();
-    } else {
-      Follower->suspend();
-    }
-  }
-  if (MustFollow != m_FollowsMirrored) {
-    m_FollowsMirrored = MustFollow;
-    m_Dependencies.m_Log.record(
-        base::LogLevel::Info, MustFollow ? "store_followed_directly" : "store_followed_by_relay",
-        {{"role", nameOf(fleet::FleetRoleNames, m_Peers.role())},
-         {"revision", m_Mirror.revisionOf(m_Dependencies.m_Documents.targetPrefix())}});
-  }
-}
-
-auto Router::onMirrorRequest(std::string_view Bytes) -> void {
-  const auto Request = mirror::decodeRequest(Bytes);
-  if (!Request.ok()) {
-    logUnreadableDatagram(std::string(Request.status().message()), Bytes.size());
-    return;
-  }
-  if (m_Peers.role() == fleet::FleetRole::Relay) {
-    m_PeerLink.send(Request->m_Router,
-                    MirrorUpdateByte + encodeUpdate(m_Mirror.answer(*Request, now())));
-  }
-}
-
-auto Router::onMirrorUpdate(std::string_view Bytes) -> void {
-  const auto Update = mirror::decodeUpdate(Bytes);
-  if (!Update.ok()) {
-    logUnreadableDatagram(std::string(Update.status().message()), Bytes.size());
-    return;
-  }
-  applyEvents(m_Mirror.apply(*Update, now()));
-}
-
 auto Router::onList(std::string_view Prefix, const keyvalue::ListResult &Result) -> void {
   auto Targets = std::set<std::string>();
   auto Keys = std::set<std::string>();
@@ -511,89 +466,6 @@
   m_Dependencies.m_Timers.start(now() + m_FleetExchange.period(), [this] { runPeriodicTasks(); });
 }
 
-auto Router::sendHeartbeats() -> void {
-  auto Message = fleet::Heartbeat();
-  Message.m_Router = m_Settings.m_Vm;
-  Message.m_Incarnation = m_Incarnation;
-  Message.m_Sequence = ++m_HeartbeatSequence;
-  Message.m_IsLeaving = m_IsLeaving;
-  for (const auto &[Id, State] : m_Targets.all()) {
-    const auto &Load = State.ownLoad();
-    if (Load.m_ActiveRequests > 0) {
-      Message.m_Loads.push_back({fleet::hashName(Id),
-                                 static_cast<std::uint32_t>(Load.m_PendingPromptTokens),
-                                 static_cast<std::uint16_t>(Load.m_ActiveRequests)});
-    }
-  }
-  for (const auto &Offer : m_Grants.offers()) {
-    if (Message.m_Budgets.size() < MaxOffersPerHeartbeat) {
-      Message.m_Budgets.push_back(
-          {fleet::hashName(Offer.m_Budget),
-           static_cast<std::uint32_t>(std::min<base::Tokens>(Offer.m_Available, UINT32_MAX))});
-    }
-  }
-  const auto Before = m_Peers.role();
-  for (const auto &Outgoing : m_FleetExchange.advance(std::move(Message), now())) {
-    m_PeerLink.send(Outgoing);
-  }
-  const auto Request = MirrorRequestByte + encodeRequest(m_Mirror.buildRequest());
-  for (const auto &Relay : m_FleetExchange.currentRelays()) {
-    m_PeerLink.send(Relay, Request);
-  }
-  if (m_Peers.role() != Before) {
-    m_Dependencies.m_Log.record(base::LogLevel::Info, "fleet_role_changed",
-                                {{"role", nameOf(fleet::FleetRoleNames, m_Peers.role())},
-                                 {"before", nameOf(fleet::FleetRoleNames, Before)},
-                                 {"routers", m_Peers.recordCount()}});
-  }
-}
-
-auto Router::onDatagram(std::string_view Bytes) -> void {
-  if (fleet::isFleetMessage(Bytes)) {
-    onFleetMessage(Bytes);
-  } else if (Bytes.starts_with(TransferByte)) {
-    onTransfer(Bytes.substr(1));
-  } else if (Bytes.starts_with(MirrorRequestByte)) {
-    onMirrorRequest(Bytes.substr(1));
-  } else if (Bytes.starts_with(MirrorUpdateByte)) {
-    onMirrorUpdate(Bytes.substr(1));
-  } else {
-    logUnreadableDatagram("unknown datagram kind", Bytes.size());
-  }
-}
-
-auto Router::logUnreadableDatagram(const std::string &Reason, std::size_t Size) -> void {
-  m_Dependencies.m_Log.record(base::LogLevel::Warning, "datagram_unreadable",
-                              {{"reason", Reason}, {"bytes", Size}});
-}
-
-auto Router::onTransfer(std::string_view Bytes) -> void {
-  const auto Message = budget::decodeTransfer(Bytes);
-  if (!Message.ok()) {
-    logUnreadableDatagram(std::string(Message.status().message()), Bytes.size());
-    return;
-  }
-  m_Grants.onTransfer(*Message);
-}
-
-auto Router::onFleetMessage(std::string_view Bytes) -> void {
-  const auto Message = fleet::decodeMessage(Bytes);
-  if (!Message.ok()) {
-    logUnreadableDatagram(std::string(Message.status().message()), Bytes.size());
-    return;
-  }
-  const auto Result = m_FleetExchange.receive(*Message, now());
-  for (const auto &Changed : Result.m_ChangedRouters) {
-    m_Dependencies.m_Log.record(base::LogLevel::Info, "router_heard",
-                                {{"router", Changed.m_Router},
-                                 {"incarnation", Changed.m_Incarnation},
-                                 {"leaving", Changed.m_IsLeaving}});
-  }
-  if (Result.m_Answer) {
-    m_PeerLink.send(*Result.m_Answer);
-  }
-}
-
 auto Router::updateRetryBudgets() -> void {
   // Each router uses an equal part of the fleet's slack, so that no coordination is needed.
   const auto Routers = static_cast<double>(m_Peers.countBudgetRouters(now()));
