--- a/src/budget/internal/tokenexchange.cpp
+++ b/src/budget/internal/tokenexchange.cpp
@@ -9,8 +9,9 @@
 
 using namespace std::chrono_literals;
 
-/// Most routers that are asked for one request. More would take up much of its latency objective.
-constexpr auto MaxCandidates = std::size_t{3};
+/// Most routers that are asked for one request. In a cut from the store only some owners of a
+/// budget's shards still hold tokens, and nothing tells which; an answer takes a few milliseconds.
+constexpr auto MaxCandidates = std::size_t{8};
 
 /// Time after which a request is sent a second time. An answer takes 3 ms, or about 20 ms if the
 /// other router writes to the store first.
--- a/src/budget/tests/grantservice_test.cpp
+++ b/src/budget/tests/grantservice_test.cpp
@@ -280,6 +280,38 @@
                 Fleet.m_MessageCount - Before);
 }
 
+// Guards against refusals in a cut from the store while the owner of another shard still holds
+// tokens: in a fleet of 195 a budget has eight shards, and nothing tells whose owner has some.
+Test(grantservice, ownersOfAllShardsAreAsked) {
+  auto Fleet = TestFleet();
+  struct RecordingLink final : ITransferLink {
+    [[nodiscard]] auto offersOf(const std::string &) const -> std::vector<RouterOffer> override {
+      return {};
+    }
+    auto send(const std::string &Router, const TransferMessage &Message) -> void override {
+      m_Sent.emplace_back(Router, std::get<TransferRequest>(Message));
+    }
+    std::vector<std::pair<std::string, TransferRequest>> m_Sent;
+  } Link;
+  auto Exchange = TokenExchange("vm", 1, Link, Fleet.m_Timers, Fleet.m_Clock, Fleet.m_Log);
+  Exchange.setGrantCallbacks(nullptr, nullptr);
+  auto Candidates = std::vector<TokenExchange::Candidate>();
+  for (auto Shard = 0; Shard < 8; ++Shard) {
+    Candidates.push_back({"owner-" + std::to_string(Shard), "b/" + std::to_string(Shard)});
+  }
+  auto Result = std::optional<Tokens>();
+  Exchange.requestTokens(Candidates, "b/0", 500, Fleet.m_Clock.steadyNow() + 400ms,
+                         [&Result](Tokens Amount) { Result = Amount; });
+  for (std::size_t Asked = 0; !Result && Asked < Link.m_Sent.size(); ++Asked) {
+    const auto [Router, Request] = Link.m_Sent[Asked];
+    Fleet.m_Timers.runFor(3ms);
+    Exchange.onMessage(
+        TransferAnswer{Router, 1, Request.m_Number, Router == "owner-7" ? Tokens{500} : Tokens{0}});
+  }
+  cr_assert(Result);
+  cr_expect_eq(*Result, 500);
+}
+
 // Guards against writes that can only conflict: with a used-up budget, each router tried to draw on
 // three shards for each request, and two writes in three conflicted.
 Test(grantservice, usedUpBudgetCostsNoWritesOfOtherRouters) {
--- a/src/budget/tokenexchange.h
+++ b/src/budget/tokenexchange.h
@@ -56,7 +56,7 @@
     std::string m_Budget;
   };
 
-  /// Asks one candidate after the other, at most three. The callback runs once, with the whole
+  /// Asks one candidate after the other, up to a limit and until the deadline. The callback runs once, with the whole
   /// amount or 0, and at once if there is no candidate. Tokens that arrive too late are added to
   /// CreditedBudget.
   auto requestTokens(std::vector<Candidate> Candidates, const std::string &CreditedBudget,
--- a/src/forwarding/tests/forwardsession_test.cpp
+++ b/src/forwarding/tests/forwardsession_test.cpp
@@ -189,7 +189,8 @@
 // Guards against a target that sends bytes without end which never become an event: they would fill
 // the memory, and the caller would wait until its deadline.
 Test(forwardsession, eventWithoutEndFailsTheAttempt) {
-  const auto Piece = std::string(16 * 1024, 'x');
+  constexpr auto Kilobyte = std::size_t{1024};
+  const auto Piece = std::string(16 * Kilobyte, 'x');
   for (const auto *Path : {"/stream/1", "/resumable/1"}) {
     auto Fixture = ForwardingFixture();
     Fixture.request(Path, true);
@@ -197,11 +198,11 @@
     Fixture.answerHead(200, {"signed"});
     Fixture.body("id: 1\ndata: a\n\n");
     auto Sent = std::size_t{0};
-    while (!Fixture.attempts()[0]->m_IsClosed && Sent < 1024 * 1024) {
+    while (!Fixture.attempts()[0]->m_IsClosed && Sent < 1024 * Kilobyte) {
       Fixture.body(Piece);
       Sent += Piece.size();
     }
-    cr_expect_leq(Sent, 300 * 1024, "%s", Path);
+    cr_expect_leq(Sent, 300 * Kilobyte, "%s", Path);
     cr_expect_not(Fixture.m_Caller->m_IsComplete);
     cr_expect_eq(Fixture.m_Caller->m_Body, "id: 1\ndata: a\n\n", "only whole events are passed on");
     const auto IsResumed = std::string(Path) == "/resumable/1";
