--- a/src/budget/tokenexchange.h
+++ b/src/budget/tokenexchange.h
@@ -56,9 +56,9 @@
     std::string m_Budget;
   };
 
-  /// Asks one candidate after the other, up to a limit and until the deadline. The callback runs once, with the whole
-  /// amount or 0, and at once if there is no candidate. Tokens that arrive too late are added to
-  /// CreditedBudget.
+  /// Asks one candidate after the other, up to a limit and until the deadline. The callback runs
+  /// once, with the whole amount or 0, and at once if there is no candidate. Tokens that arrive too
+  /// late are added to CreditedBudget.
   auto requestTokens(std::vector<Candidate> Candidates, const std::string &CreditedBudget,
                      Tokens Amount, base::SteadyTime Deadline, std::function<void(Tokens)> Done)
       -> void;
