--- a/src/http1/tests/messageparser_test.cpp
+++ b/src/http1/tests/messageparser_test.cpp
@@ -90,18 +90,19 @@
 // Guards against a peer that sends bytes without end where the parser waits for the end of a line:
 // they would fill the memory.
 Test(responseparser, elementsWithoutEndAreRejected) {
-  constexpr auto Kilobyte = std::uint32_t{1024};
+  constexpr auto HeaderLimit = std::uint32_t{16} * 1024;
+  constexpr auto BodyLimit = std::uint64_t{1024} * 1024;
   const auto FedUntilRejected = [](const std::string &Start, const std::string &Endless) {
-    auto Parser = ResponseParser({16 * Kilobyte, 1024 * Kilobyte});
+    auto Parser = ResponseParser({HeaderLimit, BodyLimit});
     auto Fed = Start.size();
     auto Result = Parser.feed(Start);
-    while (Result.ok() && Fed < 1024 * Kilobyte) {
+    while (Result.ok() && Fed < BodyLimit) {
       Result = Parser.feed(Endless);
       Fed += Endless.size();
     }
     return Fed;
   };
-  constexpr auto Limit = std::size_t{40} * Kilobyte;
+  constexpr auto Limit = std::size_t{40} * 1024;
   const auto Chunked = std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
   cr_expect_leq(FedUntilRejected("HTTP/1.1 200 OK\r\n", "a: b\r\n"), Limit, "fields");
   cr_expect_leq(FedUntilRejected("HTTP/1.1 200 OK\r\na: ", "bbbbbbbb"), Limit, "a field");
