Encode a request for store records only if a relay gets it

sendHeartbeats encoded the request every 200 to 300 ms also on relays and in small fleets, which send it to nobody. What is sent stays the same.

--- a/src/router/internal/routermessages.cpp
+++ b/src/router/internal/routermessages.cpp
@@ -36,9 +36,11 @@
   for (const auto &Outgoing : m_FleetExchange.advance(std::move(Message), now())) {
     m_PeerLink.send(Outgoing);
   }
-  const auto Request = MirrorRequestByte + encodeRequest(m_Mirror.buildRequest());
-  for (const auto &Relay : m_FleetExchange.currentRelays()) {
-    m_PeerLink.send(Relay, Request);
+  if (const auto &Relays = m_FleetExchange.currentRelays(); !Relays.empty()) {
+    const auto Request = MirrorRequestByte + encodeRequest(m_Mirror.buildRequest());
+    for (const auto &Relay : Relays) {
+      m_PeerLink.send(Relay, Request);
+    }
   }
   if (m_Peers.role() != Before) {
     m_Dependencies.m_Log.record(base::LogLevel::Info, "fleet_role_changed",
