--- a/src/forwarding/internal/forwardsession.cpp
+++ b/src/forwarding/internal/forwardsession.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/forwardsession.h"
 
+#include <absl/strings/str_join.h>
 #include <boost/random/discrete_distribution.hpp>
 #include <boost/random/uniform_real_distribution.hpp>
 
@@ -21,6 +22,14 @@
       std::clamp<std::int64_t>(MostUrgent + 2 * Priority, MostUrgent, LeastUrgent));
 }
 
+/// Returns the IDs of the prompt's shared parts for the log, separated by commas.
+auto formatSharedParts(const std::optional<PromptMetadata> &Prompt) -> std::string {
+  if (!Prompt) {
+    return {};
+  }
+  return absl::StrJoin(Prompt->sharedPartIds(), ",");
+}
+
 } // namespace
 
 ForwardSession::ForwardSession(ForwardingContext &Context, http1::RequestHead Head,
@@ -207,6 +216,7 @@
                           {"send", m_SendCount + 1},
                           {"expected_ms", static_cast<std::int64_t>(m_ExpectedMs)},
                           {"kept_tokens", Choice->m_CachedTokens},
+                          {"shared_parts", formatSharedParts(m_Fields.m_Prompt)},
                           {"left_ms", timeLeft().count()}});
   m_Attempt = m_Context.m_Connector.send(Target, formatTargetHead(Target), m_Body,
                                          m_Head.m_Method == "HEAD", *this);
@@ -311,6 +321,7 @@
                           {"sends", m_SendCount},
                           {"events", m_EventsSent},
                           {"after_ms", elapsed().count()},
+                          {"shared_parts", formatSharedParts(m_Fields.m_Prompt)},
                           {"repeats", WillRetry}});
   // The target that resumes the stream sends a partial event again in full.
   m_Events.takePartialEvent();
--- a/src/forwarding/requesttypes.h
+++ b/src/forwarding/requesttypes.h
@@ -22,6 +22,15 @@
 
   /// Largest number of tokens that the request can use.
   [[nodiscard]] auto worstCase() const -> Tokens { return m_PromptTokens + m_OutputLimit; }
+
+  /// IDs of the parts that other requests may share.
+  [[nodiscard]] auto sharedPartIds() const -> std::vector<std::string> {
+    auto Ids = std::vector<std::string>();
+    for (std::size_t Index = 0; Index + 1 < m_Parts.size(); ++Index) {
+      Ids.push_back(m_Parts[Index].m_Id);
+    }
+    return Ids;
+  }
 };
 
 /// Decoded header fields of a caller's request.
