Quarantine prompt parts that crash targets

Cause: each router took the end of a connection for a failure of the target alone. Nobody remembered what had been waiting at the targets that ended, no router saw more than one or two of the ends, and a retry carried the part to the next target. Class: a request that is itself the fault, amplified by retries. Change: module quarantine. A connection that ends before the first event makes the request's shared parts suspects, if the target's address then refuses connections. Routers tell each other suspects and answers by datagram, at once and once a second, relays pass them on. Blame is per workspace, so that no caller can have the parts of others refused. Refused requests get 503 with the code part_quarantined, or 502 if they have run.

--- a/src/fleet/fleetexchange.h
+++ b/src/fleet/fleetexchange.h
@@ -63,6 +63,11 @@
     return m_CurrentRelays;
   }
 
+  /// The routers to which this one passes on what concerns the whole fleet: all others in a small
+  /// fleet; in a large one a member's relay, and a relay's members and the relays of the other data
+  /// centres. Messages that relays pass on reach every router.
+  [[nodiscard]] auto neighbours() const -> std::vector<std::string>;
+
   /// Time until the next call of advance().
   [[nodiscard]] auto period() const -> std::chrono::milliseconds;
 
@@ -94,6 +99,9 @@
   /// This router's heartbeat of the current period.
   Heartbeat m_Own;
   std::vector<std::string> m_CurrentRelays;
+
+  /// Relays of other data centres to which this one sent its last batch.
+  std::vector<std::string> m_OtherRelays;
   std::uint32_t m_DigestSequence = 0;
 };
 
--- a/src/fleet/internal/fleetexchange.cpp
+++ b/src/fleet/internal/fleetexchange.cpp
@@ -55,6 +55,7 @@
   if (m_Peers.recordCount() <= m_Options.m_MaxDirectFleet) {
     setRole(FleetRole::Direct, Now);
     m_CurrentRelays.clear();
+    m_OtherRelays.clear();
     m_Own = std::move(Own);
     Out.push_back({m_Peers.otherRouters(), m_Own});
     return Out;
@@ -75,6 +76,7 @@
   auto Heartbeats = m_Peers.role() == FleetRole::Relay
                         ? m_Peers.heartbeatsOf(m_Options.m_DataCentre, Now)
                         : reporterHeartbeats(Now);
+  m_OtherRelays.clear();
   if (m_Peers.role() == FleetRole::Member) {
     if (!Heartbeats.empty()) {
       addBatches(std::move(Heartbeats), Relays, Out);
@@ -82,17 +84,28 @@
     return Out;
   }
   Heartbeats.push_back({m_Own, 0});
-  auto OtherRelays = std::vector<std::string>();
   for (auto &[DataCentre, Tracker] : m_Trackers) {
     if (DataCentre != m_Options.m_DataCentre) {
       const auto Names = Tracker.nextDestinations(Now);
-      OtherRelays.insert(OtherRelays.end(), Names.begin(), Names.end());
+      m_OtherRelays.insert(m_OtherRelays.end(), Names.begin(), Names.end());
     }
   }
-  addBatches(std::move(Heartbeats), OtherRelays, Out);
+  addBatches(std::move(Heartbeats), m_OtherRelays, Out);
   return Out;
 }
 
+auto FleetExchange::neighbours() const -> std::vector<std::string> {
+  if (m_Peers.role() == FleetRole::Direct) {
+    return m_Peers.otherRouters();
+  }
+  auto Names = std::set<std::string>(m_CurrentRelays.begin(), m_CurrentRelays.end());
+  Names.insert(m_OtherRelays.begin(), m_OtherRelays.end());
+  for (const auto &[Name, Item] : m_Reporters) {
+    Names.insert(Name);
+  }
+  return {Names.begin(), Names.end()};
+}
+
 auto FleetExchange::reporterHeartbeats(base::SteadyTime Now) -> std::vector<RelayedHeartbeat> {
   std::erase_if(m_Reporters, [this, Now](const auto &Item) {
     return Now - Item.second.second > m_Options.m_RelayedTimeout;
--- a/src/forwarding/forwardingcontext.h
+++ b/src/forwarding/forwardingcontext.h
@@ -9,6 +9,7 @@
 #include "forwarding/iforwardingmetrics.h"
 #include "forwarding/placement.h"
 #include "forwarding/routingtable.h"
+#include "quarantine/ipromptquarantine.h"
 #include "retry/retrybudget.h"
 
 namespace geraniumlift::forwarding {
@@ -66,6 +67,7 @@
   budget::IBudgetReserver &m_Budgets;
   base::IEventLog &m_Log;
   IForwardingMetrics &m_Metrics;
+  quarantine::IPromptQuarantine &m_Quarantine;
   TargetTable &m_Targets;
   const Placement &m_Placement;
   ForwardingOptions m_Options;
--- a/src/forwarding/forwardsession.h
+++ b/src/forwarding/forwardsession.h
@@ -39,6 +39,17 @@
   auto reserve() -> void;
   auto onReserved(const budget::Reservation &Outcome) -> void;
   auto sendToTarget() -> void;
+
+  /// Refuses the request if a part of its prompt is in quarantine. Returns whether it did.
+  auto refuseIfQuarantined() -> bool;
+
+  [[nodiscard]] auto workspaceHash() const -> quarantine::WorkspaceHash;
+
+  /// ID of a shared part of the prompt.
+  [[nodiscard]] auto sharedPartId(std::size_t Index) const -> std::string;
+
+  /// Reports that the connection to the target ended before the response had begun.
+  auto reportLostConnection() -> void;
   auto formatTargetHead(const TargetRecord &Target) -> std::string;
   auto startIdleTimer(std::chrono::milliseconds Limit) -> void;
   auto onIdleTimeout() -> void;
@@ -80,6 +91,12 @@
   std::string m_Pool;
   Tokens m_TokensPerEvent = 1;
 
+  /// Shared parts of the prompt, as the quarantine knows them.
+  std::vector<quarantine::PartHash> m_SharedParts;
+
+  /// Why the request is refused, if a part of its prompt is in quarantine.
+  std::optional<quarantine::Block> m_Block;
+
   /// Tokens reserved from the budget and not yet settled.
   Tokens m_Reserved = 0;
   std::string m_ReservationSource;
--- a/src/forwarding/internal/forwardsession.cpp
+++ b/src/forwarding/internal/forwardsession.cpp
@@ -75,7 +75,12 @@
     }
   });
   choosePool();
-  reserve();
+  if (m_Fields.m_Prompt) {
+    m_SharedParts = quarantine::hashParts(m_Fields.m_Prompt->sharedPartIds());
+  }
+  if (!refuseIfQuarantined()) {
+    reserve();
+  }
 }
 
 auto ForwardSession::findRoute() -> std::optional<RefusalReason> {
@@ -184,7 +189,45 @@
                            m_Body->size());
 }
 
+auto ForwardSession::refuseIfQuarantined() -> bool {
+  // A request that a target has begun to answer does not crash targets.
+  if (m_SharedParts.empty() || m_HasResponseBegun) {
+    return false;
+  }
+  m_Block = m_Context.m_Quarantine.findBlock(workspaceHash(), m_SharedParts);
+  if (m_Block) {
+    refuse(m_MayHaveRun ? RefusalReason::TargetFailed : RefusalReason::PartQuarantined);
+  }
+  return m_Block.has_value();
+}
+
+auto ForwardSession::workspaceHash() const -> quarantine::WorkspaceHash {
+  return quarantine::hashWorkspace(m_Workspace == nullptr ? std::string_view()
+                                                          : m_Workspace->m_Name);
+}
+
+auto ForwardSession::sharedPartId(std::size_t Index) const -> std::string {
+  return m_Fields.m_Prompt && Index < m_Fields.m_Prompt->m_Parts.size()
+             ? m_Fields.m_Prompt->m_Parts[Index].m_Id
+             : std::string();
+}
+
+auto ForwardSession::reportLostConnection() -> void {
+  if (m_SharedParts.empty() || m_HasResponseBegun) {
+    return;
+  }
+  if (const auto *Target = m_Context.m_Targets.find(m_TargetId)) {
+    const auto &Record = Target->record();
+    m_Context.m_Quarantine.onConnectionLost(
+        {Record.m_Id, Record.m_Incarnation, Record.m_Address, Record.m_Port}, workspaceHash(),
+        m_SharedParts);
+  }
+}
+
 auto ForwardSession::sendToTarget() -> void {
+  if (refuseIfQuarantined()) {
+    return;
+  }
   const auto *Prompt = m_Fields.m_Prompt ? &*m_Fields.m_Prompt : nullptr;
   const auto Choice =
       m_Context.m_Placement.choose(m_Context.m_Targets, {m_Pool, Prompt, m_TriedTargets}, now());
@@ -277,6 +320,9 @@
 }
 
 auto ForwardSession::onFailed(base::Verdict Outcome, std::string_view Reason) -> void {
+  if (Outcome != base::Verdict::DidNotRun) {
+    reportLostConnection();
+  }
   const auto Result =
       Outcome == base::Verdict::DidNotRun ? AttemptResult::Unresponsive : AttemptResult::Failed;
   attemptFailed(Outcome, Result, Reason);
@@ -349,6 +395,9 @@
   const auto &Options = m_Context.m_Options;
   const auto Base = Reason == RefusalReason::BudgetUnavailable ? Options.m_BudgetRetryAfterBase
                                                                : Options.m_RetryAfterBase;
+  if (Reason == RefusalReason::PartQuarantined && m_Block) {
+    return m_Block->m_Left;
+  }
   const auto Factor =
       boost::random::uniform_real_distribution<double>(1.0, 2.0)(m_Context.m_Random);
   return milliseconds(static_cast<std::int64_t>(static_cast<double>(Base.count()) * Factor));
@@ -374,6 +423,7 @@
                           {"config", m_Table ? m_Table->version() : -1},
                           {"route", m_Route == nullptr ? "" : m_Route->m_Name},
                           {"workspace", m_Workspace == nullptr ? "" : m_Workspace->m_Name},
+                          {"shared_part", m_Block ? sharedPartId(m_Block->m_PartIndex) : ""},
                           {"tokens", m_Fields.m_Prompt ? m_Fields.m_Prompt->worstCase() : 0},
                           {"pool", m_Pool},
                           {"sends", m_SendCount},
--- a/src/forwarding/internal/forwardsessionanswer.cpp
+++ b/src/forwarding/internal/forwardsessionanswer.cpp
@@ -74,6 +74,7 @@
   }
   recordFirstByte();
   if (!std::exchange(m_HasResponseBegun, true)) {
+    m_Context.m_Quarantine.onResponseBegun(m_SharedParts);
     m_Caller->begin(*m_ResponseHead);
   }
   m_EventsSent = m_Events.count();
@@ -105,6 +106,7 @@
   }
   if (m_Events.hasPartialEvent()) {
     m_Events.takePartialEvent();
+    reportLostConnection();
     attemptFailed(base::Verdict::Ran, AttemptResult::Failed, "ended_within_an_event");
     return;
   }
--- a/src/forwarding/tests/forwardingfakes.h
+++ b/src/forwarding/tests/forwardingfakes.h
@@ -105,6 +105,32 @@
   int m_Retries = 0;
 };
 
+/// Refuses the requests of which a shared part is in m_Blocked, and records what it is told.
+class FakeQuarantine final : public quarantine::IPromptQuarantine {
+public:
+  [[nodiscard]] auto findBlock(quarantine::WorkspaceHash,
+                               const std::vector<quarantine::PartHash> &Parts)
+      -> std::optional<quarantine::Block> override {
+    for (std::size_t Index = 0; Index < Parts.size(); ++Index) {
+      if (m_Blocked.contains(Parts[Index])) {
+        return quarantine::Block{Index, std::chrono::milliseconds(90000)};
+      }
+    }
+    return std::nullopt;
+  }
+  auto onResponseBegun(const std::vector<quarantine::PartHash> &Parts) -> void override {
+    m_Answered.insert(Parts.begin(), Parts.end());
+  }
+  auto onConnectionLost(const quarantine::TargetProcess &Target, quarantine::WorkspaceHash,
+                        const std::vector<quarantine::PartHash> &Parts) -> void override {
+    m_Lost.emplace_back(Target.m_Id, Parts);
+  }
+
+  std::set<quarantine::PartHash> m_Blocked;
+  std::set<quarantine::PartHash> m_Answered;
+  std::vector<std::pair<std::string, std::vector<quarantine::PartHash>>> m_Lost;
+};
+
 /// A protocol with the header fields `id`, `host`, `key`, `left` and `prompt` from callers,
 /// `target`, `left-now` and `after` to targets, and `id`, `signed` and `not-run` from targets.
 class FakeHeaderCodec final : public IHeaderCodec {
@@ -118,7 +144,8 @@
       Fields.m_TimeLeft = std::chrono::milliseconds(std::stoll(std::string(*Left)));
     }
     if (const auto Prompt = Head.m_Fields.find("prompt")) {
-      Fields.m_Prompt = PromptMetadata{std::stoll(std::string(*Prompt)), 100, {{"p", 10}}};
+      Fields.m_Prompt =
+          PromptMetadata{std::stoll(std::string(*Prompt)), 100, {{"shared", 10}, {"own", 10}}};
     }
     return Fields;
   }
@@ -149,17 +176,9 @@
   ForwardingFixture()
       : m_Targets(HealthOptions()),
         m_Placement(PlacementOptions(), [](const TargetRecord &) { return TargetLoad(); }),
-        m_Context{m_Clock,
-                  m_Timers,
-                  m_HeaderCodec,
-                  m_Connector,
-                  m_Budgets,
-                  m_Log,
-                  m_Metrics,
-                  m_Targets,
-                  m_Placement,
-                  ForwardingOptions(),
-                  base::RandomEngine(7)} {
+        m_Context{m_Clock,   m_Timers,    m_HeaderCodec,       m_Connector,
+                  m_Budgets, m_Log,       m_Metrics,           m_Quarantine,
+                  m_Targets, m_Placement, ForwardingOptions(), base::RandomEngine(7)} {
     m_Context.m_Table = table();
     for (const auto *Id : {"e1", "e2", "e3"}) {
       m_Targets.put(target(Id, "engines"));
@@ -251,6 +270,7 @@
   FakeBudgets m_Budgets;
   fakes::MemoryEventLog m_Log;
   FakeMetrics m_Metrics;
+  FakeQuarantine m_Quarantine;
   TargetTable m_Targets;
   Placement m_Placement;
   ForwardingContext m_Context;
--- a/src/forwarding/tests/forwardsession_test.cpp
+++ b/src/forwarding/tests/forwardsession_test.cpp
@@ -295,3 +295,50 @@
   cr_assert_eq(Fixture.m_Caller->m_Status, 503);
   cr_assert(Fixture.attempts().empty());
 }
+
+Test(forwardsession, requestWithAQuarantinedPartIsRefusedUnsent) {
+  auto Fixture = ForwardingFixture();
+  Fixture.m_Quarantine.m_Blocked = {quarantine::hashParts({"shared"})[0]};
+  Fixture.request("/resumable/1", true);
+  cr_expect_eq(Fixture.m_Caller->m_Status, 503);
+  cr_expect_eq(Fixture.m_Caller->m_Head.m_Fields.find("Retry-After").value_or(""), "90.000");
+  cr_expect(Fixture.attempts().empty());
+  cr_expect(Fixture.m_Log.has(
+      "request_refused", {"reason=part_quarantined", "verdict=did_not_run", "shared_part=shared"}));
+  cr_expect_eq(Fixture.m_Budgets.m_Left, 1000000);
+}
+
+// Guards against a retry that carries a deadly part to the next target.
+Test(forwardsession, requestWhoseTargetCrashedIsNotRetriedOnceItsPartIsQuarantined) {
+  auto Fixture = ForwardingFixture();
+  Fixture.request("/resumable/1", true);
+  Fixture.connect();
+  Fixture.m_Quarantine.m_Blocked = {quarantine::hashParts({"shared"})[0]};
+  Fixture.fail(Verdict::MayHaveRun);
+  cr_expect_eq(Fixture.attempts().size(), 1U);
+  cr_expect_eq(Fixture.m_Caller->m_Status, 502);
+  cr_assert_eq(Fixture.m_Quarantine.m_Lost.size(), 1U);
+  cr_expect_eq(Fixture.m_Quarantine.m_Lost[0].first, Fixture.attempts()[0]->m_TargetId);
+  cr_expect(Fixture.m_Quarantine.m_Lost[0].second == quarantine::hashParts({"shared"}));
+}
+
+Test(forwardsession, streamThatHasBegunClearsItsPartsAndIsResumed) {
+  auto Fixture = ForwardingFixture();
+  Fixture.request("/resumable/1", true);
+  Fixture.connect();
+  Fixture.answerHead(200, {"signed"});
+  cr_expect(Fixture.m_Quarantine.m_Answered.empty(), "a header is not an answer");
+  Fixture.body("id: 1\ndata: a\n\n");
+  cr_expect(Fixture.m_Quarantine.m_Answered.contains(quarantine::hashParts({"shared"})[0]));
+  Fixture.m_Quarantine.m_Blocked = {quarantine::hashParts({"shared"})[0]};
+  Fixture.fail(Verdict::MayHaveRun);
+  cr_expect(Fixture.m_Quarantine.m_Lost.empty());
+  cr_expect_eq(Fixture.attempts().size(), 2U);
+}
+
+Test(forwardsession, failureToConnectIsNoLostConnection) {
+  auto Fixture = ForwardingFixture();
+  Fixture.request("/resumable/1", true);
+  Fixture.fail(Verdict::DidNotRun);
+  cr_expect(Fixture.m_Quarantine.m_Lost.empty());
+}
--- a/src/router/internal/peerlink.h
+++ b/src/router/internal/peerlink.h
@@ -12,6 +12,7 @@
 constexpr auto TransferByte = 'T';
 constexpr auto MirrorRequestByte = 'Q';
 constexpr auto MirrorUpdateByte = 'U';
+constexpr auto QuarantineByte = 'C';
 
 /// Sends messages to the other routers as datagrams, which may be lost.
 class PeerLink final : public budget::ITransferLink {
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -89,6 +89,14 @@
   return Options;
 }
 
+auto quarantineOptions(const RouterSettings &Settings, std::uint64_t Incarnation)
+    -> quarantine::ServiceOptions {
+  auto Options = quarantine::ServiceOptions();
+  Options.m_Router = Settings.m_Vm;
+  Options.m_Seed = seedOf(Settings, Incarnation);
+  return Options;
+}
+
 auto placementOptions(const RouterSettings &Settings) -> forwarding::PlacementOptions {
   auto Options = forwarding::PlacementOptions();
   Options.m_DataCentre = Settings.m_DataCentre;
@@ -144,6 +152,11 @@
                grantOptions(m_Settings, m_Incarnation, Dependencies.m_Clock.steadyNow()),
                Dependencies.m_Store, m_PeerLink, Dependencies.m_Timers, Dependencies.m_Clock,
                Dependencies.m_Log),
+      m_ListenerCheck(Dependencies.m_Loop, Dependencies.m_Timers, Dependencies.m_Clock,
+                      ConnectTimeout),
+      m_Quarantine(quarantineOptions(m_Settings, m_Incarnation), Dependencies.m_Store,
+                   m_ListenerCheck, Dependencies.m_Timers, Dependencies.m_Clock,
+                   Dependencies.m_Log),
       m_Placement(placementOptions(m_Settings),
                   [this](const forwarding::TargetRecord &Target) {
                     return m_Peers.peerLoad(Target.m_Id, now());
@@ -156,6 +169,7 @@
                                                    m_Grants,
                                                    Dependencies.m_Log,
                                                    m_Metrics,
+                                                   m_Quarantine,
                                                    m_Targets,
                                                    m_Placement,
                                                    forwardingOptions(m_Settings),
@@ -167,6 +181,9 @@
       m_StoreMonitor(Dependencies.m_Store, Dependencies.m_Timers, Dependencies.m_Clock,
                      Dependencies.m_Log, [this](bool IsReachable) { onReachable(IsReachable); }) {
   m_Grants.setOnCallFailed([this] { m_StoreMonitor.probeNow(); });
+  m_Quarantine.setPublisher([this](const quarantine::QuarantineUpdate &Update) {
+    sendQuarantineUpdate(Update, std::string());
+  });
 }
 
 auto Router::start() -> absl::Status {
@@ -341,6 +358,8 @@
       applyRouter(Item);
     } else if (Item.m_Key.starts_with(budget::GrantPrefix)) {
       m_Grants.onRecordChanged(Item);
+    } else if (Item.m_Key.starts_with(quarantine::QuarantinePrefix)) {
+      m_Quarantine.onRecordChanged(Item);
     }
     break;
   }
@@ -352,6 +371,9 @@
     m_TargetDirectory.remove(m_Dependencies.m_Documents.targetIdOf(Item.m_Key), Item.m_ModRevision);
     return;
   }
+  if (Item.m_Key.starts_with(quarantine::QuarantinePrefix)) {
+    m_Quarantine.onRecordRemoved(Item.m_Key);
+  }
   if (!Item.m_Key.starts_with(fleet::RouterPrefix)) {
     return;
   }
@@ -461,6 +483,7 @@
     followWithoutBudgets();
   }
   sendHeartbeats();
+  advanceQuarantine();
   updateFollowers();
   m_Mirror.removeExpired(now());
   m_Dependencies.m_Timers.start(now() + m_FleetExchange.period(), [this] { runPeriodicTasks(); });
--- a/src/router/internal/routermessages.cpp
+++ b/src/router/internal/routermessages.cpp
@@ -59,6 +59,8 @@
     onMirrorRequest(Bytes.substr(1));
   } else if (Bytes.starts_with(MirrorUpdateByte)) {
     onMirrorUpdate(Bytes.substr(1));
+  } else if (Bytes.starts_with(QuarantineByte)) {
+    onQuarantineUpdate(Bytes.substr(1));
   } else {
     logUnreadableDatagram("unknown datagram kind", Bytes.size());
   }
@@ -112,6 +114,37 @@
   applyEvents(m_Mirror.apply(*Update, now()));
 }
 
+auto Router::advanceQuarantine() -> void {
+  m_Quarantine.advance(m_Peers.role() != fleet::FleetRole::Member && m_IsStoreReachable);
+  if (const auto Report = m_Quarantine.takeReport()) {
+    sendQuarantineUpdate(*Report, std::string());
+  }
+  m_Dependencies.m_Metrics.gauge("geraniumlift_blocked_prompt_parts", {},
+                                 static_cast<double>(m_Quarantine.blockedParts()));
+}
+
+auto Router::onQuarantineUpdate(std::string_view Bytes) -> void {
+  const auto Update = quarantine::decodeUpdate(Bytes);
+  if (!Update.ok()) {
+    logUnreadableDatagram(std::string(Update.status().message()), Bytes.size());
+    return;
+  }
+  const auto New = m_Quarantine.onUpdate(*Update);
+  if (m_Peers.role() != fleet::FleetRole::Direct && !New.isEmpty()) {
+    sendQuarantineUpdate(New, Update->m_Router);
+  }
+}
+
+auto Router::sendQuarantineUpdate(const quarantine::QuarantineUpdate &Update,
+                                  const std::string &Except) -> void {
+  const auto Bytes = QuarantineByte + encodeUpdate(Update);
+  for (const auto &Name : m_FleetExchange.neighbours()) {
+    if (Name != Except) {
+      m_PeerLink.send(Name, Bytes);
+    }
+  }
+}
+
 auto Router::updateFollowers() -> void {
   // Relays do not pass on budget records.
   const auto MustFollow = m_FollowsBudgets || m_Peers.role() != fleet::FleetRole::Member ||
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -6,6 +6,7 @@
 #include "keyvalue/storefollower.h"
 #include "keyvalue/storemonitor.h"
 #include "mirror/mirrorexchange.h"
+#include "quarantine/quarantineservice.h"
 #include "router/internal/peerlink.h"
 #include "router/internal/requestmetrics.h"
 #include "router/istoredocumentdecoder.h"
@@ -13,6 +14,7 @@
 #include "transport/asiotimers.h"
 #include "transport/callerserver.h"
 #include "transport/datagramsocket.h"
+#include "transport/listenercheck.h"
 #include "transport/targetconnector.h"
 
 #include <memory>
@@ -71,6 +73,14 @@
   auto updateFollowers() -> void;
   auto onMirrorRequest(std::string_view Bytes) -> void;
   auto onMirrorUpdate(std::string_view Bytes) -> void;
+
+  /// Confirms and ends quarantines and tells the neighbours of what is open.
+  auto advanceQuarantine() -> void;
+  auto onQuarantineUpdate(std::string_view Bytes) -> void;
+
+  /// Sends the update to the neighbours, except to the router from which it came.
+  auto sendQuarantineUpdate(const quarantine::QuarantineUpdate &Update, const std::string &Except)
+      -> void;
   auto applyEvents(const std::vector<keyvalue::WatchEvent> &Events) -> void;
   auto applyItem(const keyvalue::KeyValue &Item) -> void;
   auto applyRemoval(const keyvalue::KeyValue &Item) -> void;
@@ -111,6 +121,8 @@
   forwarding::TargetTable m_Targets;
   forwarding::TargetDirectory m_TargetDirectory;
   budget::GrantService m_Grants;
+  transport::ListenerCheck m_ListenerCheck;
+  quarantine::QuarantineService m_Quarantine;
   forwarding::Placement m_Placement;
   transport::TargetConnector m_Connector;
   RequestMetrics m_Metrics;
--- a/testing/process/childprocess.cpp
+++ b/testing/process/childprocess.cpp
@@ -35,6 +35,8 @@
   posix_spawn_file_actions_addopen(&Actions, STDOUT_FILENO, LogFile.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&Actions, STDOUT_FILENO, STDERR_FILENO);
+  // A child that inherits the listening sockets of stand-ins would keep their ports open.
+  posix_spawn_file_actions_addclosefrom_np(&Actions, STDERR_FILENO + 1);
   const auto Error = posix_spawn(&m_Pid, Program.c_str(), &Actions, nullptr, Argv.data(), environ);
   posix_spawn_file_actions_destroy(&Actions);
   if (Error != 0) {
--- a/testing/standins/platform/byteserver.cpp
+++ b/testing/standins/platform/byteserver.cpp
@@ -24,6 +24,13 @@
         });
   }
 
+  /// Resets the connection.
+  auto abort() -> void {
+    auto Ignored = error_code();
+    m_Socket.set_option(boost::asio::socket_base::linger(true, 0), Ignored);
+    m_Socket.close(Ignored);
+  }
+
 private:
   auto take(std::string_view Bytes) -> void {
     const auto Used = m_Parser.feed(Bytes);
@@ -36,6 +43,9 @@
     }
     const auto Answer = (*m_Handler)({m_Parser.head(), m_Parser.body()});
     m_Parser = http1::RequestParser(http1::MessageLimits());
+    if (!m_Socket.is_open()) {
+      return;
+    }
     if (!Answer) {
       // Reading on notices the caller's close.
       read();
@@ -59,9 +69,10 @@
 };
 
 ByteServer::ByteServer(boost::asio::io_context &Loop, int Port, Handler OnRequest)
-    : m_Acceptor(Loop,
-                 {boost::asio::ip::make_address_v4("127.0.0.1"), static_cast<std::uint16_t>(Port)}),
-      m_Handler(std::make_shared<Handler>(std::move(OnRequest))) {
+    : m_Acceptor(Loop),
+      m_Endpoint(boost::asio::ip::make_address_v4("127.0.0.1"), static_cast<std::uint16_t>(Port)),
+      m_RestartTimer(Loop), m_Handler(std::make_shared<Handler>(std::move(OnRequest))) {
+  m_Acceptor = tcp::acceptor(Loop, m_Endpoint);
   accept();
 }
 
@@ -70,11 +81,32 @@
     if (Error) {
       return;
     }
-    std::make_shared<Connection>(std::move(Socket), m_Handler)->read();
+    const auto Accepted = std::make_shared<Connection>(std::move(Socket), m_Handler);
+    std::erase_if(m_Connections, [](const auto &Item) { return Item.expired(); });
+    m_Connections.push_back(Accepted);
+    Accepted->read();
     accept();
   });
 }
 
+auto ByteServer::crash(std::chrono::milliseconds Pause, std::function<void()> Restarted) -> void {
+  auto Ignored = error_code();
+  m_Acceptor.close(Ignored);
+  for (const auto &Item : m_Connections) {
+    if (const auto Open = Item.lock()) {
+      Open->abort();
+    }
+  }
+  m_RestartTimer.expires_after(Pause);
+  m_RestartTimer.async_wait([this, Restarted = std::move(Restarted)](const error_code &Error) {
+    if (!Error) {
+      m_Acceptor = tcp::acceptor(m_Acceptor.get_executor(), m_Endpoint);
+      accept();
+      Restarted();
+    }
+  });
+}
+
 auto jsonReply(int Status, const std::string &Body) -> Reply {
   return {
       fmt::format("HTTP/1.1 {} x\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{}",
--- a/testing/standins/platform/byteserver.h
+++ b/testing/standins/platform/byteserver.h
@@ -4,9 +4,11 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace geraniumlift::standins {
 
@@ -33,13 +35,20 @@
 
   ByteServer(boost::asio::io_context &Loop, int Port, Handler OnRequest);
 
+  /// Closes all connections and refuses new ones until the pause is over, then runs the callback.
+  /// May be called from the handler, whose reply is then not sent.
+  auto crash(std::chrono::milliseconds Pause, std::function<void()> Restarted) -> void;
+
 private:
   class Connection;
 
   auto accept() -> void;
 
   boost::asio::ip::tcp::acceptor m_Acceptor;
+  boost::asio::ip::tcp::endpoint m_Endpoint;
+  boost::asio::steady_timer m_RestartTimer;
   std::shared_ptr<Handler> m_Handler;
+  std::vector<std::weak_ptr<Connection>> m_Connections;
 };
 
 /// A whole answer with a JSON body.
--- a/testing/standins/platform/targetstandin.cpp
+++ b/testing/standins/platform/targetstandin.cpp
@@ -9,6 +9,9 @@
 /// Events of a whole stream.
 constexpr auto EventCount = std::uint64_t{5};
 
+/// How long a crashed target is away.
+constexpr auto RestartTime = std::chrono::milliseconds(150);
+
 auto chunk(const std::string &Data) -> std::string {
   return fmt::format("{:x}\r\n{}\r\n", Data.size(), Data);
 }
@@ -81,6 +84,15 @@
   }
   m_Last = Request;
   ++m_Runs[Id];
+  if (!m_DeadlyPart.empty() &&
+      Fields.find("Prompt-Prefix").value_or("").find(m_DeadlyPart) != std::string_view::npos) {
+    m_Store.erase("servers/" + m_Id);
+    m_Server.crash(RestartTime, [this] {
+      m_Id += "+";
+      registerAs("ready");
+    });
+    return std::nullopt;
+  }
   if (Fault == TargetFault::Hangs) {
     return std::nullopt;
   }
--- a/testing/standins/platform/targetstandin.h
+++ b/testing/standins/platform/targetstandin.h
@@ -20,6 +20,10 @@
 
   std::atomic<TargetFault> m_Fault{TargetFault::None};
 
+  /// The target crashes whenever it runs a request with this part in its prompt, and is back a
+  /// moment later under another ID. Set before the first request.
+  std::string m_DeadlyPart;
+
   /// How often a request ran here, by its ID.
   [[nodiscard]] auto runs(const std::string &RequestId) -> int;
   [[nodiscard]] auto totalRuns() -> int;
