Treat a stream that ends with its connection before any event as broken

Callers could get: an empty stream as a complete success, when a target crashed behind the header of a response that had neither a length nor chunks, and a stream that broke off as complete, when the target that resumed it sent such a header and ended. Cause: the end of the connection counted as the end of the response if no part of an event was pending. Tests unframedStreamThatEndsBeforeItsFirstEventIsBroken and unframedStreamIsNotCompletedByAResumptionWithoutEvents failed before and pass. A framed stream without events stays complete.

--- a/src/forwarding/forwardsession.h
+++ b/src/forwarding/forwardsession.h
@@ -118,9 +118,15 @@
   std::optional<http1::ResponseHead> m_ResponseHead;
   std::string m_BufferedBody;
   bool m_IsEventStream = false;
+
+  /// Whether only the end of the connection ends the response: it has neither a length nor chunks.
+  bool m_IsUnframed = false;
   bool m_HasResponseBegun = false;
   EventSplitter m_Events;
   std::int64_t m_EventsSent = 0;
+
+  /// Events that earlier attempts had sent when the current one began.
+  std::int64_t m_EventsBeforeAttempt = 0;
   std::optional<base::SteadyTime> m_FirstByteAt;
   bool m_IsPaused = false;
   bool m_IsFinished = false;
--- a/src/forwarding/internal/forwardsession.cpp
+++ b/src/forwarding/internal/forwardsession.cpp
@@ -247,6 +247,7 @@
   m_ResponseHead.reset();
   m_BufferedBody.clear();
   m_IsAwaitingResponse = true;
+  m_EventsBeforeAttempt = m_EventsSent;
   m_UncachedTokens = Prompt == nullptr ? 0 : Prompt->m_PromptTokens - Choice->m_CachedTokens;
   m_Context.m_Targets.recordSent(m_TargetId, Prompt, m_UncachedTokens, now());
   m_Context.m_Log.record(base::LogLevel::Debug, "request_placed",
--- a/src/forwarding/internal/forwardsessionanswer.cpp
+++ b/src/forwarding/internal/forwardsessionanswer.cpp
@@ -8,6 +8,10 @@
 
 auto isSuccess(int Status) -> bool { return Status >= 200 && Status < 300; }
 
+auto mayHaveBody(std::string_view Method, int Status) -> bool {
+  return Method != "HEAD" && Status != 204 && Status != 304;
+}
+
 /// Statuses that callers take to mean that the request did not run. A target's response with one of
 /// them but without its not-run mark must not be passed on, because the request may have run.
 auto impliesNotRun(int Status) -> bool {
@@ -46,6 +50,8 @@
     attemptFailed(base::Verdict::MayHaveRun, AttemptResult::Failed, "not_resumed");
     return;
   }
+  m_IsUnframed = mayHaveBody(m_Head.m_Method, Head.m_Status) &&
+                 !Head.m_Fields.has("Content-Length") && !Head.m_Fields.has("Transfer-Encoding");
   m_ResponseHead = std::move(Head);
   removeHopByHopFields(m_ResponseHead->m_Fields);
 }
@@ -104,10 +110,13 @@
     onBufferedResponse();
     return;
   }
-  if (m_Events.hasPartialEvent()) {
+  // The end of the connection may be that of the target's process.
+  const auto HasNoEvent = m_IsUnframed && m_EventsSent == m_EventsBeforeAttempt;
+  if (m_Events.hasPartialEvent() || HasNoEvent) {
+    const auto *Reason = HasNoEvent ? "ended_without_an_event" : "ended_within_an_event";
     m_Events.takePartialEvent();
     reportLostConnection();
-    attemptFailed(base::Verdict::Ran, AttemptResult::Failed, "ended_within_an_event");
+    attemptFailed(base::Verdict::Ran, AttemptResult::Failed, Reason);
     return;
   }
   endAttempt(AttemptResult::Success);
--- a/src/forwarding/tests/forwardsession_test.cpp
+++ b/src/forwarding/tests/forwardsession_test.cpp
@@ -336,6 +336,53 @@
   cr_expect_eq(Fixture.attempts().size(), 2U);
 }
 
+// Guards against a stream of a crashed target that reaches the caller as a complete empty one.
+Test(forwardsession, unframedStreamThatEndsBeforeItsFirstEventIsBroken) {
+  auto Fixture = ForwardingFixture();
+  Fixture.request("/stream/1", true);
+  Fixture.connect();
+  Fixture.answerHead(200, {"signed"});
+  Fixture.end();
+  cr_expect_eq(Fixture.m_Caller->m_Status, 502);
+  cr_expect_eq(Fixture.m_Quarantine.m_Lost.size(), 1U);
+}
+
+Test(forwardsession, unframedStreamThatEndsBehindAnEventIsComplete) {
+  auto Fixture = ForwardingFixture();
+  Fixture.request("/stream/1", true);
+  Fixture.connect();
+  Fixture.answerHead(200, {"signed"});
+  Fixture.body("id: 1\ndata: a\n\n");
+  Fixture.end();
+  cr_expect(Fixture.m_Caller->m_IsComplete);
+}
+
+Test(forwardsession, framedStreamWithoutEventsIsComplete) {
+  auto Fixture = ForwardingFixture();
+  Fixture.request("/stream/1", true);
+  Fixture.connect();
+  Fixture.answerHead(200, {"signed", "Transfer-Encoding"});
+  Fixture.end();
+  cr_expect(Fixture.m_Caller->m_IsComplete);
+  cr_expect_eq(Fixture.m_Caller->m_Status, 200);
+}
+
+// Guards against a stream that was broken in the middle and whose end seems to follow at the target
+// that was to resume it.
+Test(forwardsession, unframedStreamIsNotCompletedByAResumptionWithoutEvents) {
+  auto Fixture = ForwardingFixture();
+  Fixture.request("/resumable/1", true);
+  Fixture.connect();
+  Fixture.answerHead(200, {"signed"});
+  Fixture.body("id: 1\ndata: a\n\n");
+  Fixture.fail(Verdict::MayHaveRun);
+  Fixture.connect();
+  Fixture.answerHead(200, {"signed"});
+  Fixture.end();
+  cr_expect(Fixture.m_Caller->m_IsAborted);
+  cr_expect_not(Fixture.m_Caller->m_IsComplete);
+}
+
 Test(forwardsession, failureToConnectIsNoLostConnection) {
   auto Fixture = ForwardingFixture();
   Fixture.request("/resumable/1", true);
