--- a/src/forwarding/forwardsession.h
+++ b/src/forwarding/forwardsession.h
@@ -128,6 +128,9 @@
   /// Events that earlier attempts had sent when the current one began.
   std::int64_t m_EventsBeforeAttempt = 0;
   std::optional<base::SteadyTime> m_FirstByteAt;
+
+  /// Limit that the last target named; 0 if it named none.
+  double m_NamedLimit = 0.0;
   bool m_IsPaused = false;
   bool m_IsFinished = false;
 };
--- a/src/forwarding/internal/forwardsession.cpp
+++ b/src/forwarding/internal/forwardsession.cpp
@@ -491,6 +491,7 @@
                           {"result", Result},
                           {"target", m_TargetId},
                           {"sends", m_SendCount},
+                          {"target_limit_per_s", m_NamedLimit},
                           {"events", m_EventsSent},
                           {"first_byte_ms", Outcome.m_FirstByte.count()},
                           {"total_ms", Outcome.m_Total.count()}});
--- a/src/forwarding/internal/forwardsessionanswer.cpp
+++ b/src/forwarding/internal/forwardsessionanswer.cpp
@@ -35,6 +35,7 @@
     attemptFailed(base::Verdict::MayHaveRun, AttemptResult::Failed, "answer_of_another_request");
     return;
   }
+  m_NamedLimit = Metadata.m_RequestsPerSecond.value_or(0.0);
   if (Metadata.m_DidNotRun || Metadata.m_IsWrongTarget) {
     attemptFailed(base::Verdict::DidNotRun, AttemptResult::Refused,
                   Metadata.m_IsWrongTarget ? "other_target_at_address" : "refused_by_target");
--- a/src/forwarding/requesttypes.h
+++ b/src/forwarding/requesttypes.h
@@ -78,6 +78,9 @@
 
   /// The body has a content encoding although none was requested.
   bool m_IsEncoded = false;
+
+  /// Requests a second that the target takes from all routers together, if it names a limit.
+  std::optional<double> m_RequestsPerSecond;
 };
 
 /// Decodes and encodes the header fields of one protocol.
