Keep the requests of all routers to a target within the limit that it names

Cause: nobody read the limit. Placing forecasts the wait from load alone. Class: a bound on the sum over the fleet that no router can keep by itself. Change: module ratelimits. What a target says last counts; routers tell each other at once and once a second, relays pass it on. One router keeps the permits of each target, the first by rendezvous hash among those that live; the others ask it for a permit for each request whose best target names a limit, and wait for the answer (up to three, a few milliseconds each). A request that no target can take is refused at once, with the time of the next permit. Weighed: shares of the limit by router (0.01 a second each at 195 routers: unusable), targets for one router only (idle where that router has no load), feedback on sums in heartbeats (late by a second).

--- a/src/forwarding/forwardingcontext.h
+++ b/src/forwarding/forwardingcontext.h
@@ -38,6 +38,9 @@
   /// try another router.
   std::chrono::milliseconds m_MaxBudgetWait{400};
 
+  /// Permits that one request asks for, one after the other, until one is granted.
+  int m_MaxPermitRequests = 3;
+
   /// Maximum body size of a response that is buffered before it is sent to the caller.
   std::size_t m_MaxBufferedResponseBytes = std::size_t{4} * 1024 * 1024;
 
@@ -68,6 +71,7 @@
   base::IEventLog &m_Log;
   IForwardingMetrics &m_Metrics;
   quarantine::IPromptQuarantine &m_Quarantine;
+  ratelimits::ITargetLimits &m_Limits;
   TargetTable &m_Targets;
   const Placement &m_Placement;
   ForwardingOptions m_Options;
--- a/src/forwarding/forwardsession.h
+++ b/src/forwarding/forwardsession.h
@@ -40,6 +40,12 @@
   auto onReserved(const budget::Reservation &Outcome) -> void;
   auto sendToTarget() -> void;
 
+  /// Requests a permit for a target with a limit and then decides anew.
+  auto waitForPermit(ratelimits::TargetKey Target) -> void;
+
+  /// Refuses the request, or ends its response, because no target takes it.
+  auto refuseUnplaced(const PlacementDecision &Decision) -> void;
+
   /// Refuses the request if a part of its prompt is in quarantine. Returns whether it did.
   auto refuseIfQuarantined() -> bool;
 
@@ -105,6 +111,10 @@
   std::unique_ptr<ITargetAttempt> m_Attempt;
   std::string m_TargetId;
   std::set<std::string> m_TriedTargets;
+  int m_PermitRequests = 0;
+
+  /// Time until a target has a permit, if limits keep the request from all targets.
+  std::optional<std::chrono::milliseconds> m_PermitWait;
   std::int64_t m_SendCount = 0;
   double m_ExpectedMs = 0.0;
 
--- a/src/forwarding/internal/forwardsession.cpp
+++ b/src/forwarding/internal/forwardsession.cpp
@@ -229,15 +229,15 @@
     return;
   }
   const auto *Prompt = m_Fields.m_Prompt ? &*m_Fields.m_Prompt : nullptr;
-  const auto Choice =
-      m_Context.m_Placement.choose(m_Context.m_Targets, {m_Pool, Prompt, m_TriedTargets}, now());
+  const auto Decision = m_Context.m_Placement.decide(
+      m_Context.m_Targets, {m_Pool, Prompt, m_TriedTargets, &m_Context.m_Limits}, now());
+  const auto &Choice = Decision.m_Choice;
+  if (Decision.m_Wanted && m_PermitRequests < m_Context.m_Options.m_MaxPermitRequests) {
+    waitForPermit(Decision.m_Wanted->m_Key);
+    return;
+  }
   if (!Choice) {
-    if (m_HasResponseBegun) {
-      m_Caller->abort();
-      finish("broken_off");
-      return;
-    }
-    refuse(m_MayHaveRun ? RefusalReason::TargetFailed : RefusalReason::NoTarget);
+    refuseUnplaced(Decision);
     return;
   }
   const auto Target = m_Context.m_Targets.find(Choice->m_TargetId)->record();
@@ -249,6 +249,7 @@
   m_IsAwaitingResponse = true;
   m_EventsBeforeAttempt = m_EventsSent;
   m_UncachedTokens = Prompt == nullptr ? 0 : Prompt->m_PromptTokens - Choice->m_CachedTokens;
+  m_Context.m_Limits.onSend(m_Context.m_Targets.find(m_TargetId)->limitKey());
   m_Context.m_Targets.recordSent(m_TargetId, Prompt, m_UncachedTokens, now());
   m_Context.m_Log.record(base::LogLevel::Debug, "request_placed",
                          {{"request", m_Fields.m_RequestId},
@@ -266,6 +267,30 @@
                                          m_Head.m_Method == "HEAD", *this);
 }
 
+auto ForwardSession::waitForPermit(ratelimits::TargetKey Target) -> void {
+  ++m_PermitRequests;
+  m_Context.m_Limits.requestPermit(Target,
+                                   [Self = shared_from_this()](const ratelimits::PermitOutcome &) {
+                                     if (!Self->m_IsFinished) {
+                                       Self->sendToTarget();
+                                     }
+                                   });
+}
+
+auto ForwardSession::refuseUnplaced(const PlacementDecision &Decision) -> void {
+  if (m_HasResponseBegun) {
+    m_Caller->abort();
+    finish("broken_off");
+    return;
+  }
+  if (m_MayHaveRun) {
+    refuse(RefusalReason::TargetFailed);
+    return;
+  }
+  m_PermitWait = Decision.m_RetryAfter;
+  refuse(Decision.m_IsLimited ? RefusalReason::TargetsLimited : RefusalReason::NoTarget);
+}
+
 auto ForwardSession::onConnected() -> void {
   auto &Retries = m_Context.retryBudget(m_Pool);
   if (m_SendCount++ == 0) {
@@ -394,8 +419,11 @@
 
 auto ForwardSession::retryAfter(RefusalReason Reason) -> milliseconds {
   const auto &Options = m_Context.m_Options;
-  const auto Base = Reason == RefusalReason::BudgetUnavailable ? Options.m_BudgetRetryAfterBase
-                                                               : Options.m_RetryAfterBase;
+  auto Base = Reason == RefusalReason::BudgetUnavailable ? Options.m_BudgetRetryAfterBase
+                                                         : Options.m_RetryAfterBase;
+  if (Reason == RefusalReason::TargetsLimited && m_PermitWait) {
+    Base = std::max(Base, *m_PermitWait);
+  }
   if (Reason == RefusalReason::PartQuarantined && m_Block) {
     return m_Block->m_Left;
   }
--- a/src/forwarding/internal/forwardsessionanswer.cpp
+++ b/src/forwarding/internal/forwardsessionanswer.cpp
@@ -36,6 +36,10 @@
     return;
   }
   m_NamedLimit = Metadata.m_RequestsPerSecond.value_or(0.0);
+  if (const auto *Target = m_Context.m_Targets.find(m_TargetId);
+      Target != nullptr && !Metadata.m_IsWrongTarget) {
+    m_Context.m_Limits.onAnswer(Target->limitKey(), Metadata.m_RequestsPerSecond);
+  }
   if (Metadata.m_DidNotRun || Metadata.m_IsWrongTarget) {
     attemptFailed(base::Verdict::DidNotRun, AttemptResult::Refused,
                   Metadata.m_IsWrongTarget ? "other_target_at_address" : "refused_by_target");
--- a/src/forwarding/internal/placement.cpp
+++ b/src/forwarding/internal/placement.cpp
@@ -56,8 +56,8 @@
          Active * m_Options.m_MsPerActiveStream;
 }
 
-auto Placement::choose(const TargetTable &Targets, const PlacementRequest &Request,
-                       base::SteadyTime Now) const -> std::optional<PlacementChoice> {
+auto Placement::decide(const TargetTable &Targets, const PlacementRequest &Request,
+                       base::SteadyTime Now) const -> PlacementDecision {
   auto Candidates = std::vector<const TargetState *>();
   auto Ejected = std::vector<const TargetState *>();
   for (const auto *Target : Targets.availableTargets(Request.m_Pool)) {
@@ -68,24 +68,42 @@
   if (Candidates.empty()) {
     Candidates = std::move(Ejected);
   }
+  auto Decision = PlacementDecision();
   if (Candidates.empty()) {
-    return std::nullopt;
+    return Decision;
   }
   const auto *Shared = lastSharedPart(Request.m_Prompt);
   const auto *AffinityTarget = Shared == nullptr ? nullptr : affinityTarget(*Shared, Candidates);
-  auto Best = std::optional<PlacementChoice>();
   for (const auto *Target : Candidates) {
+    const auto MaySend =
+        Request.m_Limits == nullptr || Request.m_Limits->maySend(Target->limitKey());
+    if (!MaySend) {
+      Decision.m_IsLimited = true;
+      if (const auto RetryAfter = Request.m_Limits->retryAfter(Target->limitKey())) {
+        Decision.m_RetryAfter = std::min(Decision.m_RetryAfter.value_or(*RetryAfter), *RetryAfter);
+        continue;
+      }
+    }
     auto CachedTokens =
         Request.m_Prompt == nullptr ? 0 : Target->cachedTokens(*Request.m_Prompt, Now);
     if (Target == AffinityTarget) {
       CachedTokens = std::max(CachedTokens, sharedTokens(*Request.m_Prompt));
     }
     const auto Ms = expectedMs(*Target, Request, CachedTokens);
-    if (!Best || Ms < Best->m_ExpectedMs) {
-      Best = PlacementChoice{Target->record().m_Id, Ms, CachedTokens};
+    if (!MaySend) {
+      if (!Decision.m_Wanted || Ms < Decision.m_Wanted->m_ExpectedMs) {
+        Decision.m_Wanted = WantedTarget{Target->limitKey(), Ms};
+      }
+    } else if (!Decision.m_Choice || Ms < Decision.m_Choice->m_ExpectedMs) {
+      Decision.m_Choice = PlacementChoice{Target->record().m_Id, Ms, CachedTokens};
     }
   }
-  return Best;
+  if (Decision.m_Choice && Decision.m_Wanted &&
+      Decision.m_Wanted->m_ExpectedMs + m_Options.m_MinPermitGainMs >=
+          Decision.m_Choice->m_ExpectedMs) {
+    Decision.m_Wanted.reset();
+  }
+  return Decision;
 }
 
 } // namespace geraniumlift::forwarding
--- a/src/forwarding/placement.h
+++ b/src/forwarding/placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forwarding/targettable.h"
+#include "ratelimits/itargetlimits.h"
 
 #include <functional>
 
@@ -27,6 +28,10 @@
   /// Added to the forecast of a target with a failure rate of 1, in milliseconds; lower rates add
   /// proportionally less.
   double m_FailurePenaltyMs = 400.0;
+
+  /// A permit is requested for a target with a limit only if its forecast is shorter by more than
+  /// this, in milliseconds: the request waits for the answer.
+  double m_MinPermitGainMs = 8.0;
 };
 
 /// Properties of a request that decide its target.
@@ -37,6 +42,9 @@
 
   /// IDs of targets to which the request was sent already.
   std::set<std::string> m_Excluded;
+
+  /// Limits of the targets; nullptr if they do not matter.
+  const ratelimits::ITargetLimits *m_Limits = nullptr;
 };
 
 /// The chosen target and its forecast.
@@ -50,6 +58,25 @@
   Tokens m_CachedTokens = 0;
 };
 
+/// A target that names a limit and for which this router holds no permit.
+struct WantedTarget {
+  ratelimits::TargetKey m_Key = 0;
+  double m_ExpectedMs = 0.0;
+};
+
+/// What placement found.
+struct PlacementDecision {
+  /// The best target that may get the request now.
+  std::optional<PlacementChoice> m_Choice;
+
+  /// The best of the targets that may get it with a permit, if it is better than the choice.
+  std::optional<WantedTarget> m_Wanted;
+
+  /// Whether limits keep the request from a target, and the shortest time until one has a permit.
+  bool m_IsLimited = false;
+  std::optional<std::chrono::milliseconds> m_RetryAfter;
+};
+
 /// Chooses the target with the shortest forecast wait. The forecast covers the load that this and
 /// the other routers have put on the target and the prompt tokens that its cache does not hold.
 /// Rendezvous hashing assigns each shared prompt part to one target that is assumed to cache it;
@@ -63,10 +90,16 @@
   Placement(PlacementOptions Options, PeerLoadSource Others)
       : m_Options(std::move(Options)), m_PeerLoad(std::move(Others)) {}
 
-  /// Returns nothing if no target of the pool accepts requests. Targets that are ejected after
-  /// failures are used only if there is no other.
+  /// Targets that are ejected after failures are used only if there is no other. Targets that name
+  /// a limit are used only with a permit.
+  [[nodiscard]] auto decide(const TargetTable &Targets, const PlacementRequest &Request,
+                            base::SteadyTime Now) const -> PlacementDecision;
+
+  /// Returns the choice of decide().
   [[nodiscard]] auto choose(const TargetTable &Targets, const PlacementRequest &Request,
-                            base::SteadyTime Now) const -> std::optional<PlacementChoice>;
+                            base::SteadyTime Now) const -> std::optional<PlacementChoice> {
+    return decide(Targets, Request, Now).m_Choice;
+  }
 
 private:
   [[nodiscard]] auto expectedMs(const TargetState &Target, const PlacementRequest &Request,
--- a/src/forwarding/targettable.h
+++ b/src/forwarding/targettable.h
@@ -2,6 +2,7 @@
 
 #include "base/iclock.h"
 #include "forwarding/requesttypes.h"
+#include "ratelimits/limittypes.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <map>
@@ -60,11 +61,16 @@
 /// A target's registration, load and health as seen by this router.
 class TargetState {
 public:
-  explicit TargetState(TargetRecord Record) : m_Record(std::move(Record)) {}
+  explicit TargetState(TargetRecord Record)
+      : m_Record(std::move(Record)),
+        m_LimitKey(ratelimits::targetKey(m_Record.m_Id, m_Record.m_Incarnation)) {}
 
   [[nodiscard]] auto record() const -> const TargetRecord & { return m_Record; }
   [[nodiscard]] auto ownLoad() const -> const TargetLoad & { return m_OwnLoad; }
 
+  /// Identifies the target's process where limits are concerned.
+  [[nodiscard]] auto limitKey() const -> ratelimits::TargetKey { return m_LimitKey; }
+
   /// Number of leading prompt tokens that the target is expected to have in its cache, because this
   /// router has recently sent it requests with the same parts.
   [[nodiscard]] auto cachedTokens(const PromptMetadata &Prompt, base::SteadyTime Now) const
@@ -80,6 +86,7 @@
   friend class TargetTable;
 
   TargetRecord m_Record;
+  ratelimits::TargetKey m_LimitKey;
   TargetLoad m_OwnLoad;
 
   /// Time of the last request by ID of a prompt part.
--- a/src/forwarding/tests/forwardingfakes.h
+++ b/src/forwarding/tests/forwardingfakes.h
@@ -131,8 +131,45 @@
   std::vector<std::pair<std::string, std::vector<quarantine::PartHash>>> m_Lost;
 };
 
+/// Limits by target key. Requests for permits wait until the test answers them.
+class FakeLimits final : public ratelimits::ITargetLimits {
+public:
+  [[nodiscard]] auto maySend(ratelimits::TargetKey Target) const -> bool override {
+    return !m_Limited.contains(Target) || m_Permits.contains(Target);
+  }
+  [[nodiscard]] auto retryAfter(ratelimits::TargetKey Target) const
+      -> std::optional<std::chrono::milliseconds> override {
+    return m_Refused.contains(Target) ? std::optional(std::chrono::milliseconds(400))
+                                      : std::nullopt;
+  }
+  auto onSend(ratelimits::TargetKey Target) -> void override { m_Permits.erase(Target); }
+  auto onAnswer(ratelimits::TargetKey Target, std::optional<double> PerSecond) -> void override {
+    m_Stated[Target] = PerSecond;
+  }
+  auto requestPermit(ratelimits::TargetKey Target,
+                     std::function<void(ratelimits::PermitOutcome)> Done) -> void override {
+    m_Requests.emplace_back(Target, std::move(Done));
+  }
+
+  /// Answers the oldest request.
+  auto answer(bool IsGranted) -> void {
+    const auto [Target, Done] = m_Requests.front();
+    m_Requests.pop_front();
+    (IsGranted ? m_Permits : m_Refused).insert(Target);
+    Done({IsGranted, std::chrono::milliseconds(400)});
+  }
+
+  std::set<ratelimits::TargetKey> m_Limited;
+  std::set<ratelimits::TargetKey> m_Permits;
+  std::set<ratelimits::TargetKey> m_Refused;
+  std::map<ratelimits::TargetKey, std::optional<double>> m_Stated;
+  std::deque<std::pair<ratelimits::TargetKey, std::function<void(ratelimits::PermitOutcome)>>>
+      m_Requests;
+};
+
 /// A protocol with the header fields `id`, `host`, `key`, `left` and `prompt` from callers,
-/// `target`, `left-now` and `after` to targets, and `id`, `signed` and `not-run` from targets.
+/// `target`, `left-now` and `after` to targets, and `id`, `signed`, `not-run` and `limited` from
+/// targets.
 class FakeHeaderCodec final : public IHeaderCodec {
 public:
   [[nodiscard]] auto decodeRequest(const http1::RequestHead &Head) const -> RequestFields override {
@@ -164,6 +201,9 @@
     Metadata.m_RequestId = Head.m_Fields.find("id").value_or("");
     Metadata.m_IsSigned = Head.m_Fields.has("signed");
     Metadata.m_DidNotRun = Head.m_Fields.has("not-run");
+    if (Head.m_Fields.has("limited")) {
+      Metadata.m_RequestsPerSecond = 2.0;
+    }
     return Metadata;
   }
   auto markRouterResponse(http1::ResponseHead &, const std::string &) const -> void override {}
@@ -176,9 +216,19 @@
   ForwardingFixture()
       : m_Targets(HealthOptions()),
         m_Placement(PlacementOptions(), [](const TargetRecord &) { return TargetLoad(); }),
-        m_Context{m_Clock,   m_Timers,    m_HeaderCodec,       m_Connector,
-                  m_Budgets, m_Log,       m_Metrics,           m_Quarantine,
-                  m_Targets, m_Placement, ForwardingOptions(), base::RandomEngine(7)} {
+        m_Context{m_Clock,
+                  m_Timers,
+                  m_HeaderCodec,
+                  m_Connector,
+                  m_Budgets,
+                  m_Log,
+                  m_Metrics,
+                  m_Quarantine,
+                  m_Limits,
+                  m_Targets,
+                  m_Placement,
+                  ForwardingOptions(),
+                  base::RandomEngine(7)} {
     m_Context.m_Table = table();
     for (const auto *Id : {"e1", "e2", "e3"}) {
       m_Targets.put(target(Id, "engines"));
@@ -271,6 +321,7 @@
   fakes::MemoryEventLog m_Log;
   FakeMetrics m_Metrics;
   FakeQuarantine m_Quarantine;
+  FakeLimits m_Limits;
   TargetTable m_Targets;
   Placement m_Placement;
   ForwardingContext m_Context;
--- a/src/forwarding/tests/forwardsession_test.cpp
+++ b/src/forwarding/tests/forwardsession_test.cpp
@@ -389,3 +389,63 @@
   Fixture.fail(Verdict::DidNotRun);
   cr_expect(Fixture.m_Quarantine.m_Lost.empty());
 }
+
+Test(forwardsession, requestWaitsForAPermitOfATargetWithALimit) {
+  auto Fixture = ForwardingFixture();
+  for (const auto *Id : {"e1", "e2", "e3"}) {
+    Fixture.m_Limits.m_Limited.insert(Fixture.m_Targets.find(Id)->limitKey());
+  }
+  Fixture.request("/stream/1", true);
+  cr_expect(Fixture.attempts().empty());
+  cr_assert_eq(Fixture.m_Limits.m_Requests.size(), 1U);
+  Fixture.m_Limits.answer(true);
+  cr_assert_eq(Fixture.attempts().size(), 1U);
+  cr_expect(Fixture.m_Limits.m_Permits.empty(), "the permit is used");
+}
+
+Test(forwardsession, requestForWhichNoTargetHasAPermitIsRefusedWithTheTimeOfTheNext) {
+  auto Fixture = ForwardingFixture();
+  for (const auto *Id : {"e1", "e2", "e3"}) {
+    Fixture.m_Limits.m_Limited.insert(Fixture.m_Targets.find(Id)->limitKey());
+  }
+  Fixture.request("/stream/1", true);
+  for (auto Number = 0; Number < 3; ++Number) {
+    cr_assert_eq(Fixture.m_Limits.m_Requests.size(), 1U);
+    Fixture.m_Limits.answer(false);
+  }
+  cr_expect_eq(Fixture.m_Caller->m_Status, 503);
+  cr_expect(
+      Fixture.m_Log.has("request_refused", {"reason=targets_limited", "verdict=did_not_run"}));
+  const auto Wait = std::stod(std::string(*Fixture.m_Caller->m_Head.m_Fields.find("Retry-After")));
+  cr_expect_geq(Wait, 0.4);
+  cr_expect(Fixture.attempts().empty());
+  cr_expect_eq(Fixture.m_Budgets.m_Left, 1000000);
+}
+
+Test(forwardsession, requestThatEndsWhileItWaitsForAPermitIsNotSent) {
+  auto Fixture = ForwardingFixture();
+  for (const auto *Id : {"e1", "e2", "e3"}) {
+    Fixture.m_Limits.m_Limited.insert(Fixture.m_Targets.find(Id)->limitKey());
+  }
+  Fixture.request("/stream/1", true);
+  Fixture.m_Session->onCallerGone();
+  Fixture.m_Limits.answer(true);
+  cr_expect(Fixture.attempts().empty());
+  cr_expect_eq(Fixture.m_Budgets.m_Left, 1000000);
+}
+
+Test(forwardsession, limitsThatTargetsNameAreRecorded) {
+  auto Fixture = ForwardingFixture();
+  Fixture.request("/stream/1", true);
+  Fixture.connect();
+  const auto Key = Fixture.m_Targets.find(Fixture.attempts()[0]->m_TargetId)->limitKey();
+  Fixture.answerHead(200, {"signed", "limited"});
+  cr_expect(Fixture.m_Limits.m_Stated[Key] == std::optional(2.0));
+  Fixture.end();
+  Fixture.request("/stream/2", true);
+  Fixture.connect();
+  Fixture.answerHead(503, {"not-run"});
+  cr_expect_not(Fixture.m_Limits.m_Stated
+                    .at(Fixture.m_Targets.find(Fixture.attempts().back()->m_TargetId)->limitKey())
+                    .has_value());
+}
--- a/src/forwarding/tests/placement_test.cpp
+++ b/src/forwarding/tests/placement_test.cpp
@@ -220,3 +220,60 @@
   Directory.put(Restarted, 7);
   cr_assert_eq(Targets.availableTargets("p").size(), 1U);
 }
+
+namespace {
+
+/// Limits of some targets. Those in m_Permits may get a request.
+class Limits final : public ratelimits::ITargetLimits {
+public:
+  [[nodiscard]] auto maySend(ratelimits::TargetKey Target) const -> bool override {
+    return !m_Limited.contains(Target) || m_Permits.contains(Target);
+  }
+  [[nodiscard]] auto retryAfter(ratelimits::TargetKey Target) const
+      -> std::optional<std::chrono::milliseconds> override {
+    return m_Refused.contains(Target) ? std::optional(300ms) : std::nullopt;
+  }
+  auto onSend(ratelimits::TargetKey) -> void override {}
+  auto onAnswer(ratelimits::TargetKey, std::optional<double>) -> void override {}
+  auto requestPermit(ratelimits::TargetKey, std::function<void(ratelimits::PermitOutcome)>)
+      -> void override {}
+
+  std::set<ratelimits::TargetKey> m_Limited;
+  std::set<ratelimits::TargetKey> m_Permits;
+  std::set<ratelimits::TargetKey> m_Refused;
+};
+
+} // namespace
+
+// Answers a load in which some targets name limits: they get what they take, the others the rest.
+Test(placement, targetWithALimitNeedsAPermit) {
+  auto Targets = table(2);
+  auto Limited = Limits();
+  const auto Key = Targets.find("t0")->limitKey();
+  Limited.m_Limited = {Key};
+  const auto Request = PlacementRequest{"p", nullptr, {}, &Limited};
+  for (auto Number = 0; Number < 4; ++Number) {
+    Targets.recordSent("t1", nullptr, 0, Start);
+  }
+  const auto Busy = placement().decide(Targets, Request, Start);
+  cr_expect_eq(Busy.m_Choice->m_TargetId, "t1");
+  cr_assert(Busy.m_Wanted.has_value());
+  cr_expect_eq(Busy.m_Wanted->m_Key, Key);
+  Limited.m_Permits = {Key};
+  cr_expect_eq(placement().choose(Targets, Request, Start)->m_TargetId, "t0");
+  Limited.m_Permits.clear();
+  Limited.m_Refused = {Key};
+  const auto Refused = placement().decide(Targets, Request, Start);
+  cr_expect_not(Refused.m_Wanted.has_value());
+  cr_expect(Refused.m_IsLimited);
+  cr_expect(Refused.m_RetryAfter == std::optional<std::chrono::milliseconds>(300ms));
+}
+
+Test(placement, permitIsNotRequestedWhereATargetWithoutLimitIsAsGood) {
+  auto Targets = table(2);
+  auto Limited = Limits();
+  Limited.m_Limited = {Targets.find("t0")->limitKey()};
+  const auto Decision = placement().decide(Targets, {"p", nullptr, {}, &Limited}, Start);
+  cr_expect_eq(Decision.m_Choice->m_TargetId, "t1");
+  cr_expect_not(Decision.m_Wanted.has_value());
+}
--- /dev/null
+++ b/src/ratelimits/internal/limitcodec.cpp
@@ -0,0 +1,94 @@
+#include "ratelimits/limittypes.h"
+
+#include "base/boundedread.h"
+#include "base/hashing.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <fmt/format.h>
+#include <sstream>
+
+namespace geraniumlift::ratelimits {
+
+template <typename Archive>
+auto serialize(Archive &Data, ReportedLimit &Item) -> void {
+  Data(Item.m_Target, Item.m_PerThousandSeconds, Item.m_AgeMs);
+}
+
+namespace {
+
+/// Limit on the length of the list in an update. Pools are smaller, so more entries mean that the
+/// bytes are not an update.
+constexpr auto MaxEntries = std::size_t{4096};
+
+/// First byte of an encoded message, in the order of the alternatives of LimitMessage.
+constexpr auto KindBytes = std::string_view("UQR");
+
+using InputArchive = cereal::PortableBinaryInputArchive;
+using OutputArchive = cereal::PortableBinaryOutputArchive;
+
+auto write(OutputArchive &Data, const LimitUpdate &Message) -> void {
+  Data(Message.m_Router, Message.m_Limits);
+}
+
+auto write(OutputArchive &Data, const PermitRequest &Message) -> void {
+  Data(Message.m_Router, Message.m_Id, Message.m_Limit);
+}
+
+auto write(OutputArchive &Data, const PermitReply &Message) -> void {
+  Data(Message.m_Id, Message.m_IsGranted, Message.m_RetryAfterMs, Message.m_Limit);
+}
+
+auto read(InputArchive &Data, LimitUpdate &Message, std::size_t Size) -> void {
+  base::readText(Data, Message.m_Router, Size);
+  base::readEntries(Data, Message.m_Limits, MaxEntries);
+}
+
+auto read(InputArchive &Data, PermitRequest &Message, std::size_t Size) -> void {
+  base::readText(Data, Message.m_Router, Size);
+  Data(Message.m_Id, Message.m_Limit);
+}
+
+auto read(InputArchive &Data, PermitReply &Message, std::size_t /*Size*/) -> void {
+  Data(Message.m_Id, Message.m_IsGranted, Message.m_RetryAfterMs, Message.m_Limit);
+}
+
+template <typename Message>
+auto readMessage(InputArchive &Data, std::size_t Size) -> LimitMessage {
+  auto Result = Message();
+  read(Data, Result, Size);
+  return Result;
+}
+
+} // namespace
+
+auto targetKey(std::string_view TargetId, std::int64_t Incarnation) -> TargetKey {
+  return base::hash64(fmt::format("{}/{}", TargetId, Incarnation));
+}
+
+auto encodeMessage(const LimitMessage &Message) -> std::string {
+  auto Bytes = std::ostringstream();
+  Bytes.put(KindBytes[Message.index()]);
+  auto Data = OutputArchive(Bytes);
+  std::visit([&Data](const auto &Item) { write(Data, Item); }, Message);
+  return Bytes.str();
+}
+
+auto decodeMessage(std::string_view Bytes) -> absl::StatusOr<LimitMessage> {
+  const auto Kind = Bytes.empty() ? std::string_view::npos : KindBytes.find(Bytes.front());
+  if (Kind == std::string_view::npos) {
+    return absl::InvalidArgumentError("unknown kind of message");
+  }
+  try {
+    auto Stream = std::istringstream(std::string(Bytes.substr(1)));
+    auto Data = InputArchive(Stream);
+    constexpr auto Readers = std::array{&readMessage<LimitUpdate>, &readMessage<PermitRequest>,
+                                        &readMessage<PermitReply>};
+    return Readers[Kind](Data, Bytes.size());
+  } catch (const std::exception &Error) {
+    return absl::InvalidArgumentError(Error.what());
+  }
+}
+
+} // namespace geraniumlift::ratelimits
--- /dev/null
+++ b/src/ratelimits/limitservice.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "base/ieventlog.h"
+#include "base/itimers.h"
+#include "ratelimits/itargetlimits.h"
+#include "ratelimits/limittable.h"
+#include "ratelimits/permitissuer.h"
+#include "ratelimits/permitpool.h"
+
+#include <map>
+#include <set>
+
+namespace geraniumlift::ratelimits {
+
+/// Sends messages to other routers. Messages may be lost.
+class ILimitLink {
+public:
+  virtual ~ILimitLink() = default;
+
+  /// Sends a message to one router.
+  virtual auto send(const std::string &Router, const LimitMessage &Message) -> void = 0;
+
+  /// Sends an update to all routers to which this one passes on what concerns the whole fleet.
+  virtual auto publish(const LimitUpdate &Update) -> void = 0;
+};
+
+/// The limits of targets as one router knows and keeps them. Each target's permits are given out by
+/// one router, which all routers choose alike; the others ask it for a permit for each request.
+class LimitService final : public ITargetLimits {
+public:
+  LimitService(std::string Router, ILimitLink &Link, base::ITimers &Timers,
+               const base::IClock &Clock, base::IEventLog &Log);
+
+  [[nodiscard]] auto maySend(TargetKey Target) const -> bool override;
+  [[nodiscard]] auto retryAfter(TargetKey Target) const
+      -> std::optional<std::chrono::milliseconds> override;
+  auto onSend(TargetKey Target) -> void override;
+  auto onAnswer(TargetKey Target, std::optional<double> PerSecond) -> void override;
+  auto requestPermit(TargetKey Target, std::function<void(PermitOutcome)> Done) -> void override;
+
+  /// Applies another router's message. Returns what of an update was new, for routers that pass
+  /// updates on.
+  auto onMessage(const LimitMessage &Message) -> LimitUpdate;
+
+  /// Sets the routers that may keep permits: all that are alive and not leaving.
+  auto setRouters(const std::set<std::string> &Routers) -> void;
+
+  /// Drops what has expired and, once a second, tells the other routers what is known. To be called
+  /// several times a second.
+  auto advance() -> void;
+
+  [[nodiscard]] auto limitedTargets() const -> std::size_t { return m_Table.limitedTargets(); }
+
+private:
+  struct PendingRequest {
+    TargetKey m_Target = 0;
+    std::function<void(PermitOutcome)> m_Done;
+    base::TimerId m_Timer = 0;
+  };
+
+  auto onUpdate(const LimitUpdate &Update) -> LimitUpdate;
+  auto onPermitRequest(const PermitRequest &Request) -> void;
+  auto onPermitReply(const PermitReply &Reply) -> void;
+  auto addStatement(TargetKey Target, const LimitStatement &Statement) -> bool;
+  auto decide(TargetKey Target) -> PermitDecision;
+  auto finishRequest(std::uint32_t Id, const PermitOutcome &Outcome) -> void;
+  auto keeperOf(TargetKey Target) -> const std::string &;
+  [[nodiscard]] auto now() const -> base::SteadyTime { return m_Clock.steadyNow(); }
+
+  std::string m_Router;
+  ILimitLink &m_Link;
+  base::ITimers &m_Timers;
+  const base::IClock &m_Clock;
+  base::IEventLog &m_Log;
+  LimitTable m_Table;
+  PermitIssuer m_Issuer;
+  PermitPool m_Pool;
+  std::set<std::string> m_Routers;
+
+  /// Keepers by target, for the current routers.
+  std::map<TargetKey, std::string> m_Keepers;
+  std::map<std::uint32_t, PendingRequest> m_Pending;
+
+  /// Until when no permit of a target is free.
+  absl::flat_hash_map<TargetKey, base::SteadyTime> m_RefusedUntil;
+  std::uint32_t m_LastRequestId = 0;
+  base::SteadyTime m_LastReport;
+};
+
+} // namespace geraniumlift::ratelimits
--- /dev/null
+++ b/src/ratelimits/limittypes.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "base/iclock.h"
+
+#include <absl/status/statusor.h>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace geraniumlift::ratelimits {
+
+/// Identifies one process of a target: a hash of its ID and incarnation.
+using TargetKey = std::uint64_t;
+
+/// Returns the key of a target's process; Incarnation is its start in milliseconds since 1970.
+auto targetKey(std::string_view TargetId, std::int64_t Incarnation) -> TargetKey;
+
+/// What a target said about its limit at some time.
+struct LimitStatement {
+  /// Requests a second from all routers together; nothing if the target named no limit.
+  std::optional<double> m_PerSecond;
+  base::SteadyTime m_StatedAt;
+};
+
+/// A statement in a message.
+struct ReportedLimit {
+  TargetKey m_Target = 0;
+
+  /// Thousandths of a request a second; NoLimit if the target named none.
+  std::uint32_t m_PerThousandSeconds = 0;
+
+  /// Milliseconds since the target said so.
+  std::uint32_t m_AgeMs = 0;
+};
+
+/// ReportedLimit::m_PerThousandSeconds of a target without a limit.
+inline constexpr auto NoLimit = std::uint32_t{UINT32_MAX};
+
+/// Tells other routers what targets said.
+struct LimitUpdate {
+  std::string m_Router;
+  std::vector<ReportedLimit> m_Limits;
+};
+
+/// Asks the router that keeps a target's permits for one.
+struct PermitRequest {
+  std::string m_Router;
+  std::uint32_t m_Id = 0;
+  ReportedLimit m_Limit;
+};
+
+/// The answer to a PermitRequest.
+struct PermitReply {
+  std::uint32_t m_Id = 0;
+  bool m_IsGranted = false;
+
+  /// If it is not granted, milliseconds until a permit may be free.
+  std::uint32_t m_RetryAfterMs = 0;
+
+  /// What the keeper knows of the target.
+  ReportedLimit m_Limit;
+};
+
+using LimitMessage = std::variant<LimitUpdate, PermitRequest, PermitReply>;
+
+/// Encodes a message in cereal's portable binary format, behind a byte that tells its kind.
+auto encodeMessage(const LimitMessage &Message) -> std::string;
+
+/// Returns InvalidArgument if the bytes are not an encoded message. Safe for untrusted input.
+auto decodeMessage(std::string_view Bytes) -> absl::StatusOr<LimitMessage>;
+
+} // namespace geraniumlift::ratelimits
--- a/src/router/internal/peerlink.cpp
+++ b/src/router/internal/peerlink.cpp
@@ -10,6 +10,22 @@
   send(Router, TransferByte + encodeTransfer(Message));
 }
 
+auto PeerLink::send(const std::string &Router, const ratelimits::LimitMessage &Message) -> void {
+  send(Router, LimitByte + encodeMessage(Message));
+}
+
+auto PeerLink::publish(const ratelimits::LimitUpdate &Update) -> void {
+  sendToNeighbours(LimitByte + ratelimits::encodeMessage(Update));
+}
+
+auto PeerLink::sendToNeighbours(const std::string &Bytes, const std::string &Except) -> void {
+  for (const auto &Name : m_Exchange.neighbours()) {
+    if (Name != Except) {
+      send(Name, Bytes);
+    }
+  }
+}
+
 auto PeerLink::send(const fleet::OutgoingMessage &Message) -> void {
   const auto Bytes = encodeMessage(Message.m_Message);
   for (const auto &Router : Message.m_Routers) {
--- a/src/router/internal/peerlink.h
+++ b/src/router/internal/peerlink.h
@@ -3,6 +3,7 @@
 #include "base/iclock.h"
 #include "budget/itransferlink.h"
 #include "fleet/fleetexchange.h"
+#include "ratelimits/limitservice.h"
 #include "transport/datagramsocket.h"
 
 namespace geraniumlift::router {
@@ -13,18 +14,25 @@
 constexpr auto MirrorRequestByte = 'Q';
 constexpr auto MirrorUpdateByte = 'U';
 constexpr auto QuarantineByte = 'C';
+constexpr auto LimitByte = 'L';
 
 /// Sends messages to the other routers as datagrams, which may be lost.
-class PeerLink final : public budget::ITransferLink {
+class PeerLink final : public budget::ITransferLink, public ratelimits::ILimitLink {
 public:
-  PeerLink(const fleet::PeerTable &Peers, transport::DatagramSocket &Socket,
-           const base::IClock &Clock)
-      : m_Peers(Peers), m_Socket(Socket), m_Clock(Clock) {}
+  PeerLink(const fleet::PeerTable &Peers, const fleet::FleetExchange &Exchange,
+           transport::DatagramSocket &Socket, const base::IClock &Clock)
+      : m_Peers(Peers), m_Exchange(Exchange), m_Socket(Socket), m_Clock(Clock) {}
 
   [[nodiscard]] auto offersOf(const std::string &Budget) const
       -> std::vector<budget::RouterOffer> override;
   auto send(const std::string &Router, const budget::TransferMessage &Message) -> void override;
 
+  auto send(const std::string &Router, const ratelimits::LimitMessage &Message) -> void override;
+  auto publish(const ratelimits::LimitUpdate &Update) -> void override;
+
+  /// Sends an encoded message to the neighbours, except to the router from which it came.
+  auto sendToNeighbours(const std::string &Bytes, const std::string &Except = {}) -> void;
+
   /// Sends the message to its receivers.
   auto send(const fleet::OutgoingMessage &Message) -> void;
 
@@ -34,6 +42,7 @@
 
 private:
   const fleet::PeerTable &m_Peers;
+  const fleet::FleetExchange &m_Exchange;
   transport::DatagramSocket &m_Socket;
   const base::IClock &m_Clock;
 };
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -146,7 +146,7 @@
                 Dependencies.m_Documents.routingPrefix()},
                readerOptions(seedOf(m_Settings, m_Incarnation))),
       m_PeerSocket(Dependencies.m_Loop, [this](std::string_view Bytes) { onDatagram(Bytes); }),
-      m_PeerLink(m_Peers, m_PeerSocket, Dependencies.m_Clock),
+      m_PeerLink(m_Peers, m_FleetExchange, m_PeerSocket, Dependencies.m_Clock),
       m_Targets(forwarding::HealthOptions()), m_TargetDirectory(m_Targets, Dependencies.m_Log),
       m_Grants(m_Settings.m_Vm,
                grantOptions(m_Settings, m_Incarnation, Dependencies.m_Clock.steadyNow()),
@@ -157,6 +157,8 @@
       m_Quarantine(quarantineOptions(m_Settings, m_Incarnation), Dependencies.m_Store,
                    m_ListenerCheck, Dependencies.m_Timers, Dependencies.m_Clock,
                    Dependencies.m_Log),
+      m_Limits(m_Settings.m_Vm, m_PeerLink, Dependencies.m_Timers, Dependencies.m_Clock,
+               Dependencies.m_Log),
       m_Placement(placementOptions(m_Settings),
                   [this](const forwarding::TargetRecord &Target) {
                     return m_Peers.peerLoad(Target.m_Id, now());
@@ -170,6 +172,7 @@
                                                    Dependencies.m_Log,
                                                    m_Metrics,
                                                    m_Quarantine,
+                                                   m_Limits,
                                                    m_Targets,
                                                    m_Placement,
                                                    forwardingOptions(m_Settings),
@@ -182,7 +185,7 @@
                      Dependencies.m_Log, [this](bool IsReachable) { onReachable(IsReachable); }) {
   m_Grants.setOnCallFailed([this] { m_StoreMonitor.probeNow(); });
   m_Quarantine.setPublisher([this](const quarantine::QuarantineUpdate &Update) {
-    sendQuarantineUpdate(Update, std::string());
+    m_PeerLink.sendToNeighbours(QuarantineByte + encodeUpdate(Update));
   });
 }
 
@@ -476,7 +479,8 @@
 
 auto Router::runPeriodicTasks() -> void {
   const auto Routers = m_Peers.countBudgetRouters(now());
-  m_Grants.setFleet(Routers, m_Peers.alivePeers(now()));
+  const auto AlivePeers = m_Peers.alivePeers(now());
+  m_Grants.setFleet(Routers, AlivePeers);
   updateRetryBudgets();
   m_TargetDirectory.removeExpired(now());
   if (m_FollowsBudgets && m_Grants.shardCount() > 1) {
@@ -484,6 +488,7 @@
   }
   sendHeartbeats();
   advanceQuarantine();
+  advanceLimits(AlivePeers);
   updateFollowers();
   m_Mirror.removeExpired(now());
   m_Dependencies.m_Timers.start(now() + m_FleetExchange.period(), [this] { runPeriodicTasks(); });
--- a/src/router/internal/routermessages.cpp
+++ b/src/router/internal/routermessages.cpp
@@ -61,6 +61,8 @@
     onMirrorUpdate(Bytes.substr(1));
   } else if (Bytes.starts_with(QuarantineByte)) {
     onQuarantineUpdate(Bytes.substr(1));
+  } else if (Bytes.starts_with(LimitByte)) {
+    onLimitMessage(Bytes.substr(1));
   } else {
     logUnreadableDatagram("unknown datagram kind", Bytes.size());
   }
@@ -117,7 +119,7 @@
 auto Router::advanceQuarantine() -> void {
   m_Quarantine.advance(m_Peers.role() != fleet::FleetRole::Member && m_IsStoreReachable);
   if (const auto Report = m_Quarantine.takeReport()) {
-    sendQuarantineUpdate(*Report, std::string());
+    m_PeerLink.sendToNeighbours(QuarantineByte + encodeUpdate(*Report));
   }
   m_Dependencies.m_Metrics.gauge("geraniumlift_blocked_prompt_parts", {},
                                  static_cast<double>(m_Quarantine.blockedParts()));
@@ -131,17 +133,31 @@
   }
   const auto New = m_Quarantine.onUpdate(*Update);
   if (m_Peers.role() != fleet::FleetRole::Direct && !New.isEmpty()) {
-    sendQuarantineUpdate(New, Update->m_Router);
+    m_PeerLink.sendToNeighbours(QuarantineByte + encodeUpdate(New), Update->m_Router);
   }
 }
 
-auto Router::sendQuarantineUpdate(const quarantine::QuarantineUpdate &Update,
-                                  const std::string &Except) -> void {
-  const auto Bytes = QuarantineByte + encodeUpdate(Update);
-  for (const auto &Name : m_FleetExchange.neighbours()) {
-    if (Name != Except) {
-      m_PeerLink.send(Name, Bytes);
-    }
+auto Router::advanceLimits(const std::set<std::string> &AlivePeers) -> void {
+  auto Keepers = AlivePeers;
+  if (!m_IsLeaving) {
+    Keepers.insert(m_Settings.m_Vm);
+  }
+  m_Limits.setRouters(Keepers);
+  m_Limits.advance();
+  m_Dependencies.m_Metrics.gauge("geraniumlift_limited_targets", {},
+                                 static_cast<double>(m_Limits.limitedTargets()));
+}
+
+auto Router::onLimitMessage(std::string_view Bytes) -> void {
+  const auto Message = ratelimits::decodeMessage(Bytes);
+  if (!Message.ok()) {
+    logUnreadableDatagram(std::string(Message.status().message()), Bytes.size());
+    return;
+  }
+  const auto New = m_Limits.onMessage(*Message);
+  if (m_Peers.role() != fleet::FleetRole::Direct && !New.m_Limits.empty()) {
+    m_PeerLink.sendToNeighbours(LimitByte + ratelimits::encodeMessage(New),
+                                std::get<ratelimits::LimitUpdate>(*Message).m_Router);
   }
 }
 
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -77,10 +77,10 @@
   /// Confirms and ends quarantines and tells the neighbours of what is open.
   auto advanceQuarantine() -> void;
   auto onQuarantineUpdate(std::string_view Bytes) -> void;
+  auto onLimitMessage(std::string_view Bytes) -> void;
 
-  /// Sends the update to the neighbours, except to the router from which it came.
-  auto sendQuarantineUpdate(const quarantine::QuarantineUpdate &Update, const std::string &Except)
-      -> void;
+  /// Keeps the limits of targets up to date with the fleet.
+  auto advanceLimits(const std::set<std::string> &AlivePeers) -> void;
   auto applyEvents(const std::vector<keyvalue::WatchEvent> &Events) -> void;
   auto applyItem(const keyvalue::KeyValue &Item) -> void;
   auto applyRemoval(const keyvalue::KeyValue &Item) -> void;
@@ -123,6 +123,7 @@
   budget::GrantService m_Grants;
   transport::ListenerCheck m_ListenerCheck;
   quarantine::QuarantineService m_Quarantine;
+  ratelimits::LimitService m_Limits;
   forwarding::Placement m_Placement;
   transport::TargetConnector m_Connector;
   RequestMetrics m_Metrics;
--- a/testing/standins/platform/targetstandin.cpp
+++ b/testing/standins/platform/targetstandin.cpp
@@ -46,6 +46,16 @@
   return Sum;
 }
 
+auto TargetStandin::runTimes() -> std::vector<std::chrono::steady_clock::time_point> {
+  const auto Lock = std::lock_guard(m_Mutex);
+  return m_RunTimes;
+}
+
+auto TargetStandin::limitField() const -> std::string {
+  const auto Limit = m_NamedLimit.load();
+  return Limit > 0 ? fmt::format("Server-Limit: {}.0\r\n", Limit) : std::string();
+}
+
 auto TargetStandin::lastField(const std::string &Name) -> std::string {
   const auto Lock = std::lock_guard(m_Mutex);
   return std::string(m_Last.m_Head.m_Fields.find(Name).value_or("(absent)"));
@@ -58,8 +68,8 @@
 
 auto TargetStandin::streamReply(const std::string &Id, std::uint64_t After, bool Breaks) -> Reply {
   auto Text = fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nServer-Signature: s\r\n"
-                          "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-                          Id);
+                          "Content-Type: text/event-stream\r\n{}Transfer-Encoding: chunked\r\n\r\n",
+                          Id, limitField());
   const auto Last = Breaks ? After + 2 : EventCount;
   for (auto Number = After + 1; Number <= Last; ++Number) {
     Text += chunk(fmt::format("id: {}\ndata: word{}\n\n", Number, Number));
@@ -84,6 +94,7 @@
   }
   m_Last = Request;
   ++m_Runs[Id];
+  m_RunTimes.push_back(std::chrono::steady_clock::now());
   if (!m_DeadlyPart.empty() &&
       Fields.find("Prompt-Prefix").value_or("").find(m_DeadlyPart) != std::string_view::npos) {
     m_Store.erase("servers/" + m_Id);
--- a/testing/standins/platform/targetstandin.h
+++ b/testing/standins/platform/targetstandin.h
@@ -3,6 +3,7 @@
 #include "standins/platform/storestandin.h"
 
 #include <map>
+#include <vector>
 
 namespace geraniumlift::standins {
 
@@ -20,6 +21,10 @@
 
   std::atomic<TargetFault> m_Fault{TargetFault::None};
 
+  /// Limit in requests a second that the target names in its answers; 0 for none. It runs requests
+  /// above it all the same.
+  std::atomic<int> m_NamedLimit{0};
+
   /// The target crashes whenever it runs a request with this part in its prompt, and is back a
   /// moment later under another ID. Set before the first request.
   std::string m_DeadlyPart;
@@ -28,12 +33,16 @@
   [[nodiscard]] auto runs(const std::string &RequestId) -> int;
   [[nodiscard]] auto totalRuns() -> int;
 
+  /// When each request ran here, in order.
+  [[nodiscard]] auto runTimes() -> std::vector<std::chrono::steady_clock::time_point>;
+
   /// A header field of the newest request.
   [[nodiscard]] auto lastField(const std::string &Name) -> std::string;
   [[nodiscard]] auto lastBody() -> std::string;
 
 private:
   auto handle(const Received &Request) -> std::optional<Reply>;
+  [[nodiscard]] auto limitField() const -> std::string;
   auto streamReply(const std::string &Id, std::uint64_t After, bool Breaks) -> Reply;
 
   StoreStandin &m_Store;
@@ -42,6 +51,7 @@
   int m_Port;
   std::mutex m_Mutex;
   std::map<std::string, int> m_Runs;
+  std::vector<std::chrono::steady_clock::time_point> m_RunTimes;
   Received m_Last;
   ByteServer m_Server;
 };
