--- a/src/quarantine/quarantinetypes.h
+++ b/src/quarantine/quarantinetypes.h
@@ -3,9 +3,9 @@
 #include "base/iclock.h"
 
 #include <absl/status/statusor.h>
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace geraniumlift::quarantine {
@@ -28,7 +28,10 @@
   PartHash m_Part = 0;
   WorkspaceHash m_Workspace = AllWorkspaces;
 
-  auto operator<=>(const PartKey &) const = default;
+  auto operator==(const PartKey &) const -> bool = default;
+  auto operator<(const PartKey &Other) const -> bool {
+    return std::pair(m_Part, m_Workspace) < std::pair(Other.m_Part, Other.m_Workspace);
+  }
 };
 
 /// A request that was waiting for the first event of its response when its target crashed.
