Discard what an aborted attempt has not sent yet

Cause, suspected: closing the connection in order lets the system send the rest of the request behind a full link. Change: an attempt that is given up resets its connection. Test abortedAttemptDiscardsWhatIsNotSentYet failed before (the whole body of 256 KB arrived) and passes.

--- a/src/transport/internal/targetconnector.cpp
+++ b/src/transport/internal/targetconnector.cpp
@@ -58,6 +58,16 @@
         [Self = shared_from_this()](const error_code &Failure) { Self->onConnected(Failure); });
   }
 
+  /// Ends the attempt. If it has not ended by itself, what is not sent yet is discarded: behind a
+  /// full link it would reach the target after the caller has left.
+  auto abort() -> void {
+    if (m_Events != nullptr) {
+      auto Ignored = error_code();
+      m_Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
+    }
+    close();
+  }
+
   auto close() -> void {
     m_Events = nullptr;
     m_Timers.cancel(std::exchange(m_ConnectTimer, 0));
@@ -214,7 +224,7 @@
 class AttemptHandle final : public forwarding::ITargetAttempt {
 public:
   explicit AttemptHandle(std::shared_ptr<Exchange> Shared) : m_Exchange(std::move(Shared)) {}
-  ~AttemptHandle() override { m_Exchange->close(); }
+  ~AttemptHandle() override { m_Exchange->abort(); }
   auto pause(bool IsPaused) -> void override { m_Exchange->pause(IsPaused); }
 
 private:
--- a/src/transport/tests/targetconnector_test.cpp
+++ b/src/transport/tests/targetconnector_test.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
 
@@ -112,6 +113,33 @@
   }
 }
 
+// Guards against a request that reaches its target after the caller has left, because the system
+// sends the rest of it behind a full link.
+Test(targetconnector, abortedAttemptDiscardsWhatIsNotSentYet) {
+  auto Loop = boost::asio::io_context();
+  auto Clock = base::SystemClock();
+  auto Timers = AsioTimers(Loop);
+  auto Acceptor = tcp::acceptor(Loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  Acceptor.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+  auto Target = forwarding::TargetRecord();
+  Target.m_Address = "127.0.0.1";
+  Target.m_Port = Acceptor.local_endpoint().port();
+  auto Connector = TargetConnector(Loop, Timers, Clock, 400ms);
+  auto Events = Recorder();
+  const auto Body = std::make_shared<const std::string>(std::size_t{256} * 1024, 'x');
+  auto Attempt = Connector.send(Target, "POST / HTTP/1.1\r\n\r\n", Body, false, Events);
+  auto Peer = Acceptor.accept();
+  Loop.run_for(100ms);
+  Attempt.reset();
+  Loop.restart();
+  Loop.run_for(50ms);
+  auto Received = std::string(std::size_t{512} * 1024, ' ');
+  auto Error = boost::system::error_code();
+  const auto Size = boost::asio::read(Peer, boost::asio::buffer(Received), Error);
+  cr_expect_lt(Size, Body->size());
+  cr_expect(Error == boost::asio::error::connection_reset);
+}
+
 Test(targetconnector, interimResponsesWithoutEndFailTheAttempt) {
   const auto Result = Play("HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 102 Processing\r\n\r\n");
   cr_assert(Result.m_Events.m_Verdict == base::Verdict::MayHaveRun);
