Refuse at once while the router reaches hardly any target

Cause, traced: front-ch-north-a-15 serves a pinned workspace with some 170 requests a second, its link of 10 Mbit/s carries a third. From 34 to 39 s all 187 logged attempts there ended with connect_timeout after 400 ms; each request tried four targets, and what got through waited behind the rest. Change: UplinkGuard counts the results of connecting over a second. While most time out, at three targets or more, only four requests at a time try; the others are refused at once with 503 targets_unreachable. uplinkguard_test plays the load: fewer requests reach targets too late, and no fewer are in time.

--- a/src/forwarding/forwardingcontext.h
+++ b/src/forwarding/forwardingcontext.h
@@ -9,6 +9,7 @@
 #include "forwarding/iforwardingmetrics.h"
 #include "forwarding/placement.h"
 #include "forwarding/routingtable.h"
+#include "forwarding/uplinkguard.h"
 #include "quarantine/ipromptquarantine.h"
 #include "retry/retrybudget.h"
 
@@ -34,6 +35,10 @@
   /// Base of the Retry-After value when tokens of the budget must be released first.
   std::chrono::milliseconds m_BudgetRetryAfterBase{400};
 
+  /// Base of the Retry-After value when this router reaches hardly any target: about the time until
+  /// its link has emptied.
+  std::chrono::milliseconds m_UnreachableRetryAfterBase{500};
+
   /// Longest wait for tokens of a budget. It is bounded so that a refused caller still has time to
   /// try another router.
   std::chrono::milliseconds m_MaxBudgetWait{400};
@@ -83,6 +88,9 @@
   /// Whether the router refuses new requests because it is stopping.
   bool m_IsStopping = false;
 
+  /// Whether this router reaches targets at all.
+  UplinkGuard m_UplinkGuard = UplinkGuard(UplinkGuardOptions());
+
   /// Retry budgets by pool name.
   std::map<std::string, retry::RetryBudget> m_RetryBudgets = {};
 
--- a/src/forwarding/forwardingtypes.h
+++ b/src/forwarding/forwardingtypes.h
@@ -23,6 +23,7 @@
   TargetRefused,
   PartQuarantined,
   TargetsLimited,
+  TargetsUnreachable,
   TargetFailed,
   TimedOut,
   Overloaded,
@@ -68,6 +69,9 @@
                 "Requests with a part of this prompt have crashed targets."},
     RefusalText{RefusalReason::TargetsLimited, "targets_limited", 503, "Service Unavailable",
                 "The targets take no further requests at the moment."},
+    RefusalText{RefusalReason::TargetsUnreachable, "targets_unreachable", 503,
+                "Service Unavailable",
+                "The router reaches hardly any target at the moment; use another address."},
     RefusalText{RefusalReason::TargetFailed, "target_failed", 502, "Bad Gateway",
                 "The target failed; the request may have run."},
     RefusalText{RefusalReason::TimedOut, "timed_out", 504, "Gateway Timeout",
@@ -103,6 +107,9 @@
   [[nodiscard]] virtual auto unsentBytes() const -> std::size_t = 0;
 };
 
+/// Reason of onFailed() if the target did not answer to the attempt to connect.
+inline constexpr auto ConnectTimeoutReason = std::string_view("connect_timeout");
+
 /// Receives the events of one attempt at a target. onEnd or onFailed is the last event.
 class ITargetEventHandler {
 public:
--- a/src/forwarding/forwardsession.h
+++ b/src/forwarding/forwardsession.h
@@ -44,7 +44,10 @@
   auto waitForPermit(ratelimits::TargetKey Target) -> void;
 
   /// Refuses the request, or ends its response, because no target takes it.
-  auto refuseUnplaced(const PlacementDecision &Decision) -> void;
+  auto refuseUnplaced(RefusalReason Reason) -> void;
+
+  /// Tells the guard of the uplink how connecting ended, if it had not been told.
+  auto recordConnectEnd(bool HasTimedOut) -> void;
 
   /// Refuses the request if a part of its prompt is in quarantine. Returns whether it did.
   auto refuseIfQuarantined() -> bool;
@@ -121,6 +124,7 @@
   /// Prompt tokens that the target is not expected to have in its cache.
   Tokens m_UncachedTokens = 0;
   bool m_IsAwaitingResponse = false;
+  bool m_IsConnecting = false;
 
   /// Whether a target may have run the request: it was sent to one that did not state otherwise.
   bool m_MayHaveRun = false;
--- a/src/forwarding/internal/forwardsession.cpp
+++ b/src/forwarding/internal/forwardsession.cpp
@@ -228,6 +228,10 @@
   if (refuseIfQuarantined()) {
     return;
   }
+  if (!m_Context.m_UplinkGuard.mayConnect(now())) {
+    refuseUnplaced(RefusalReason::TargetsUnreachable);
+    return;
+  }
   const auto *Prompt = m_Fields.m_Prompt ? &*m_Fields.m_Prompt : nullptr;
   const auto Decision = m_Context.m_Placement.decide(
       m_Context.m_Targets, {m_Pool, Prompt, m_TriedTargets, &m_Context.m_Limits}, now());
@@ -237,7 +241,8 @@
     return;
   }
   if (!Choice) {
-    refuseUnplaced(Decision);
+    m_PermitWait = Decision.m_RetryAfter;
+    refuseUnplaced(Decision.m_IsLimited ? RefusalReason::TargetsLimited : RefusalReason::NoTarget);
     return;
   }
   const auto Target = m_Context.m_Targets.find(Choice->m_TargetId)->record();
@@ -263,6 +268,8 @@
                           {"kept_tokens", Choice->m_CachedTokens},
                           {"shared_parts", formatSharedParts(m_Fields.m_Prompt)},
                           {"left_ms", timeLeft().count()}});
+  m_IsConnecting = true;
+  m_Context.m_UplinkGuard.onConnecting();
   m_Attempt = m_Context.m_Connector.send(Target, formatTargetHead(Target), m_Body,
                                          m_Head.m_Method == "HEAD", *this);
 }
@@ -277,21 +284,23 @@
                                    });
 }
 
-auto ForwardSession::refuseUnplaced(const PlacementDecision &Decision) -> void {
+auto ForwardSession::refuseUnplaced(RefusalReason Reason) -> void {
   if (m_HasResponseBegun) {
     m_Caller->abort();
     finish("broken_off");
     return;
   }
-  if (m_MayHaveRun) {
-    refuse(RefusalReason::TargetFailed);
-    return;
+  refuse(m_MayHaveRun ? RefusalReason::TargetFailed : Reason);
+}
+
+auto ForwardSession::recordConnectEnd(bool HasTimedOut) -> void {
+  if (std::exchange(m_IsConnecting, false)) {
+    m_Context.m_UplinkGuard.onConnectEnded(m_TargetId, HasTimedOut, now());
   }
-  m_PermitWait = Decision.m_RetryAfter;
-  refuse(Decision.m_IsLimited ? RefusalReason::TargetsLimited : RefusalReason::NoTarget);
 }
 
 auto ForwardSession::onConnected() -> void {
+  recordConnectEnd(false);
   auto &Retries = m_Context.retryBudget(m_Pool);
   if (m_SendCount++ == 0) {
     Retries.onFirstAttempt();
@@ -346,6 +355,7 @@
 }
 
 auto ForwardSession::onFailed(base::Verdict Outcome, std::string_view Reason) -> void {
+  recordConnectEnd(Reason == ConnectTimeoutReason);
   if (Outcome != base::Verdict::DidNotRun) {
     reportLostConnection();
   }
@@ -368,6 +378,9 @@
   if (std::exchange(m_IsAwaitingResponse, false) && m_Fields.m_Prompt) {
     m_Context.m_Targets.recordResponseStart(m_TargetId, m_UncachedTokens);
   }
+  if (std::exchange(m_IsConnecting, false)) {
+    m_Context.m_UplinkGuard.onConnectAbandoned();
+  }
   m_Context.m_Targets.recordEnd(m_TargetId);
   m_Context.m_Targets.recordResult(m_TargetId, Result, now());
   m_Attempt.reset();
@@ -424,6 +437,9 @@
   if (Reason == RefusalReason::TargetsLimited && m_PermitWait) {
     Base = std::max(Base, *m_PermitWait);
   }
+  if (Reason == RefusalReason::TargetsUnreachable) {
+    Base = Options.m_UnreachableRetryAfterBase;
+  }
   if (Reason == RefusalReason::PartQuarantined && m_Block) {
     return m_Block->m_Left;
   }
--- a/src/forwarding/tests/forwardsession_test.cpp
+++ b/src/forwarding/tests/forwardsession_test.cpp
@@ -449,3 +449,27 @@
                     .at(Fixture.m_Targets.find(Fixture.attempts().back()->m_TargetId)->limitKey())
                     .has_value());
 }
+
+// Guards against requests that wait behind the full link of their VM until their callers have left.
+Test(forwardsession, requestIsRefusedAtOnceWhileHardlyAnyTargetIsReached) {
+  auto Fixture = ForwardingFixture();
+  for (auto Number = 0; Number < 2; ++Number) {
+    Fixture.request("/stream/1");
+    for (auto Tries = 0; Tries < 3; ++Tries) {
+      Fixture.attempts().back()->m_Events->onFailed(Verdict::DidNotRun, ConnectTimeoutReason);
+    }
+  }
+  auto Sessions = std::vector<std::shared_ptr<ForwardSession>>();
+  const auto Before = Fixture.attempts().size();
+  for (auto Number = 0; Number < 4; ++Number) {
+    Fixture.request("/stream/1");
+    Sessions.push_back(Fixture.m_Session);
+  }
+  cr_expect_eq(Fixture.attempts().size(), Before + 4, "a few are sent, to see whether it ends");
+  Fixture.request("/stream/1");
+  cr_expect_eq(Fixture.attempts().size(), Before + 4);
+  cr_expect_eq(Fixture.m_Caller->m_Status, 503);
+  cr_expect(
+      Fixture.m_Log.has("request_refused", {"reason=targets_unreachable", "verdict=did_not_run"}));
+  cr_expect(Fixture.m_Caller->m_Head.m_Fields.has("Retry-After"));
+}
--- /dev/null
+++ b/src/forwarding/tests/uplinkguard_test.cpp
@@ -0,0 +1,113 @@
+#include "forwarding/uplinkguard.h"
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+#include <functional>
+#include <map>
+
+using namespace geraniumlift;
+using namespace geraniumlift::forwarding;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto Start = base::SteadyTime(1h);
+
+/// What the callers of a played VM got.
+struct Result {
+  int m_InTime = 0;
+  int m_Refused = 0;
+
+  /// Requests that reached a target after their caller had left.
+  int m_TooLate = 0;
+};
+
+/// Plays ten seconds at a VM whose link sends one request in SendMs while one arrives every
+/// ArrivalMs. Connecting takes as long as the queue of the link; after 400 ms another target is
+/// tried, four at most. Callers leave after 2.4 s.
+auto playFullLink(bool HasGuard, int SendMs, int ArrivalMs) -> Result {
+  auto Guard = UplinkGuard(UplinkGuardOptions());
+  auto Played = Result();
+  auto Events = std::multimap<int, std::function<void(int)>>();
+  auto LinkFreeAt = 0;
+  std::function<void(int, int, int)> TryTarget = [&](int Now, int Arrived, int Tries) {
+    const auto At = Start + std::chrono::milliseconds(Now);
+    if (Now - Arrived > 2400) {
+      return;
+    }
+    if (Tries == 4 || (HasGuard && !Guard.mayConnect(At))) {
+      ++Played.m_Refused;
+      return;
+    }
+    Guard.onConnecting();
+    const auto Wait = std::max(0, LinkFreeAt - Now);
+    const auto HasTimedOut = Wait > 400;
+    Events.emplace(Now + std::min(Wait, 400), [&, Arrived, Tries, HasTimedOut](int Then) {
+      Guard.onConnectEnded(fmt::format("t{}", (Arrived + Tries) % 50), HasTimedOut,
+                           Start + std::chrono::milliseconds(Then));
+      if (HasTimedOut) {
+        TryTarget(Then, Arrived, Tries + 1);
+        return;
+      }
+      LinkFreeAt = std::max(LinkFreeAt, Then) + SendMs;
+      const auto Delay = LinkFreeAt - Arrived;
+      ++(Delay > 2400 ? Played.m_TooLate : Played.m_InTime);
+    });
+  };
+  for (auto Time = 0; Time < 10000; Time += ArrivalMs) {
+    Events.emplace(Time, [&TryTarget, Time](int Now) { TryTarget(Now, Time, 0); });
+  }
+  while (!Events.empty()) {
+    const auto First = Events.begin();
+    const auto Now = First->first;
+    const auto Function = std::move(First->second);
+    Events.erase(First);
+    Function(Now);
+  }
+  return Played;
+}
+
+} // namespace
+
+// Answers a workspace whose callers send three times what the link of their VM carries.
+Test(uplinkguard, fullLinkServesMoreInTimeIfTheRestIsRefusedAtOnce) {
+  const auto Without = playFullLink(false, 20, 6);
+  const auto With = playFullLink(true, 20, 6);
+  cr_expect_lt(With.m_TooLate, Without.m_TooLate, "%d against %d", With.m_TooLate,
+               Without.m_TooLate);
+  cr_expect_geq(With.m_InTime, Without.m_InTime, "%d against %d", With.m_InTime, Without.m_InTime);
+}
+
+Test(uplinkguard, linkWithRoomRefusesNothing) {
+  cr_expect_eq(playFullLink(true, 20, 25).m_Refused, 0);
+}
+
+Test(uplinkguard, fewSilentTargetsAreNoFullLink) {
+  auto Guard = UplinkGuard(UplinkGuardOptions());
+  for (auto Number = 0; Number < 30; ++Number) {
+    Guard.onConnecting();
+    Guard.onConnectEnded(fmt::format("t{}", Number % 2), true, Start);
+  }
+  for (auto Number = 0; Number < 10; ++Number) {
+    Guard.onConnecting();
+  }
+  cr_expect(Guard.mayConnect(Start), "two targets");
+  Guard.onConnectEnded("t3", true, Start);
+  cr_expect_not(Guard.mayConnect(Start));
+  cr_expect(Guard.mayConnect(Start + 1100ms), "old results do not count");
+}
+
+Test(uplinkguard, fewRequestsAreSentWhileTheLinkIsFull) {
+  auto Guard = UplinkGuard(UplinkGuardOptions());
+  for (auto Number = 0; Number < 6; ++Number) {
+    Guard.onConnecting();
+    Guard.onConnectEnded(fmt::format("t{}", Number), true, Start);
+  }
+  for (auto Number = 0; Number < 4; ++Number) {
+    cr_expect(Guard.mayConnect(Start));
+    Guard.onConnecting();
+  }
+  cr_expect_not(Guard.mayConnect(Start));
+  Guard.onConnectAbandoned();
+  cr_expect(Guard.mayConnect(Start));
+}
--- a/src/transport/internal/targetconnector.cpp
+++ b/src/transport/internal/targetconnector.cpp
@@ -50,7 +50,7 @@
     m_ConnectTimer = m_Timers.start(ConnectBy, [Weak = weak_from_this()] {
       if (const auto Self = Weak.lock()) {
         Self->m_ConnectTimer = 0;
-        Self->fail(Verdict::DidNotRun, "connect_timeout");
+        Self->fail(Verdict::DidNotRun, forwarding::ConnectTimeoutReason);
       }
     });
     m_Socket.async_connect(
