--- a/src/quarantine/internal/quarantineservice.cpp
+++ b/src/quarantine/internal/quarantineservice.cpp
@@ -282,7 +282,8 @@
   const auto Blamed = m_Attributor.blamedParts(CrashScope::Confirmed, now());
   auto Update = QuarantineUpdate();
   for (auto Item = m_Tentative.begin(); Item != m_Tentative.end();) {
-    const auto &[Key, State] = *Item;
+    const auto &Key = Item->first;
+    const auto &State = Item->second;
     const auto IsBlamed = std::any_of(Blamed.begin(), Blamed.end(),
                                       [&Key](const auto &Part) { return Part.m_Key == Key; });
     if (!IsBlamed || now() - State.m_Since < m_Options.m_ConfirmationTime) {
