--- a/src/forwarding/tests/placement_test.cpp
+++ b/src/forwarding/tests/placement_test.cpp
@@ -2,6 +2,7 @@
 #include "forwarding/targetdirectory.h"
 
 #include "fakes/memoryeventlog.h"
+#include "forwarding/tests/forwardingfakes.h"
 
 #include <criterion/criterion.h>
 #include <fmt/format.h>
@@ -221,34 +222,10 @@
   cr_assert_eq(Targets.availableTargets("p").size(), 1U);
 }
 
-namespace {
-
-/// Limits of some targets. Those in m_Permits may get a request.
-class Limits final : public ratelimits::ITargetLimits {
-public:
-  [[nodiscard]] auto maySend(ratelimits::TargetKey Target) const -> bool override {
-    return !m_Limited.contains(Target) || m_Permits.contains(Target);
-  }
-  [[nodiscard]] auto retryAfter(ratelimits::TargetKey Target) const
-      -> std::optional<std::chrono::milliseconds> override {
-    return m_Refused.contains(Target) ? std::optional(300ms) : std::nullopt;
-  }
-  auto onSend(ratelimits::TargetKey) -> void override {}
-  auto onAnswer(ratelimits::TargetKey, std::optional<double>) -> void override {}
-  auto requestPermit(ratelimits::TargetKey, std::function<void(ratelimits::PermitOutcome)>)
-      -> void override {}
-
-  std::set<ratelimits::TargetKey> m_Limited;
-  std::set<ratelimits::TargetKey> m_Permits;
-  std::set<ratelimits::TargetKey> m_Refused;
-};
-
-} // namespace
-
 // Answers a load in which some targets name limits: they get what they take, the others the rest.
 Test(placement, targetWithALimitNeedsAPermit) {
   auto Targets = table(2);
-  auto Limited = Limits();
+  auto Limited = tests::FakeLimits();
   const auto Key = Targets.find("t0")->limitKey();
   Limited.m_Limited = {Key};
   const auto Request = PlacementRequest{"p", nullptr, {}, &Limited};
@@ -266,12 +243,12 @@
   const auto Refused = placement().decide(Targets, Request, Start);
   cr_expect_not(Refused.m_Wanted.has_value());
   cr_expect(Refused.m_IsLimited);
-  cr_expect(Refused.m_RetryAfter == std::optional<std::chrono::milliseconds>(300ms));
+  cr_expect(Refused.m_RetryAfter == std::optional<std::chrono::milliseconds>(400ms));
 }
 
 Test(placement, permitIsNotRequestedWhereATargetWithoutLimitIsAsGood) {
   auto Targets = table(2);
-  auto Limited = Limits();
+  auto Limited = tests::FakeLimits();
   Limited.m_Limited = {Targets.find("t0")->limitKey()};
   const auto Decision = placement().decide(Targets, {"p", nullptr, {}, &Limited}, Start);
   cr_expect_eq(Decision.m_Choice->m_TargetId, "t1");
