Review case 2: routers in touch act on an old configuration while their relay is cut off

Tried: twenty routers, the relay cut off from the store for 5.5 s, a new version acknowledged at that moment. Seen: the other routers run requests by the older version until 3.2 to 3.5 s after the ack, bound 3 s.

--- a/review/1/main.cpp
+++ b/review/1/main.cpp
@@ -38,6 +38,9 @@
 constexpr auto TimeBeforeKill = 12s;
 constexpr auto DownTime = 1s;
 
+/// `drainMs` of the site.
+constexpr auto DrainTime = 2000ms;
+
 /// `recoverS` of the site.
 constexpr auto RecoverTime = 12s;
 
@@ -63,8 +66,8 @@
     }
     writeConfiguration();
     for (std::size_t Machine = 0; Machine < RouterCount; ++Machine) {
-      m_Routers.push_back(
-          std::make_unique<Router>(fmt::format("vm-{}", Machine), Folder, m_Store.port(Machine)));
+      m_Routers.push_back(std::make_unique<Router>(fmt::format("vm-{}", Machine), Folder,
+                                                   m_Store.port(Machine), DrainTime));
     }
   }
 
--- a/review/harness/httpserver.cpp
+++ b/review/harness/httpserver.cpp
@@ -18,6 +18,12 @@
 
 namespace {
 
+/// Ports that freePort() gives out, below those that the system gives to outgoing connections. The
+/// first one depends on the process, so that two tests at a time seldom try the same.
+constexpr auto FirstPort = 20000;
+constexpr auto PortCount = 12000;
+constexpr auto PortSpread = 11000;
+
 auto loopback(int Port) -> sockaddr_in {
   auto Address = sockaddr_in();
   Address.sin_family = AF_INET;
@@ -237,14 +243,13 @@
 }
 
 auto freePort() -> int {
+  static auto Next = std::atomic<int>(FirstPort + ::getpid() % PortSpread);
   while (true) {
+    const auto Port = FirstPort + (Next++ - FirstPort) % PortCount;
+    const auto Address = loopback(Port);
     const auto Tcp = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const auto Udp = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
-    const auto Any = loopback(0);
-    bindTo(Tcp, Any);
-    const auto Port = boundPort(Tcp);
-    const auto Same = loopback(Port);
-    const auto IsFree = bindTo(Udp, Same);
+    const auto IsFree = bindTo(Tcp, Address) && bindTo(Udp, Address);
     ::close(Tcp);
     ::close(Udp);
     if (IsFree) {
--- a/review/harness/httpserver.h
+++ b/review/harness/httpserver.h
@@ -80,7 +80,7 @@
 /// A response with a JSON body.
 auto jsonResponse(int Status, const std::string &Body) -> std::string;
 
-/// A free TCP and UDP port on loopback.
+/// A free TCP and UDP port on loopback, another one at each call.
 auto freePort() -> int;
 
 } // namespace review
--- a/review/harness/routers.cpp
+++ b/review/harness/routers.cpp
@@ -21,7 +21,8 @@
 
 } // namespace
 
-Router::Router(std::string Name, const std::string &Folder, int StorePort)
+Router::Router(std::string Name, const std::string &Folder, int StorePort,
+               std::chrono::milliseconds DrainTime)
     : m_Name(std::move(Name)), m_SettingsFile(Folder + "/" + m_Name + ".toml"),
       m_LogFile(Folder + "/" + m_Name + ".log") {
   const auto PeerPort = freePort();
@@ -45,7 +46,7 @@
 
 [store]
 address = "127.0.0.1:{}"
-change_time_ms = "2000"
+change_time_ms = "{}"
 
 [limits]
 cores = "1"
@@ -61,7 +62,7 @@
 slack = "58"
 )",
                       m_Name, m_CallerPort, m_ReadinessPort, freePort(), PeerPort, PeerPort,
-                      StorePort);
+                      StorePort, DrainTime.count());
 }
 
 Router::~Router() { kill(); }
--- a/review/harness/routers.h
+++ b/review/harness/routers.h
@@ -12,8 +12,10 @@
 /// those of a small deployment.
 class Router {
 public:
-  /// Folder: an existing folder for its settings and its log.
-  Router(std::string Name, const std::string &Folder, int StorePort);
+  /// Folder: an existing folder for its settings and its log. DrainTime: the bound `drainMs` that
+  /// the platform puts into the settings.
+  Router(std::string Name, const std::string &Folder, int StorePort,
+         std::chrono::milliseconds DrainTime);
   ~Router();
   Router(const Router &) = delete;
   auto operator=(const Router &) -> Router & = delete;
--- a/review/harness/store.cpp
+++ b/review/harness/store.cpp
@@ -109,7 +109,7 @@
 
 } // namespace
 
-Store::Store(std::size_t Machines) : m_IsTurnedAway(Machines) {
+Store::Store(std::size_t Machines) : m_IsCut(Machines) {
   for (std::size_t Machine = 0; Machine < Machines; ++Machine) {
     m_Servers.push_back(
         std::make_unique<HttpServer>([this, Machine](Connection &Caller, const Message &Request) {
@@ -118,8 +118,8 @@
   }
 }
 
-auto Store::turnAway(std::size_t Machine, bool IsTurnedAway) -> void {
-  m_IsTurnedAway[Machine] = IsTurnedAway;
+auto Store::cut(std::size_t Machine, bool IsCut) -> void {
+  m_IsCut[Machine] = IsCut;
   m_Changed.notify_all();
 }
 
@@ -193,7 +193,7 @@
                                        HasMore, m_Revision));
 }
 
-auto Store::watch(const std::string &Target) -> std::string {
+auto Store::watch(std::size_t Machine, const std::string &Target) -> std::string {
   const auto Prefix = queryField(Target, "pathPrefix");
   const auto After = numberField(Target, "after");
   const auto Until = Clock::now() + std::chrono::milliseconds(numberField(Target, "waitMs"));
@@ -209,7 +209,7 @@
         Events += (Events.empty() ? "" : ",") + Item.m_Json;
       }
     }
-    if (!Events.empty() || Clock::now() >= Until) {
+    if (!Events.empty() || Clock::now() >= Until || m_IsCut[Machine]) {
       return jsonResponse(200,
                           fmt::format(R"({{"events":[{}],"currentRev":{}}})", Events, m_Revision));
     }
@@ -255,16 +255,16 @@
 
 auto Store::handle(std::size_t Machine, const Connection &Caller, const Message &Request) -> bool {
   std::this_thread::sleep_for(CallTime);
-  if (m_IsTurnedAway[Machine]) {
-    return Caller.write(jsonResponse(503, "{}"));
+  if (m_IsCut[Machine]) {
+    return false;
   }
   const auto Target = Request.secondWord();
   if (Target.starts_with("/kv-range")) {
     return Caller.write(range(Target));
   }
   if (Target.starts_with("/kv-watch")) {
-    const auto Answer = watch(Target);
-    return Caller.write(m_IsTurnedAway[Machine] ? jsonResponse(503, "{}") : Answer);
+    const auto Answer = watch(Machine, Target);
+    return !m_IsCut[Machine] && Caller.write(Answer);
   }
   if (Target.starts_with("/kv-txn")) {
     return Caller.write(transact(Request.m_Body));
--- a/review/harness/store.h
+++ b/review/harness/store.h
@@ -11,7 +11,7 @@
 
 /// The platform's metadata store: linearizable, with transactions, watches that wait, and a history
 /// that holds the values of all changes for 20 s. Each machine calls it at a port of its own, so
-/// that it can turn away single machines.
+/// that single machines can be cut off from it.
 class Store {
 public:
   explicit Store(std::size_t Machines);
@@ -19,8 +19,9 @@
   /// The port at which a machine calls the store.
   [[nodiscard]] auto port(std::size_t Machine) const -> int { return m_Servers[Machine]->port(); }
 
-  /// While set, all calls of the machine get 503, which says that nothing was done.
-  auto turnAway(std::size_t Machine, bool IsTurnedAway) -> void;
+  /// While set, the machine is cut off from the store: its open channels and its new ones end
+  /// without an answer, and nothing that it sends reaches the store.
+  auto cut(std::size_t Machine, bool IsCut) -> void;
 
   /// Writes a key as the operator or a runner does, and returns the revision of the change.
   auto put(const std::string &Key, const std::string &Value) -> std::int64_t;
@@ -47,7 +48,7 @@
 
   auto handle(std::size_t Machine, const Connection &Caller, const Message &Request) -> bool;
   auto range(const std::string &Target) -> std::string;
-  auto watch(const std::string &Target) -> std::string;
+  auto watch(std::size_t Machine, const std::string &Target) -> std::string;
   auto transact(const std::string &Body) -> std::string;
   auto putLocked(const std::string &Key, const std::string &Value) -> void;
   auto eraseLocked(const std::string &Key) -> void;
@@ -60,7 +61,7 @@
   std::deque<Change> m_History;
   std::int64_t m_Revision = 1;
   std::int64_t m_LastDropped = 0;
-  std::vector<std::atomic<bool>> m_IsTurnedAway;
+  std::vector<std::atomic<bool>> m_IsCut;
   std::vector<std::unique_ptr<HttpServer>> m_Servers;
 };
 
