--- a/review/harness/httpserver.cpp
+++ b/review/harness/httpserver.cpp
@@ -243,7 +243,7 @@
 }
 
 auto freePort() -> int {
-  static auto Next = std::atomic<int>(FirstPort + ::getpid() % PortSpread);
+  static auto Next = std::atomic<int>(FirstPort + ::getpid() * 197 % PortSpread);
   while (true) {
     const auto Port = FirstPort + (Next++ - FirstPort) % PortCount;
     const auto Address = loopback(Port);
