--- a/src/fleet/fleetexchange.h
+++ b/src/fleet/fleetexchange.h
@@ -27,6 +27,10 @@
   /// packet.
   std::size_t m_MaxBatchBytes = 1200;
 
+  /// How much longer ago than others of the data centre a router may have reached the store before
+  /// it resigns as relay. It covers the interval at which a relay hears from the store.
+  std::chrono::milliseconds m_MaxStoreLag{1000};
+
   RelayOptions m_Relay;
 };
 
@@ -80,6 +84,11 @@
   auto addBatches(std::vector<RelayedHeartbeat> Heartbeats, const std::vector<std::string> &To,
                   std::vector<OutgoingMessage> &Out) const -> void;
   auto onHeartbeat(const Heartbeat &Message, base::SteadyTime Now) -> ReceiveResult;
+
+  /// Whether this router must not relay: it is stopping, or others of its data centre still reached
+  /// the store when it no longer did. If the store is away for all, nobody resigns.
+  [[nodiscard]] auto isResigning(const Heartbeat &Own, base::SteadyTime Now) const -> bool;
+  auto recordStoreAge(std::uint32_t AgeMs, base::SteadyTime Now) -> void;
   auto onBatch(const HeartbeatBatch &Message, base::SteadyTime Now) -> ReceiveResult;
   auto onDigest(const FleetDigest &Message, base::SteadyTime Now) -> ReceiveResult;
 
@@ -98,6 +107,10 @@
 
   /// This router's heartbeat of the current period.
   Heartbeat m_Own;
+  bool m_IsResigning = false;
+
+  /// Latest time at which another router of the data centre is known to have reached the store.
+  std::optional<base::SteadyTime> m_OthersReachedStoreAt;
   std::vector<std::string> m_CurrentRelays;
 
   /// Relays of other data centres to which this one sent its last batch.
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -66,6 +66,10 @@
 
   /// Whether the receiver is to answer with a digest.
   bool m_WantsDigest = false;
+
+  /// Milliseconds since the store last answered this router. For a relay, since it last confirmed
+  /// all records that the relay passes on.
+  std::uint32_t m_StoreAgeMs = 0;
 };
 
 /// A heartbeat that another router passes on.
@@ -81,8 +85,9 @@
 struct HeartbeatBatch {
   std::string m_Relay;
 
-  /// Whether the relay is stopping, so that its readers should choose another one.
-  bool m_IsLeaving = false;
+  /// Whether the relay is stopping or has lost the store, so that its readers must choose another
+  /// one.
+  bool m_IsResigning = false;
   std::vector<RelayedHeartbeat> m_Heartbeats;
 };
 
@@ -96,8 +101,11 @@
   /// Increases with each digest of one incarnation.
   std::uint32_t m_Sequence = 0;
 
-  /// Whether the relay is stopping.
-  bool m_IsLeaving = false;
+  /// See HeartbeatBatch.
+  bool m_IsResigning = false;
+
+  /// See Heartbeat.
+  std::uint32_t m_StoreAgeMs = 0;
 
   /// hashName() of the routers with a record that are silent, and of those that are leaving.
   std::vector<std::uint32_t> m_Silent;
--- a/src/fleet/internal/fleetcodec.cpp
+++ b/src/fleet/internal/fleetcodec.cpp
@@ -59,11 +59,11 @@
 
 auto write(OutputArchive &Data, const Heartbeat &Message) -> void {
   Data(Message.m_Router, Message.m_Incarnation, Message.m_Sequence, Message.m_IsLeaving,
-       Message.m_WantsDigest, Message.m_Loads, Message.m_Budgets);
+       Message.m_WantsDigest, Message.m_StoreAgeMs, Message.m_Loads, Message.m_Budgets);
 }
 
 auto write(OutputArchive &Data, const HeartbeatBatch &Message) -> void {
-  Data(Message.m_Relay, Message.m_IsLeaving,
+  Data(Message.m_Relay, Message.m_IsResigning,
        cereal::make_size_tag(static_cast<cereal::size_type>(Message.m_Heartbeats.size())));
   for (const auto &Item : Message.m_Heartbeats) {
     Data(Item.m_AgeMs);
@@ -72,20 +72,21 @@
 }
 
 auto write(OutputArchive &Data, const FleetDigest &Message) -> void {
-  Data(Message.m_Relay, Message.m_Incarnation, Message.m_Sequence, Message.m_IsLeaving,
-       Message.m_Silent, Message.m_Leaving, Message.m_Loads);
+  Data(Message.m_Relay, Message.m_Incarnation, Message.m_Sequence, Message.m_IsResigning,
+       Message.m_StoreAgeMs, Message.m_Silent, Message.m_Leaving, Message.m_Loads);
 }
 
 auto read(InputArchive &Data, Heartbeat &Message, std::size_t Size) -> void {
   base::readText(Data, Message.m_Router, Size);
-  Data(Message.m_Incarnation, Message.m_Sequence, Message.m_IsLeaving, Message.m_WantsDigest);
+  Data(Message.m_Incarnation, Message.m_Sequence, Message.m_IsLeaving, Message.m_WantsDigest,
+       Message.m_StoreAgeMs);
   base::readEntries(Data, Message.m_Loads, MaxEntries);
   base::readEntries(Data, Message.m_Budgets, MaxEntries);
 }
 
 auto read(InputArchive &Data, HeartbeatBatch &Message, std::size_t Size) -> void {
   base::readText(Data, Message.m_Relay, Size);
-  Data(Message.m_IsLeaving);
+  Data(Message.m_IsResigning);
   Message.m_Heartbeats.resize(base::readSize(Data, MaxEntries));
   for (auto &Item : Message.m_Heartbeats) {
     Data(Item.m_AgeMs);
@@ -95,7 +96,7 @@
 
 auto read(InputArchive &Data, FleetDigest &Message, std::size_t Size) -> void {
   base::readText(Data, Message.m_Relay, Size);
-  Data(Message.m_Incarnation, Message.m_Sequence, Message.m_IsLeaving);
+  Data(Message.m_Incarnation, Message.m_Sequence, Message.m_IsResigning, Message.m_StoreAgeMs);
   base::readEntries(Data, Message.m_Silent, MaxEntries);
   base::readEntries(Data, Message.m_Leaving, MaxEntries);
   base::readEntries(Data, Message.m_Loads, MaxEntries);
--- a/src/fleet/internal/fleetexchange.cpp
+++ b/src/fleet/internal/fleetexchange.cpp
@@ -66,7 +66,8 @@
   m_Own = Own;
   Own.m_WantsDigest = true;
   auto &OwnTracker = tracker(m_Options.m_DataCentre);
-  OwnTracker.setSelfLeaving(Own.m_IsLeaving);
+  m_IsResigning = isResigning(Own, Now);
+  OwnTracker.setSelfResigning(m_IsResigning);
   const auto Relays = OwnTracker.nextDestinations(Now);
   setRole(OwnTracker.isSelfRelay() ? FleetRole::Relay : FleetRole::Member, Now);
   m_CurrentRelays = m_Peers.role() == FleetRole::Member ? Relays : std::vector<std::string>();
@@ -94,6 +95,17 @@
   return Out;
 }
 
+auto FleetExchange::isResigning(const Heartbeat &Own, base::SteadyTime Now) const -> bool {
+  return Own.m_IsLeaving ||
+         (m_OthersReachedStoreAt &&
+          Now - milliseconds(Own.m_StoreAgeMs) + m_Options.m_MaxStoreLag < *m_OthersReachedStoreAt);
+}
+
+auto FleetExchange::recordStoreAge(std::uint32_t AgeMs, base::SteadyTime Now) -> void {
+  const auto ReachedAt = Now - milliseconds(AgeMs);
+  m_OthersReachedStoreAt = std::max(m_OthersReachedStoreAt.value_or(ReachedAt), ReachedAt);
+}
+
 auto FleetExchange::neighbours() const -> std::vector<std::string> {
   if (m_Peers.role() == FleetRole::Direct) {
     return m_Peers.otherRouters();
@@ -124,12 +136,12 @@
   if (To.empty()) {
     return;
   }
-  auto Batch = HeartbeatBatch{m_Options.m_Self, m_Own.m_IsLeaving, {}};
+  auto Batch = HeartbeatBatch{m_Options.m_Self, m_IsResigning, {}};
   auto Size = std::size_t{0};
   for (auto &Item : Heartbeats) {
     const auto ItemSize = estimateSize(Item.m_Heartbeat);
     if (!Batch.m_Heartbeats.empty() && Size + ItemSize > m_Options.m_MaxBatchBytes) {
-      Out.push_back({To, std::exchange(Batch, {m_Options.m_Self, m_Own.m_IsLeaving, {}})});
+      Out.push_back({To, std::exchange(Batch, {m_Options.m_Self, m_IsResigning, {}})});
       Size = 0;
     }
     Size += ItemSize;
@@ -160,11 +172,13 @@
     return Result;
   }
   m_Reporters[Message.m_Router] = {Message, Now};
+  recordStoreAge(Message.m_StoreAgeMs, Now);
   auto Digest = FleetDigest();
   Digest.m_Relay = m_Options.m_Self;
   Digest.m_Incarnation = m_Own.m_Incarnation;
   Digest.m_Sequence = ++m_DigestSequence;
-  Digest.m_IsLeaving = m_Own.m_IsLeaving;
+  Digest.m_IsResigning = m_IsResigning;
+  Digest.m_StoreAgeMs = m_Own.m_StoreAgeMs;
   m_Peers.describeFleetFor(Message.m_Router, m_Own, Now, Digest);
   Result.m_Answer = OutgoingMessage{{Message.m_Router}, std::move(Digest)};
   return Result;
@@ -181,14 +195,15 @@
   // A batch from the own data centre comes from a router that is not a relay and answers nothing.
   for (auto &[DataCentre, Tracker] : m_Trackers) {
     if (DataCentre != m_Options.m_DataCentre) {
-      Tracker.onAnswer(Message.m_Relay, Message.m_IsLeaving);
+      Tracker.onAnswer(Message.m_Relay, Message.m_IsResigning);
     }
   }
   return Result;
 }
 
 auto FleetExchange::onDigest(const FleetDigest &Message, base::SteadyTime Now) -> ReceiveResult {
-  tracker(m_Options.m_DataCentre).onAnswer(Message.m_Relay, Message.m_IsLeaving);
+  tracker(m_Options.m_DataCentre).onAnswer(Message.m_Relay, Message.m_IsResigning);
+  recordStoreAge(Message.m_StoreAgeMs, Now);
   m_Peers.applyDigest(Message, Now);
   return {};
 }
--- a/src/fleet/internal/relaytracker.cpp
+++ b/src/fleet/internal/relaytracker.cpp
@@ -14,17 +14,17 @@
   m_Candidates = std::move(Next);
 }
 
-auto RelayTracker::onAnswer(const std::string &Router, bool IsLeaving) -> void {
+auto RelayTracker::onAnswer(const std::string &Router, bool IsResigning) -> void {
   for (auto &Item : m_Candidates) {
     if (Item.m_Name == Router) {
       Item.m_Unanswered = 0;
-      Item.m_IsLeaving = IsLeaving;
+      Item.m_IsResigning = IsResigning;
     }
   }
 }
 
 auto RelayTracker::hasFailed(const Candidate &Item) const -> bool {
-  return Item.m_IsLeaving || Item.m_Unanswered >= m_Options.m_MaxUnanswered;
+  return Item.m_IsResigning || Item.m_Unanswered >= m_Options.m_MaxUnanswered;
 }
 
 auto RelayTracker::nextDestinations(base::SteadyTime Now) -> std::vector<std::string> {
@@ -34,7 +34,7 @@
   for (auto &Item : m_Candidates) {
     if (Item.m_Name == m_Self) {
       IsCandidate = true;
-      if (!m_IsSelfLeaving) {
+      if (!m_IsSelfResigning) {
         m_IsSelfRelay = true;
         return Result;
       }
--- a/src/fleet/relaytracker.h
+++ b/src/fleet/relaytracker.h
@@ -29,10 +29,11 @@
   auto setCandidates(const std::vector<std::string> &Names) -> void;
 
   /// Records an answer of a router.
-  auto onAnswer(const std::string &Router, bool IsLeaving) -> void;
+  auto onAnswer(const std::string &Router, bool IsResigning) -> void;
 
-  /// Sets whether this router is stopping. It then relays only if no other candidate answers.
-  auto setSelfLeaving(bool IsLeaving) -> void { m_IsSelfLeaving = IsLeaving; }
+  /// Sets whether this router is stopping or has lost the store. It then relays only if no other
+  /// candidate answers.
+  auto setSelfResigning(bool IsResigning) -> void { m_IsSelfResigning = IsResigning; }
 
   /// Returns the routers to send to in this period, and counts the messages as unanswered.
   auto nextDestinations(base::SteadyTime Now) -> std::vector<std::string>;
@@ -47,7 +48,7 @@
 
     /// Messages since the last answer.
     int m_Unanswered = 0;
-    bool m_IsLeaving = false;
+    bool m_IsResigning = false;
     base::SteadyTime m_NextProbe = {};
   };
 
@@ -56,7 +57,7 @@
   std::string m_Self;
   RelayOptions m_Options;
   std::vector<Candidate> m_Candidates;
-  bool m_IsSelfLeaving = false;
+  bool m_IsSelfResigning = false;
   bool m_IsSelfRelay = false;
 };
 
--- a/src/fleet/tests/fleetexchange_test.cpp
+++ b/src/fleet/tests/fleetexchange_test.cpp
@@ -35,6 +35,9 @@
     std::uint32_t m_Sequence = 0;
     bool m_IsRunning = true;
     bool m_IsLeaving = false;
+
+    /// When the store last answered; now while not set.
+    std::optional<base::SteadyTime> m_StoreLostAt;
     std::size_t m_MessagesSent = 0;
     std::size_t m_MessagesReceived = 0;
     std::size_t m_BytesReceived = 0;
@@ -128,6 +131,10 @@
       Own.m_Sequence = ++Item.m_Sequence;
       Own.m_IsLeaving = Item.m_IsLeaving;
       Own.m_Loads = {{hashName("t"), 100, 1}};
+      if (Item.m_StoreLostAt) {
+        Own.m_StoreAgeMs = static_cast<std::uint32_t>(
+            std::chrono::duration_cast<milliseconds>(m_Now - *Item.m_StoreLostAt).count());
+      }
       for (const auto &Message : Item.m_Exchange.advance(Own, m_Now)) {
         send(Item, Message);
       }
@@ -329,3 +336,46 @@
   Tracker.onAnswer("b", false);
   cr_assert(Tracker.nextDestinations(Start + 5100ms) == Names{"b"});
 }
+
+// Guards against a relay that keeps its role while it alone is cut off from the store: its readers
+// would act on old records or all go to the store.
+Test(fleetexchange, relayThatLosesTheStoreResigns) {
+  auto Fleet = PlayedFleet(60, 0.02);
+  Fleet.run(5s);
+  auto &Relay = Fleet.relayOfFirst();
+  Relay.m_StoreLostAt = Fleet.now();
+  Fleet.run(3s);
+  auto &Next = Fleet.relayOfFirst();
+  cr_assert_neq(Next.m_Name, Relay.m_Name);
+  cr_assert(Relay.m_Peers.role() == FleetRole::Member);
+  for (const auto &Item : Fleet.nodes()) {
+    cr_assert_eq(Fleet.requestsSeenBy(*Item), 59, "%s sees the whole fleet", Item->m_Name.c_str());
+  }
+  Relay.m_StoreLostAt.reset();
+  Fleet.run(4s);
+  cr_assert_eq(Fleet.relayOfFirst().m_Name, Relay.m_Name);
+}
+
+// Guards against a fleet without relays: in an outage of the store each router has lost it, and
+// notices so at another time.
+Test(fleetexchange, nobodyResignsWhileTheStoreIsAway) {
+  auto Fleet = PlayedFleet(60);
+  Fleet.run(5s);
+  auto Relays = std::set<std::string>();
+  for (const auto &Item : Fleet.nodes()) {
+    if (Item->m_Peers.role() == FleetRole::Relay) {
+      Relays.insert(Item->m_Name);
+    }
+  }
+  cr_assert_eq(Relays.size(), 5U);
+  auto Number = 0;
+  for (const auto &Item : Fleet.nodes()) {
+    Item->m_StoreLostAt = Fleet.now() - milliseconds((++Number * 37) % 900);
+  }
+  for (auto Step = 0; Step < 30; ++Step) {
+    Fleet.run(300ms);
+    for (const auto &Item : Fleet.nodes()) {
+      cr_assert_eq(Item->m_Peers.role() == FleetRole::Relay, Relays.contains(Item->m_Name));
+    }
+  }
+}
--- a/src/keyvalue/internal/storefollower.cpp
+++ b/src/keyvalue/internal/storefollower.cpp
@@ -16,7 +16,7 @@
 
 auto StoreFollower::list() -> void {
   m_LastCallTime = m_Clock.steadyNow();
-  m_Store.list(m_Prefix, [this](absl::StatusOr<ListResult> Result) {
+  m_Store.list(m_Prefix, [this, Started = m_LastCallTime](absl::StatusOr<ListResult> Result) {
     if (m_IsStopped) {
       return;
     }
@@ -28,7 +28,7 @@
     m_Revision = Result->m_Revision;
     m_Log.record(base::LogLevel::Info, "store_listed",
                  {{"revision", m_Revision}, {"keys", Result->m_Items.size()}});
-    m_Listener.onList(m_Prefix, *Result);
+    m_Listener.onList(m_Prefix, *Result, Started);
     watch();
   });
 }
@@ -36,15 +36,26 @@
 auto StoreFollower::watch() -> void {
   m_LastCallTime = m_Clock.steadyNow();
   m_IsWatching = true;
-  m_Store.watch(m_Prefix, m_Revision, m_Options.m_WatchTimeout,
-                [this, Watch = ++m_LatestWatch](const absl::StatusOr<WatchResult> &Result) {
+  m_CurrentWait = m_Options.m_WatchTimeout;
+  m_Store.watch(m_Prefix, m_Revision, m_CurrentWait,
+                [this, Watch = ++m_LatestWatch, Started = m_LastCallTime,
+                 Wait = m_CurrentWait](const absl::StatusOr<WatchResult> &Result) {
                   if (!m_IsStopped && Watch == m_LatestWatch) {
                     m_IsWatching = false;
-                    onWatchResult(Result);
+                    onWatchResult(Result, Started, Wait);
                   }
                 });
 }
 
+auto StoreFollower::setPace(std::chrono::milliseconds Interval, std::chrono::milliseconds Wait)
+    -> void {
+  m_Options.m_MinWatchInterval = Interval;
+  m_Options.m_WatchTimeout = Wait;
+  if (m_IsWatching && !m_IsStopped && !m_IsSuspended && Wait < m_CurrentWait) {
+    watch();
+  }
+}
+
 auto StoreFollower::resume() -> void {
   if (m_IsStopped || !std::exchange(m_IsSuspended, false)) {
     return;
@@ -57,7 +68,9 @@
   }
 }
 
-auto StoreFollower::onWatchResult(const absl::StatusOr<WatchResult> &Result) -> void {
+auto StoreFollower::onWatchResult(const absl::StatusOr<WatchResult> &Result,
+                                  base::SteadyTime Started, std::chrono::milliseconds Wait)
+    -> void {
   if (Result.status().code() == absl::StatusCode::kOutOfRange) {
     m_ConsecutiveFailures = 0;
     m_Log.record(base::LogLevel::Warning, "store_history_gone", {{"revision", m_Revision}});
@@ -70,7 +83,11 @@
   }
   m_ConsecutiveFailures = 0;
   m_Revision = std::max(m_Revision, Result->m_Revision);
-  m_Listener.onChanges(m_Prefix, *Result);
+  // The response may have been on its way for long, or wait for this process to run again. The
+  // store made it after the call, and one without changes only at the end of the wait.
+  const auto ConfirmedAt =
+      Result->m_Events.empty() ? std::min(Started + Wait, m_Clock.steadyNow()) : Started;
+  m_Listener.onChanges(m_Prefix, *Result, ConfirmedAt);
   schedule(std::max(m_LastCallTime + m_Options.m_MinWatchInterval, m_Clock.steadyNow()),
            &StoreFollower::watch);
 }
--- a/src/keyvalue/internal/storemonitor.cpp
+++ b/src/keyvalue/internal/storemonitor.cpp
@@ -32,8 +32,12 @@
 
 auto StoreMonitor::probe() -> void {
   m_IsProbing = true;
-  m_Store.readStale(ProbeKey, [this](const absl::StatusOr<std::optional<KeyValue>> &Result) {
+  m_Store.readStale(ProbeKey, [this, Started = m_Clock.steadyNow()](
+                                  const absl::StatusOr<std::optional<KeyValue>> &Result) {
     m_IsProbing = false;
+    if (Result.ok()) {
+      m_LastAnswered = Started;
+    }
     onResult(Result.status());
     m_Timer =
         m_Timers.start(m_Clock.steadyNow() + (Result.ok() ? ProbeInterval : RetryInterval), [this] {
--- a/src/keyvalue/storefollower.h
+++ b/src/keyvalue/storefollower.h
@@ -13,12 +13,15 @@
 public:
   virtual ~IStoreListener() = default;
 
-  /// Called with all keys that have the prefix; any other key with the prefix no longer exists.
-  virtual auto onList(std::string_view Prefix, const ListResult &Result) -> void = 0;
+  /// Called with all keys that have the prefix; any other key with the prefix no longer exists. The
+  /// store confirmed this at the given time or later.
+  virtual auto onList(std::string_view Prefix, const ListResult &Result,
+                      base::SteadyTime ConfirmedAt) -> void = 0;
 
   /// Called with changes in their order. A change that a list read in pages already contains may
-  /// be reported again.
-  virtual auto onChanges(std::string_view Prefix, const WatchResult &Result) -> void = 0;
+  /// be reported again. The store confirmed at the given time or later that there are no others.
+  virtual auto onChanges(std::string_view Prefix, const WatchResult &Result,
+                         base::SteadyTime ConfirmedAt) -> void = 0;
 };
 
 /// Intervals and timeouts of a StoreFollower.
@@ -58,6 +61,10 @@
   /// Records that all changes up to the revision are known from elsewhere.
   auto advanceTo(std::int64_t Revision) -> void { m_Revision = std::max(m_Revision, Revision); }
 
+  /// Sets the interval and the wait time of the watches. A watch that would wait for longer is
+  /// replaced.
+  auto setPace(std::chrono::milliseconds Interval, std::chrono::milliseconds Wait) -> void;
+
   /// Makes no further calls to the store and ignores results that arrive later.
   auto stop() -> void { m_IsStopped = true; }
 
@@ -72,7 +79,8 @@
   auto list() -> void;
   auto watch() -> void;
   auto onFailure(const absl::Status &Status, void (StoreFollower::*Next)()) -> void;
-  auto onWatchResult(const absl::StatusOr<WatchResult> &Result) -> void;
+  auto onWatchResult(const absl::StatusOr<WatchResult> &Result, base::SteadyTime Started,
+                     std::chrono::milliseconds Wait) -> void;
   auto schedule(base::SteadyTime When, void (StoreFollower::*Next)()) -> void;
 
   std::string m_Prefix;
@@ -90,6 +98,9 @@
   std::uint64_t m_LatestWatch = 0;
   bool m_IsWatching = false;
 
+  /// Wait time of the newest watch.
+  std::chrono::milliseconds m_CurrentWait{0};
+
   /// The call that is due and its timer; nullptr while a call is in flight.
   void (StoreFollower::*m_NextCall)() = nullptr;
   base::TimerId m_Timer = 0;
--- a/src/keyvalue/storemonitor.h
+++ b/src/keyvalue/storemonitor.h
@@ -4,6 +4,8 @@
 #include "base/itimers.h"
 #include "keyvalue/itransactionstore.h"
 
+#include <optional>
+
 namespace geraniumlift::keyvalue {
 
 /// Checks whether the store is reachable by a cheap read at regular intervals. A watch cannot show
@@ -18,6 +20,11 @@
 
   auto start() -> void { probe(); }
 
+  /// Start of the last probe that the store answered; nothing before the first one.
+  [[nodiscard]] auto lastAnswered() const -> std::optional<base::SteadyTime> {
+    return m_LastAnswered;
+  }
+
   /// Probes without waiting for the next interval; for use after another call to the store has
   /// failed. Does nothing unless the last probe reached the store and no probe is in progress.
   auto probeNow() -> void;
@@ -35,6 +42,7 @@
   bool m_IsProbing = false;
   base::TimerId m_Timer = 0;
   base::SteadyTime m_LastChange;
+  std::optional<base::SteadyTime> m_LastAnswered;
 };
 
 } // namespace geraniumlift::keyvalue
--- a/src/keyvalue/tests/storefollower_test.cpp
+++ b/src/keyvalue/tests/storefollower_test.cpp
@@ -18,14 +18,19 @@
   StoreFollower m_Follower{"", StoreFollowerOptions(), m_Store, m_Timers, m_Clock, m_Log, *this};
   std::vector<std::string> m_Values;
   int m_ListCalls = 0;
+  base::SteadyTime m_ConfirmedAt;
 
-  auto onList(std::string_view /*Prefix*/, const ListResult &Result) -> void override {
+  auto onList(std::string_view /*Prefix*/, const ListResult &Result, base::SteadyTime ConfirmedAt)
+      -> void override {
+    m_ConfirmedAt = ConfirmedAt;
     ++m_ListCalls;
     for (const auto &Item : Result.m_Items) {
       m_Values.push_back(Item.m_Value);
     }
   }
-  auto onChanges(std::string_view /*Prefix*/, const WatchResult &Result) -> void override {
+  auto onChanges(std::string_view /*Prefix*/, const WatchResult &Result,
+                 base::SteadyTime ConfirmedAt) -> void override {
+    m_ConfirmedAt = ConfirmedAt;
     for (const auto &Event : Result.m_Events) {
       m_Values.push_back(Event.m_Item.m_Value);
     }
@@ -162,3 +167,31 @@
   cr_assert_eq(Fixture.m_Values.size(), 1U);
   cr_assert_eq(Fixture.m_Values.back(), "new");
 }
+
+// Guards against a process that was frozen and takes a response that waited for it for news.
+Test(storefollower, confirmationIsAsOldAsTheStoresResponse) {
+  auto Fixture = FollowerFixture();
+  Fixture.m_Store.put("a", "1");
+  const auto Started = Fixture.m_Clock.steadyNow();
+  Fixture.m_Follower.start();
+  Fixture.m_Clock.advance(5s);
+  Fixture.m_Timers.runFor(0s);
+  cr_assert_eq(Fixture.m_ListCalls, 1);
+  cr_assert_eq(Fixture.m_ConfirmedAt, Started);
+  const auto Watched = Fixture.m_Clock.steadyNow();
+  Fixture.m_Clock.advance(5s);
+  Fixture.m_Timers.runFor(0s);
+  cr_assert_eq(Fixture.m_ConfirmedAt, Watched + 1s, "a watch without changes ends after its wait");
+}
+
+// Guards against a relay whose last watch is still waiting for longer than its readers rely on it.
+Test(storefollower, shorterWaitReplacesTheWatch) {
+  auto Fixture = FollowerFixture();
+  Fixture.m_Follower.start();
+  Fixture.m_Store.m_LosesWatches = true;
+  Fixture.m_Timers.runFor(1s);
+  const auto Before = Fixture.m_Store.m_Watches;
+  Fixture.m_Follower.setPace(300ms, 300ms);
+  Fixture.m_Follower.setPace(300ms, 300ms);
+  cr_assert_eq(Fixture.m_Store.m_Watches, Before + 1);
+}
--- a/src/mirror/internal/mirrorcodec.cpp
+++ b/src/mirror/internal/mirrorcodec.cpp
@@ -23,7 +23,7 @@
 }
 
 auto readChanges(InputArchive &Data, PrefixChanges &Changes, std::size_t MaxText) -> void {
-  Data(Changes.m_After, Changes.m_Until, Changes.m_AgeMs);
+  Data(Changes.m_After, Changes.m_Until, Changes.m_AgeMs, Changes.m_IsComplete);
   Changes.m_Events.resize(base::readSize(Data, MaxEntries));
   for (auto &Event : Changes.m_Events) {
     base::readText(Data, Event.m_Item.m_Key, MaxText);
@@ -37,17 +37,17 @@
 auto encodeRequest(const MirrorRequest &Message) -> std::string {
   auto Bytes = std::ostringstream();
   auto Data = OutputArchive(Bytes);
-  Data(Message.m_Router, Message.m_Revisions);
+  Data(Message.m_Router, Message.m_Revisions, Message.m_Number);
   return Bytes.str();
 }
 
 auto encodeUpdate(const MirrorUpdate &Message) -> std::string {
   auto Bytes = std::ostringstream();
   auto Data = OutputArchive(Bytes);
-  Data(Message.m_Relay);
+  Data(Message.m_Relay, Message.m_RequestNumber);
   writeSize(Data, Message.m_Prefixes.size());
   for (const auto &Changes : Message.m_Prefixes) {
-    Data(Changes.m_After, Changes.m_Until, Changes.m_AgeMs);
+    Data(Changes.m_After, Changes.m_Until, Changes.m_AgeMs, Changes.m_IsComplete);
     writeSize(Data, Changes.m_Events.size());
     for (const auto &Event : Changes.m_Events) {
       Data(Event.m_Item.m_Key, Event.m_Item.m_Value, Event.m_Item.m_CreateRevision,
@@ -64,6 +64,7 @@
     auto Message = MirrorRequest();
     base::readText(Data, Message.m_Router, Bytes.size());
     base::readEntries(Data, Message.m_Revisions, MaxEntries);
+    Data(Message.m_Number);
     return Message;
   } catch (const std::exception &Error) {
     return absl::InvalidArgumentError(Error.what());
@@ -76,6 +77,7 @@
     auto Data = InputArchive(Stream);
     auto Message = MirrorUpdate();
     base::readText(Data, Message.m_Relay, Bytes.size());
+    Data(Message.m_RequestNumber);
     Message.m_Prefixes.resize(base::readSize(Data, MaxEntries));
     for (auto &Changes : Message.m_Prefixes) {
       readChanges(Data, Changes, Bytes.size());
--- a/src/mirror/internal/mirrorexchange.cpp
+++ b/src/mirror/internal/mirrorexchange.cpp
@@ -19,23 +19,28 @@
 }
 
 auto MirrorExchange::onConfirmed(std::string_view Prefix, std::int64_t Revision,
-                                 base::SteadyTime Now) -> void {
+                                 base::SteadyTime ConfirmedAt) -> void {
   for (std::size_t Index = 0; Index < m_Prefixes.size(); ++Index) {
     if (m_Prefixes[Index].starts_with(Prefix)) {
       m_Reader.advanceTo(Index, Revision);
-      m_ConfirmedAt[Index] = Now;
+      m_ConfirmedAt[Index] = std::max(m_ConfirmedAt[Index].value_or(ConfirmedAt), ConfirmedAt);
     }
   }
 }
 
 auto MirrorExchange::onListed(std::string_view Prefix, const std::set<std::string> &Keys,
-                              std::int64_t Revision, base::SteadyTime Now) -> void {
+                              std::int64_t Revision, base::SteadyTime ConfirmedAt) -> void {
   for (const auto &Mirrored : m_Prefixes) {
     if (Mirrored.starts_with(Prefix)) {
-      m_Mirror.keepOnly(Mirrored, Keys, Revision, Now);
+      m_Mirror.keepOnly(Mirrored, Keys, Revision, ConfirmedAt);
     }
   }
-  onConfirmed(Prefix, Revision, Now);
+  onConfirmed(Prefix, Revision, ConfirmedAt);
+}
+
+auto MirrorExchange::confirmedAt() const -> std::optional<base::SteadyTime> {
+  // An empty optional is the least.
+  return *std::min_element(m_ConfirmedAt.begin(), m_ConfirmedAt.end());
 }
 
 auto MirrorExchange::revisionOf(std::string_view Prefix) const -> std::int64_t {
@@ -45,13 +50,13 @@
              : m_Reader.revisions()[static_cast<std::size_t>(Found - m_Prefixes.begin())];
 }
 
-auto MirrorExchange::buildRequest() const -> MirrorRequest {
-  return {m_Self, m_Reader.revisions()};
+auto MirrorExchange::buildRequest(base::SteadyTime Now) -> MirrorRequest {
+  return {m_Self, m_Reader.revisions(), m_Reader.startRequest(Now)};
 }
 
 auto MirrorExchange::answer(const MirrorRequest &Message, base::SteadyTime Now) const
     -> MirrorUpdate {
-  auto Update = MirrorUpdate{m_Self, {}};
+  auto Update = MirrorUpdate{m_Self, {}, Message.m_Number};
   if (Message.m_Revisions.size() != m_Prefixes.size()) {
     return Update;
   }
@@ -75,10 +80,9 @@
   return Update;
 }
 
-auto MirrorExchange::apply(const MirrorUpdate &Message, base::SteadyTime Now)
-    -> std::vector<keyvalue::WatchEvent> {
+auto MirrorExchange::apply(const MirrorUpdate &Message) -> std::vector<keyvalue::WatchEvent> {
   auto Result = std::vector<keyvalue::WatchEvent>();
-  for (const auto &Events : m_Reader.apply(Message, Now)) {
+  for (const auto &Events : m_Reader.apply(Message)) {
     Result.insert(Result.end(), Events.begin(), Events.end());
   }
   return Result;
--- a/src/mirror/internal/storemirror.cpp
+++ b/src/mirror/internal/storemirror.cpp
@@ -70,6 +70,7 @@
     if (Bytes > MaxBytes && !Result.m_Events.empty() &&
         Result.m_Events.back().m_Item.m_ModRevision < Entry->m_Item.m_ModRevision) {
       Result.m_Until = Result.m_Events.back().m_Item.m_ModRevision;
+      Result.m_IsComplete = false;
       break;
     }
     Result.m_Events.push_back({Entry->m_Item, Entry->m_IsRemoved});
--- a/src/mirror/mirrorexchange.h
+++ b/src/mirror/mirrorexchange.h
@@ -16,31 +16,35 @@
   auto put(const keyvalue::KeyValue &Item, std::string Meaning) -> void;
   auto remove(const std::string &Key, std::int64_t Revision, base::SteadyTime Now) -> void;
 
-  /// Records that the store has confirmed all changes of the keys with the prefix up to the
-  /// revision. The prefix may be shorter than the mirrored ones.
-  auto onConfirmed(std::string_view Prefix, std::int64_t Revision, base::SteadyTime Now) -> void;
+  /// Records that the store has confirmed, at the given time, all changes of the keys with the
+  /// prefix up to the revision. The prefix may be shorter than the mirrored ones.
+  auto onConfirmed(std::string_view Prefix, std::int64_t Revision, base::SteadyTime ConfirmedAt)
+      -> void;
 
-  /// Records that only these keys with the prefix exist, as of the revision.
+  /// Records that only these keys with the prefix existed at the revision, which the store
+  /// confirmed at the given time.
   auto onListed(std::string_view Prefix, const std::set<std::string> &Keys, std::int64_t Revision,
-                base::SteadyTime Now) -> void;
+                base::SteadyTime ConfirmedAt) -> void;
 
   [[nodiscard]] auto prefixes() const -> const std::vector<std::string> & { return m_Prefixes; }
 
   /// Revision up to which all changes of the keys with a mirrored prefix are known.
   [[nodiscard]] auto revisionOf(std::string_view Prefix) const -> std::int64_t;
 
-  [[nodiscard]] auto buildRequest() const -> MirrorRequest;
+  /// Builds a request that is sent now.
+  [[nodiscard]] auto buildRequest(base::SteadyTime Now) -> MirrorRequest;
   [[nodiscard]] auto answer(const MirrorRequest &Message, base::SteadyTime Now) const
       -> MirrorUpdate;
 
   /// Returns the changes of the update that are new to this router.
-  auto apply(const MirrorUpdate &Message, base::SteadyTime Now)
-      -> std::vector<keyvalue::WatchEvent>;
+  auto apply(const MirrorUpdate &Message) -> std::vector<keyvalue::WatchEvent>;
 
-  /// Whether this router must follow the store itself.
-  [[nodiscard]] auto mustFollowStore(base::SteadyTime Now) const -> bool {
-    return m_Reader.mustFollowStore(Now);
-  }
+  /// The decisions that the updates lead to.
+  [[nodiscard]] auto reader() const -> const MirrorReader & { return m_Reader; }
+
+  /// Time at which the store last confirmed all that this router knows of every prefix, to this
+  /// router itself; nothing if it has not confirmed each prefix.
+  [[nodiscard]] auto confirmedAt() const -> std::optional<base::SteadyTime>;
 
   /// Drops what is no longer needed.
   auto removeExpired(base::SteadyTime Now) -> void { m_Mirror.dropOldRemovals(Now); }
--- a/src/mirror/mirrortypes.h
+++ b/src/mirror/mirrortypes.h
@@ -17,6 +17,10 @@
   /// Store revision up to which the requesting router knows all changes, for each prefix.
   std::vector<std::int64_t> m_Revisions;
 
+  /// Number of the request; the answer repeats it, so that the requesting router knows how old at
+  /// most the answer is, however late it arrives.
+  std::uint32_t m_Number = 0;
+
   auto operator==(const MirrorRequest &) const -> bool = default;
 };
 
@@ -30,6 +34,9 @@
   /// Milliseconds since the store confirmed to the relay that there are no further changes.
   std::uint32_t m_AgeMs = 0;
 
+  /// Whether these are all changes that the relay knows of; otherwise the next request gets more.
+  bool m_IsComplete = true;
+
   /// The last change of each key, in the order of revisions.
   std::vector<keyvalue::WatchEvent> m_Events;
 };
@@ -38,6 +45,9 @@
 struct MirrorUpdate {
   std::string m_Relay;
   std::vector<PrefixChanges> m_Prefixes;
+
+  /// Number of the request that this answers.
+  std::uint32_t m_RequestNumber = 0;
 };
 
 /// Encode messages in cereal's portable binary format.
--- a/src/mirror/tests/mirror_test.cpp
+++ b/src/mirror/tests/mirror_test.cpp
@@ -25,11 +25,11 @@
 /// Sends the reader's request to the relay and the answer back, through the codec.
 auto update(MirrorExchange &Reader, const MirrorExchange &Relay, base::SteadyTime Now)
     -> std::vector<keyvalue::WatchEvent> {
-  const auto Request = decodeRequest(encodeRequest(Reader.buildRequest()));
+  const auto Request = decodeRequest(encodeRequest(Reader.buildRequest(Now)));
   cr_assert(Request.ok());
   const auto Update = decodeUpdate(encodeUpdate(Relay.answer(*Request, Now)));
   cr_assert(Update.ok());
-  return Reader.apply(*Update, Now);
+  return Reader.apply(*Update);
 }
 
 auto confirm(MirrorExchange &Relay, std::int64_t Revision, base::SteadyTime Now) -> void {
@@ -68,10 +68,10 @@
   confirm(Reader, 20, Start);
   cr_assert(update(Reader, Relay, Start).empty());
   cr_assert_eq(Reader.revisionOf("targets/"), 20);
-  cr_assert(Reader.mustFollowStore(Start));
+  cr_assert(Reader.reader().mustFollowStore(Start));
   confirm(Relay, 21, Start);
   cr_assert(update(Reader, Relay, Start).empty());
-  cr_assert_not(Reader.mustFollowStore(Start));
+  cr_assert_not(Reader.reader().mustFollowStore(Start));
 }
 
 // Guards against a router that relies on a relay which is itself cut off from the store, or that
@@ -79,15 +79,65 @@
 Test(mirror, routerFollowsTheStoreWhenItsRelayIsLateOrSilent) {
   auto Relay = exchange("relay");
   auto Reader = exchange("reader");
-  cr_assert(Reader.mustFollowStore(Start), "nothing is known yet");
+  cr_assert(Reader.reader().mustFollowStore(Start), "nothing is known yet");
   confirm(Relay, 5, Start);
   update(Reader, Relay, Start + 500ms);
-  cr_assert_not(Reader.mustFollowStore(Start + 1s));
-  cr_assert(Reader.mustFollowStore(Start + 2100ms), "the relay is silent");
+  cr_assert_not(Reader.reader().mustFollowStore(Start + 1s));
+  cr_assert(Reader.reader().mustFollowStore(Start + 2100ms), "the relay is silent");
   for (auto Time = 500ms; Time <= 5s; Time += 300ms) {
     update(Reader, Relay, Start + Time);
   }
-  cr_assert(Reader.mustFollowStore(Start + 5s), "the relay's knowledge is old");
+  cr_assert(Reader.reader().mustFollowStore(Start + 5s), "the relay's knowledge is old");
+}
+
+// Guards against timeouts that add up: the age of a relay's knowledge, and the time for which a
+// reader then waits for a better update.
+Test(mirror, ageCountsFromTheStoresConfirmation) {
+  auto Relay = exchange("relay");
+  auto Reader = exchange("reader");
+  confirm(Relay, 5, Start);
+  update(Reader, Relay, Start + 900ms);
+  cr_assert_not(Reader.reader().mustFollowStore(Start + 950ms));
+  cr_assert(Reader.reader().mustFollowStore(Start + 1100ms),
+            "the store confirmed this 1,100 ms ago, though the update is new");
+  cr_assert_eq(Reader.reader().followStoreAt(), Start + 1s);
+}
+
+// Guards against a relay that was frozen or is slow: its answer tells an age that was true when it
+// was composed.
+Test(mirror, answerThatWasLongOnItsWayIsAsOldAsItsRequest) {
+  auto Relay = exchange("relay");
+  auto Reader = exchange("reader");
+  confirm(Relay, 5, Start);
+  const auto Request = Reader.buildRequest(Start);
+  const auto Late = Relay.answer(Request, Start);
+  Reader.apply(Late);
+  cr_assert(Reader.reader().mustFollowStore(Start + 3s), "the answer came after three seconds");
+  auto Unasked = Late;
+  Unasked.m_RequestNumber = 77;
+  auto Other = exchange("other");
+  Other.apply(Unasked);
+  cr_assert(Other.reader().mustFollowStore(Start), "no request tells how old it is");
+  cr_assert_eq(Other.revisionOf("targets/"), 5, "what it tells is used all the same");
+}
+
+// Guards against a reader that takes a part of the changes for all of them.
+Test(mirror, incompleteUpdateIsNotCurrent) {
+  auto Relay = exchange("relay");
+  auto Reader = exchange("reader");
+  for (auto Number = 0; Number < 100; ++Number) {
+    Relay.put(item(fmt::format("targets/t{}", Number), std::string(250, 'x'), 10 + Number),
+              "ready");
+  }
+  confirm(Relay, 200, Start);
+  update(Reader, Relay, Start);
+  cr_assert(Reader.reader().hasMore());
+  cr_assert(Reader.reader().mustFollowStore(Start));
+  for (auto Round = 0; Round < 10 && Reader.reader().hasMore(); ++Round) {
+    update(Reader, Relay, Start);
+  }
+  cr_assert_not(Reader.reader().hasMore());
+  cr_assert_not(Reader.reader().mustFollowStore(Start));
 }
 
 Test(mirror, updateWithAGapIsNotApplied) {
@@ -95,11 +145,11 @@
   auto Reader = exchange("reader");
   Relay.put(item("targets/a", "ready", 5), "ready");
   confirm(Relay, 5, Start);
-  auto Request = Reader.buildRequest();
+  auto Request = Reader.buildRequest(Start);
   Request.m_Revisions = {3, 3};
   const auto Update = Relay.answer(Request, Start);
   cr_assert_eq(Update.m_Prefixes[0].m_Events.size(), 1U);
-  cr_assert(Reader.apply(Update, Start).empty(), "the reader knows nothing up to 3");
+  cr_assert(Reader.apply(Update).empty(), "the reader knows nothing up to 3");
   cr_assert_eq(Reader.revisionOf("targets/"), 0);
 }
 
@@ -115,7 +165,7 @@
   Relay.removeExpired(Start + 90s);
   cr_assert(update(Reader, Relay, Start + 90s).empty());
   cr_assert_eq(Reader.revisionOf("targets/"), 5);
-  cr_assert(Reader.mustFollowStore(Start + 90s));
+  cr_assert(Reader.reader().mustFollowStore(Start + 90s));
 }
 
 Test(mirror, keysThatALongListLacksAreRemoved) {
@@ -151,11 +201,11 @@
   Relay.put(item("targets/a", std::string(50000, 'x'), 5), "large");
   confirm(Relay, 5, Start + 2s);
   cr_assert(update(Reader, Relay, Start + 2s).empty());
-  cr_assert(Reader.mustFollowStore(Start + 2s));
+  cr_assert(Reader.reader().mustFollowStore(Start + 2s));
   Reader.onConfirmed("targets/", 6, Start + 2s);
   confirm(Relay, 7, Start + 2s);
   update(Reader, Relay, Start + 2s);
-  cr_assert_not(Reader.mustFollowStore(Start + 2s), "it has read the record itself");
+  cr_assert_not(Reader.reader().mustFollowStore(Start + 2s), "it has read the record itself");
 }
 
 // Plays random changes, late and lost messages, and two relays of which one is sometimes behind.
@@ -198,10 +248,10 @@
       }
       confirm(Relays[Index], KnownByRelay[Index], Start);
     }
-    Pending.push_back(Relays[Random() % 2].answer(Reader.buildRequest(), Start));
+    Pending.push_back(Relays[Random() % 2].answer(Reader.buildRequest(Start), Start));
     if (Random() % 3 == 0) {
       const auto Chosen = Random() % Pending.size();
-      for (const auto &Event : Reader.apply(Pending[Chosen], Start)) {
+      for (const auto &Event : Reader.apply(Pending[Chosen])) {
         if (Event.m_IsRemoved) {
           Known.erase(Event.m_Item.m_Key);
         } else {
@@ -223,8 +273,8 @@
   auto Relay = exchange("relay");
   Relay.put(item("targets/a", "ready", 5), "ready");
   confirm(Relay, 5, Start);
-  const auto Request = encodeRequest(exchange("reader").buildRequest());
-  const auto Update = encodeUpdate(Relay.answer(exchange("reader").buildRequest(), Start));
+  const auto Request = encodeRequest(exchange("reader").buildRequest(Start));
+  const auto Update = encodeUpdate(Relay.answer(exchange("reader").buildRequest(Start), Start));
   for (std::size_t Size = 0; Size < Request.size(); ++Size) {
     cr_expect_not(decodeRequest(std::string_view(Request).substr(0, Size)).ok());
   }
--- a/src/router/internal/peerlink.cpp
+++ b/src/router/internal/peerlink.cpp
@@ -18,6 +18,14 @@
   sendToNeighbours(LimitByte + ratelimits::encodeMessage(Update));
 }
 
+auto PeerLink::send(const std::string &Router, const mirror::MirrorRequest &Message) -> void {
+  send(Router, MirrorRequestByte + encodeRequest(Message));
+}
+
+auto PeerLink::send(const std::string &Router, const mirror::MirrorUpdate &Message) -> void {
+  send(Router, MirrorUpdateByte + encodeUpdate(Message));
+}
+
 auto PeerLink::sendToNeighbours(const std::string &Bytes, const std::string &Except) -> void {
   for (const auto &Name : m_Exchange.neighbours()) {
     if (Name != Except) {
--- a/src/router/internal/peerlink.h
+++ b/src/router/internal/peerlink.h
@@ -3,6 +3,7 @@
 #include "base/iclock.h"
 #include "budget/itransferlink.h"
 #include "fleet/fleetexchange.h"
+#include "mirror/imirrorlink.h"
 #include "ratelimits/limitservice.h"
 #include "transport/datagramsocket.h"
 
@@ -17,7 +18,9 @@
 constexpr auto LimitByte = 'L';
 
 /// Sends messages to the other routers as datagrams, which may be lost.
-class PeerLink final : public budget::ITransferLink, public ratelimits::ILimitLink {
+class PeerLink final : public budget::ITransferLink,
+                       public ratelimits::ILimitLink,
+                       public mirror::IMirrorLink {
 public:
   PeerLink(const fleet::PeerTable &Peers, const fleet::FleetExchange &Exchange,
            transport::DatagramSocket &Socket, const base::IClock &Clock)
@@ -30,6 +33,9 @@
   auto send(const std::string &Router, const ratelimits::LimitMessage &Message) -> void override;
   auto publish(const ratelimits::LimitUpdate &Update) -> void override;
 
+  auto send(const std::string &Router, const mirror::MirrorRequest &Message) -> void override;
+  auto send(const std::string &Router, const mirror::MirrorUpdate &Message) -> void override;
+
   /// Sends an encoded message to the neighbours, except to the router from which it came.
   auto sendToNeighbours(const std::string &Bytes, const std::string &Except = {}) -> void;
 
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -30,21 +30,6 @@
 /// File descriptors reserved for connections to targets and to the store and for files.
 constexpr auto ReservedDescriptors = std::int64_t{900};
 
-/// Interval of watches, as a share of the time within which a change must take effect. It leaves
-/// room for a second watch if the first one fails.
-constexpr auto WatchIntervalShare = 0.35;
-
-/// The same share in a large fleet, where relays pass the changes on to the other routers.
-constexpr auto LargeFleetWatchIntervalShare = 0.25;
-
-/// Wait time of a watch on the records of targets and routers. Readers rely on a relay only as far
-/// as the store has confirmed its knowledge, which the end of a watch does.
-constexpr auto MirroredWatchWait = 1000ms;
-
-/// Upper limit of the random time that is added to MirrorReader's patience, so that the readers of
-/// a failed relay do not go to the store at the same moment.
-constexpr auto MaxPatienceSpread = 400;
-
 /// Request bodies may use the memory limit divided by this.
 constexpr auto BodyMemoryDivisor = 4;
 
@@ -54,16 +39,29 @@
   return Options;
 }
 
+/// Time within which any change of the store must take effect.
+auto changeTime(const RouterSettings &Settings) -> milliseconds {
+  return std::min(Settings.m_DrainTime, Settings.m_ConfigurationTime);
+}
+
 auto exchangeOptions(const RouterSettings &Settings) -> fleet::ExchangeOptions {
   auto Options = fleet::ExchangeOptions();
   Options.m_Self = Settings.m_Vm;
   Options.m_DataCentre = Settings.m_DataCentre;
+  const auto Times = mirror::followTimesFor(changeTime(Settings));
+  Options.m_RelayedPeriod = Times.m_RequestInterval;
+  Options.m_MaxStoreLag = Times.m_MaxStoreLag;
   return Options;
 }
 
-auto readerOptions(std::uint64_t Seed) -> mirror::ReaderOptions {
-  auto Options = mirror::ReaderOptions();
-  Options.m_Patience += milliseconds(static_cast<std::int64_t>(Seed % MaxPatienceSpread));
+auto subscriptionOptions(const RouterSettings &Settings, std::vector<std::string> Prefixes,
+                         std::uint64_t Seed) -> SubscriptionOptions {
+  auto Options = SubscriptionOptions();
+  Options.m_Self = Settings.m_Vm;
+  Options.m_MirroredPrefixes = std::move(Prefixes);
+  Options.m_Times = mirror::followTimesFor(changeTime(Settings));
+  const auto Spread = static_cast<std::uint64_t>(Options.m_Times.m_MaxAgeSpread.count());
+  Options.m_AgeSpread = milliseconds(static_cast<std::int64_t>(Seed % (Spread + 1)));
   return Options;
 }
 
@@ -112,13 +110,6 @@
   return Options;
 }
 
-auto followerOptions(const RouterSettings &Settings, double IntervalShare)
-    -> keyvalue::StoreFollowerOptions {
-  auto Options = keyvalue::StoreFollowerOptions();
-  Options.m_MinWatchInterval = duration_cast<milliseconds>(Settings.m_ChangeTime * IntervalShare);
-  return Options;
-}
-
 auto serverOptions(const RouterSettings &Settings) -> transport::ServerOptions {
   auto Options = transport::ServerOptions();
   Options.m_MaxConnections = static_cast<std::size_t>(
@@ -141,12 +132,15 @@
     : m_Dependencies(Dependencies), m_Settings(std::move(Settings)),
       m_Incarnation(incarnationOf(Dependencies.m_Clock)), m_Peers(peerOptions(m_Settings)),
       m_AddressSelector(m_Settings.m_Vm), m_FleetExchange(exchangeOptions(m_Settings), m_Peers),
-      m_Mirror(m_Settings.m_Vm,
-               {Dependencies.m_Documents.targetPrefix(), std::string(fleet::RouterPrefix),
-                Dependencies.m_Documents.routingPrefix()},
-               readerOptions(seedOf(m_Settings, m_Incarnation))),
       m_PeerSocket(Dependencies.m_Loop, [this](std::string_view Bytes) { onDatagram(Bytes); }),
       m_PeerLink(m_Peers, m_FleetExchange, m_PeerSocket, Dependencies.m_Clock),
+      m_Subscription(subscriptionOptions(m_Settings,
+                                         {Dependencies.m_Documents.targetPrefix(),
+                                          std::string(fleet::RouterPrefix),
+                                          Dependencies.m_Documents.routingPrefix()},
+                                         seedOf(m_Settings, m_Incarnation)),
+                     Dependencies.m_Store, m_PeerLink, Dependencies.m_Timers, Dependencies.m_Clock,
+                     Dependencies.m_Log, *this),
       m_Targets(forwarding::HealthOptions()), m_TargetDirectory(m_Targets, Dependencies.m_Log),
       m_Grants(m_Settings.m_Vm,
                grantOptions(m_Settings, m_Incarnation, Dependencies.m_Clock.steadyNow()),
@@ -214,7 +208,7 @@
                                {"store", formatAddress(Settings.m_Store)}});
   m_Peers.put(ownRecord(), now());
   m_StoreMonitor.start();
-  follow(std::string(), followerOptions(m_Settings, WatchIntervalShare));
+  m_Subscription.start();
   runPeriodicTasks();
   return absl::OkStatus();
 }
@@ -271,40 +265,10 @@
       });
 }
 
-auto Router::follow(const std::string &Prefix, keyvalue::StoreFollowerOptions Options,
-                    std::int64_t KnownRevision) -> void {
-  auto &Follower = *m_Followers.emplace_back(std::make_unique<keyvalue::StoreFollower>(
-      Prefix, Options, m_Dependencies.m_Store, m_Dependencies.m_Timers, m_Dependencies.m_Clock,
-      m_Dependencies.m_Log, *this));
-  if (KnownRevision == 0) {
-    Follower.start();
-  } else {
-    Follower.startAfter(KnownRevision);
-  }
-  if (!m_IsStoreReachable) {
-    Follower.suspend();
-  }
-}
-
-auto Router::followWithoutBudgets() -> void {
-  m_FollowsBudgets = false;
-  const auto KnownRevision = m_Followers.back()->revision();
-  m_Followers.back()->stop();
-  m_StoppedFollower = std::move(m_Followers.back());
-  m_Followers.clear();
-  auto Options = followerOptions(m_Settings, LargeFleetWatchIntervalShare);
-  Options.m_WatchTimeout = MirroredWatchWait;
-  for (const auto &Prefix : m_Mirror.prefixes()) {
-    follow(Prefix, Options, KnownRevision);
-  }
-}
-
-auto Router::onList(std::string_view Prefix, const keyvalue::ListResult &Result) -> void {
+auto Router::onRecordsListed(std::string_view Prefix, const keyvalue::ListResult &Result) -> void {
   auto Targets = std::set<std::string>();
-  auto Keys = std::set<std::string>();
   auto IsRegistered = false;
   for (const auto &Item : Result.m_Items) {
-    Keys.insert(Item.m_Key);
     if (m_Dependencies.m_Documents.kindOf(Item.m_Key) == DocumentKind::Target) {
       Targets.insert(m_Dependencies.m_Documents.targetIdOf(Item.m_Key));
     }
@@ -316,18 +280,12 @@
     m_TargetDirectory.applyRemovals(now());
     m_HasTargetList = true;
   }
-  m_Mirror.onListed(Prefix, Keys, Result.m_Revision, now());
   if (!IsRegistered && fleet::RouterPrefix.starts_with(Prefix)) {
     registerSelf();
   }
 }
 
-auto Router::onChanges(std::string_view Prefix, const keyvalue::WatchResult &Result) -> void {
-  applyEvents(Result.m_Events);
-  m_Mirror.onConfirmed(Prefix, Result.m_Revision, now());
-}
-
-auto Router::applyEvents(const std::vector<keyvalue::WatchEvent> &Events) -> void {
+auto Router::onRecordsChanged(const std::vector<keyvalue::WatchEvent> &Events) -> void {
   for (const auto &Event : Events) {
     if (Event.m_IsRemoved) {
       applyRemoval(Event.m_Item);
@@ -340,7 +298,7 @@
 
 auto Router::onReachable(bool IsReachable) -> void {
   m_IsStoreReachable = IsReachable;
-  updateFollowers();
+  m_Subscription.setStoreReachable(IsReachable);
   if (IsReachable && std::exchange(m_MustRegister, false)) {
     registerSelf();
   }
@@ -370,7 +328,7 @@
 
 auto Router::applyRemoval(const keyvalue::KeyValue &Item) -> void {
   if (m_Dependencies.m_Documents.kindOf(Item.m_Key) == DocumentKind::Target) {
-    m_Mirror.remove(Item.m_Key, Item.m_ModRevision, now());
+    m_Subscription.mirror().remove(Item.m_Key, Item.m_ModRevision, now());
     m_TargetDirectory.remove(m_Dependencies.m_Documents.targetIdOf(Item.m_Key), Item.m_ModRevision);
     return;
   }
@@ -380,7 +338,7 @@
   if (!Item.m_Key.starts_with(fleet::RouterPrefix)) {
     return;
   }
-  m_Mirror.remove(Item.m_Key, Item.m_ModRevision, now());
+  m_Subscription.mirror().remove(Item.m_Key, Item.m_ModRevision, now());
   if (Item.m_Key == ownKey()) {
     m_OwnRecordRevision = 0;
     registerSelf();
@@ -391,7 +349,7 @@
 }
 
 auto Router::applyRouting(const keyvalue::KeyValue &Item) -> void {
-  m_Mirror.put(Item, Item.m_Value);
+  m_Subscription.mirror().put(Item, Item.m_Value);
   const auto Table = m_Dependencies.m_Documents.decodeRouting(Item.m_Value);
   if (!Table.ok()) {
     m_Dependencies.m_Log.record(
@@ -421,7 +379,7 @@
 
 auto Router::applyTarget(const keyvalue::KeyValue &Item) -> void {
   const auto Record = m_Dependencies.m_Documents.decodeTarget(Item.m_Key, Item.m_Value);
-  m_Mirror.put(Item, Record.ok() ? meaningOf(*Record) : "unreadable");
+  m_Subscription.mirror().put(Item, Record.ok() ? meaningOf(*Record) : "unreadable");
   if (Record.ok()) {
     m_TargetDirectory.put(*Record, Item.m_ModRevision);
     return;
@@ -433,7 +391,7 @@
 }
 
 auto Router::applyRouter(const keyvalue::KeyValue &Item) -> void {
-  m_Mirror.put(Item, Item.m_Value);
+  m_Subscription.mirror().put(Item, Item.m_Value);
   if (Item.m_Key == ownKey()) {
     m_OwnRecordRevision = std::max(m_OwnRecordRevision, Item.m_ModRevision);
     return;
@@ -483,14 +441,16 @@
   m_Grants.setFleet(Routers, AlivePeers);
   updateRetryBudgets();
   m_TargetDirectory.removeExpired(now());
-  if (m_FollowsBudgets && m_Grants.shardCount() > 1) {
-    followWithoutBudgets();
+  if (m_Subscription.followsBudgets() && m_Grants.shardCount() > 1) {
+    m_Subscription.stopFollowingBudgets();
   }
   sendHeartbeats();
   advanceQuarantine();
   advanceLimits(AlivePeers);
-  updateFollowers();
-  m_Mirror.removeExpired(now());
+  m_Subscription.mirror().removeExpired(now());
+  m_Dependencies.m_Metrics.gauge(
+      "geraniumlift_store_knowledge_age_seconds", {},
+      std::chrono::duration<double>(m_Subscription.knowledgeAge()).count());
   m_Dependencies.m_Timers.start(now() + m_FleetExchange.period(), [this] { runPeriodicTasks(); });
 }
 
--- a/src/router/internal/routermessages.cpp
+++ b/src/router/internal/routermessages.cpp
@@ -32,21 +32,20 @@
            static_cast<std::uint32_t>(std::min<base::Tokens>(Offer.m_Available, UINT32_MAX))});
     }
   }
+  const auto StoreAgeMs = static_cast<std::uint32_t>(std::min<std::int64_t>(
+      m_Subscription.storeAge(m_StoreMonitor.lastAnswered()).count(), UINT32_MAX));
+  Message.m_StoreAgeMs = StoreAgeMs;
   const auto Before = m_Peers.role();
   for (const auto &Outgoing : m_FleetExchange.advance(std::move(Message), now())) {
     m_PeerLink.send(Outgoing);
   }
-  if (const auto &Relays = m_FleetExchange.currentRelays(); !Relays.empty()) {
-    const auto Request = MirrorRequestByte + encodeRequest(m_Mirror.buildRequest());
-    for (const auto &Relay : Relays) {
-      m_PeerLink.send(Relay, Request);
-    }
-  }
+  m_Subscription.advance(m_Peers.role(), m_FleetExchange.currentRelays());
   if (m_Peers.role() != Before) {
     m_Dependencies.m_Log.record(base::LogLevel::Info, "fleet_role_changed",
                                 {{"role", nameOf(fleet::FleetRoleNames, m_Peers.role())},
                                  {"before", nameOf(fleet::FleetRoleNames, Before)},
-                                 {"routers", m_Peers.recordCount()}});
+                                 {"routers", m_Peers.recordCount()},
+                                 {"store_age_ms", StoreAgeMs}});
   }
 }
 
@@ -101,10 +100,7 @@
     logUnreadableDatagram(std::string(Request.status().message()), Bytes.size());
     return;
   }
-  if (m_Peers.role() == fleet::FleetRole::Relay) {
-    m_PeerLink.send(Request->m_Router,
-                    MirrorUpdateByte + encodeUpdate(m_Mirror.answer(*Request, now())));
-  }
+  m_Subscription.onRequest(*Request);
 }
 
 auto Router::onMirrorUpdate(std::string_view Bytes) -> void {
@@ -113,7 +109,7 @@
     logUnreadableDatagram(std::string(Update.status().message()), Bytes.size());
     return;
   }
-  applyEvents(m_Mirror.apply(*Update, now()));
+  m_Subscription.onUpdate(*Update);
 }
 
 auto Router::advanceQuarantine() -> void {
@@ -161,27 +157,6 @@
   }
 }
 
-auto Router::updateFollowers() -> void {
-  // Relays do not pass on budget records.
-  const auto MustFollow = m_FollowsBudgets || m_Peers.role() != fleet::FleetRole::Member ||
-                          m_Mirror.mustFollowStore(now());
-  for (const auto &Follower : m_Followers) {
-    if (MustFollow && m_IsStoreReachable) {
-      Follower->advanceTo(m_Mirror.revisionOf(Follower->prefix()));
-      Follower->resume();
-    } else {
-      Follower->suspend();
-    }
-  }
-  if (MustFollow != m_FollowsMirrored) {
-    m_FollowsMirrored = MustFollow;
-    m_Dependencies.m_Log.record(
-        base::LogLevel::Info, MustFollow ? "store_followed_directly" : "store_followed_by_relay",
-        {{"role", nameOf(fleet::FleetRoleNames, m_Peers.role())},
-         {"revision", m_Mirror.revisionOf(m_Dependencies.m_Documents.targetPrefix())}});
-  }
-}
-
 auto Router::logUnreadableDatagram(const std::string &Reason, std::size_t Size) -> void {
   m_Dependencies.m_Log.record(base::LogLevel::Warning, "datagram_unreadable",
                               {{"reason", Reason}, {"bytes", Size}});
--- a/src/router/internal/routersettings.cpp
+++ b/src/router/internal/routersettings.cpp
@@ -139,7 +139,8 @@
         readCount(Table, "limits.descriptors", Result.m_MaxDescriptors),
         readSeconds(Table, "stop.time_s", Result.m_StopTime),
         readSeconds(Table, "directory.time_to_live_s", Result.m_DirectoryTimeToLive),
-        readMilliseconds(Table, "store.change_time_ms", Result.m_ChangeTime),
+        readMilliseconds(Table, "store.change_time_ms", Result.m_DrainTime),
+        readMilliseconds(Table, "store.configuration_time_ms", Result.m_ConfigurationTime),
         readNumber(Table, "retries.share", Result.m_RetryShare),
         readNumber(Table, "retries.slack", Result.m_RetrySlack)}) {
     if (!Status.ok()) {
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -3,12 +3,11 @@
 #include "budget/grantservice.h"
 #include "fleet/peertable.h"
 #include "forwarding/targetdirectory.h"
-#include "keyvalue/storefollower.h"
 #include "keyvalue/storemonitor.h"
-#include "mirror/mirrorexchange.h"
 #include "quarantine/quarantineservice.h"
 #include "router/internal/peerlink.h"
 #include "router/internal/requestmetrics.h"
+#include "router/internal/storesubscription.h"
 #include "router/istoredocumentdecoder.h"
 #include "router/routersettings.h"
 #include "transport/asiotimers.h"
@@ -38,7 +37,7 @@
 
 /// The router of one process: accepts requests, follows the store and exchanges heartbeats with the
 /// other routers. All functions and callbacks run on the event loop's thread.
-class Router final : public keyvalue::IStoreListener {
+class Router final : public IRecordListener {
 public:
   Router(RouterDependencies Dependencies, RouterSettings Settings);
 
@@ -56,21 +55,11 @@
   auto applySettings(const RouterSettings &Settings) -> void;
 
 private:
-  auto onList(std::string_view Prefix, const keyvalue::ListResult &Result) -> void override;
-  auto onChanges(std::string_view Prefix, const keyvalue::WatchResult &Result) -> void override;
+  auto onRecordsListed(std::string_view Prefix, const keyvalue::ListResult &Result)
+      -> void override;
+  auto onRecordsChanged(const std::vector<keyvalue::WatchEvent> &Events) -> void override;
   auto onReachable(bool IsReachable) -> void;
 
-  /// Starts a follower of all keys with the prefix. Without a known revision it lists them first.
-  auto follow(const std::string &Prefix, keyvalue::StoreFollowerOptions Options,
-              std::int64_t KnownRevision = 0) -> void;
-
-  /// Replaces the follower by ones of the configuration, the targets and the routers only. In a
-  /// large fleet the budget records change so often that a small VM cannot follow them.
-  auto followWithoutBudgets() -> void;
-
-  /// Lets a relay tell this router of the configuration, the targets and the routers while it can,
-  /// and otherwise follows the store.
-  auto updateFollowers() -> void;
   auto onMirrorRequest(std::string_view Bytes) -> void;
   auto onMirrorUpdate(std::string_view Bytes) -> void;
 
@@ -81,7 +70,6 @@
 
   /// Keeps the limits of targets up to date with the fleet.
   auto advanceLimits(const std::set<std::string> &AlivePeers) -> void;
-  auto applyEvents(const std::vector<keyvalue::WatchEvent> &Events) -> void;
   auto applyItem(const keyvalue::KeyValue &Item) -> void;
   auto applyRemoval(const keyvalue::KeyValue &Item) -> void;
   auto applyRouting(const keyvalue::KeyValue &Item) -> void;
@@ -115,9 +103,9 @@
   fleet::PeerTable m_Peers;
   fleet::AddressSelector m_AddressSelector;
   fleet::FleetExchange m_FleetExchange;
-  mirror::MirrorExchange m_Mirror;
   transport::DatagramSocket m_PeerSocket;
   PeerLink m_PeerLink;
+  StoreSubscription m_Subscription;
   forwarding::TargetTable m_Targets;
   forwarding::TargetDirectory m_TargetDirectory;
   budget::GrantService m_Grants;
@@ -132,14 +120,6 @@
   transport::CallerServer m_ReadinessServer;
   transport::CallerServer m_DirectoryServer;
   keyvalue::StoreMonitor m_StoreMonitor;
-  std::vector<std::unique_ptr<keyvalue::StoreFollower>> m_Followers;
-
-  /// The follower of all keys that a large fleet replaced; calls to the store still refer to it.
-  std::unique_ptr<keyvalue::StoreFollower> m_StoppedFollower;
-  bool m_FollowsBudgets = true;
-
-  /// Whether this router follows the store itself.
-  bool m_FollowsMirrored = true;
   bool m_HasTargetList = false;
   bool m_IsLeaving = false;
   std::int64_t m_OwnRecordRevision = 0;
--- a/src/router/routersettings.h
+++ b/src/router/routersettings.h
@@ -48,8 +48,9 @@
   /// How long callers may cache a response of the directory.
   std::chrono::milliseconds m_DirectoryTimeToLive{2000};
 
-  /// Time within which an accepted configuration, or the draining of a target, must take effect.
-  std::chrono::milliseconds m_ChangeTime{2000};
+  /// Times within which the draining of a target and an accepted configuration must take effect.
+  std::chrono::milliseconds m_DrainTime{2000};
+  std::chrono::milliseconds m_ConfigurationTime{2000};
 
   /// Retries that the whole fleet may make: a share of the requests in a window, plus a fixed
   /// number.
--- a/src/router/tests/routersettings_test.cpp
+++ b/src/router/tests/routersettings_test.cpp
@@ -21,6 +21,7 @@
 [store]
 address = "10.9.0.1:90"
 change_time_ms = "3000"
+configuration_time_ms = 2500
 [limits]
 cores = "2"
 processor_share = 0.12
@@ -43,7 +44,8 @@
   cr_assert(Settings.ok(), "%s", std::string(Settings.status().message()).c_str());
   cr_expect_eq(Settings->m_Peers.m_Port, 7340);
   cr_expect_eq(Settings->m_StopTime.count(), 8500);
-  cr_expect_eq(Settings->m_ChangeTime.count(), 3000);
+  cr_expect_eq(Settings->m_DrainTime.count(), 3000);
+  cr_expect_eq(Settings->m_ConfigurationTime.count(), 2500);
   cr_expect_eq(Settings->m_MemoryMb, 260);
   cr_expect_float_eq(Settings->m_Cores, 0.24, 1e-9);
   cr_expect_eq(Settings->m_MaxDescriptors, RouterSettings().m_MaxDescriptors);
