Hold fewer tokens in reserve until the store has had an outage

Cause: what a router may spend without asking the store is lost if it is killed, as no lease and no clock proves how much of it was used. Routers held 0.9 of their even share at all times, for outages of the store: at the kill a third of what was left. Related: a successor that was killed before its first write of a budget took the write-off of its predecessor with it, so that the totals never showed the budget as used up and callers were told to come back.

Change: until the store has had an outage of 500 ms, 0.6 of the even share of an untouched budget, 0.17 once no more than 0.45 of it is free; after an outage 0.9 for ten minutes. A write-off stays in the router's record until the totals include it.

--- a/src/budget/grantallocator.h
+++ b/src/budget/grantallocator.h
@@ -5,6 +5,7 @@
 #include "budget/ibudgetreserver.h"
 #include "budget/transfertypes.h"
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <optional>
@@ -47,8 +48,8 @@
   [[nodiscard]] auto unsettledTokens(const std::string &Budget) const -> Tokens;
 
   /// Sets whether the store can be reached; otherwise a request that needs a write is refused at
-  /// once.
-  auto setStoreReachable(bool IsReachable) -> void { m_IsStoreReachable = IsReachable; }
+  /// once. After an outage more is held in reserve.
+  auto setStoreReachable(bool IsReachable, base::SteadyTime Now) -> void;
 
   /// Reserves tokens at once or after a write has granted them. The callback runs once: with
   /// Granted, with Exhausted if the budget's totals show that too few tokens are left, and
@@ -201,6 +202,10 @@
   /// The part of a grant that is neither used nor needed for reservations.
   [[nodiscard]] static auto returnableTokens(const BudgetState &Item, Tokens Granted) -> Tokens;
 
+  /// Fraction of the even share to hold in reserve. Answers the choice between two losses: a small
+  /// reserve is used up in an outage of the store, a large one is lost if all routers are killed.
+  [[nodiscard]] auto reserveShare(const BudgetState &Item, base::SteadyTime Now) const -> double;
+
   /// Tokens to hold beyond the reservations.
   [[nodiscard]] auto desiredReserve(const std::string &Name, const BudgetState &Item,
                                     base::SteadyTime Now) const -> Tokens;
@@ -235,6 +240,16 @@
       const std::function<std::optional<ReservationOutcome>(const WaitingRequest &)> &Decide)
       -> void;
   auto applyLandedWrite(const UnconfirmedWrite &Landed) -> void;
+
+  /// Tokens that the former process may have used and the budget's totals do not include yet. They
+  /// stay in this router's record, so that they are not forgotten if this process is killed, too.
+  [[nodiscard]] static auto unreportedWriteOff(const BudgetState &Item) -> Tokens {
+    return std::max<Tokens>(0, -Item.m_ReportedUsed);
+  }
+
+  /// This process' grant of a budget as a write leaves it.
+  [[nodiscard]] static auto grantIn(const UnconfirmedWrite &Write, const std::string &Name,
+                                    const BudgetState &Item) -> Tokens;
   auto applyRecords(const Versioned<RouterGrants> &RouterRecord,
                     const std::map<std::string, Versioned<GrantTotals>> &TotalsByBudget) -> void;
   auto updateLowerBounds() -> void;
@@ -251,6 +266,10 @@
   std::int64_t m_FleetRouters = 1;
   bool m_IsSharded = false;
   bool m_IsStoreReachable = true;
+
+  /// Start of the outage in progress, or of the last one, and end of the last one that counts.
+  base::SteadyTime m_OutageStarted;
+  std::optional<base::SteadyTime> m_OutageEnded;
   bool m_IsDraining = false;
 
   /// Set when a newer process has taken over this router's record; no tokens are granted from then
--- a/src/budget/granttypes.h
+++ b/src/budget/granttypes.h
@@ -94,9 +94,22 @@
   /// unreachable, and a kill of one router strands little of what a large fleet holds.
   std::chrono::milliseconds m_ShardOwnerHorizon{12000};
 
-  /// Fraction of its even share of the free tokens that a router holds in reserve. At 1, about half
-  /// of the unused tokens of a budget are held by routers.
-  double m_ReserveShare = 0.9;
+  /// Fraction of its even share of the free tokens that a router holds in reserve: of an untouched
+  /// budget, and of one of which no more than m_LowFreeFraction is free; in proportion between
+  /// them. What routers hold is lost if they are killed, as nobody can tell how much of it a
+  /// process had used. Early in a budget much is left beside it, and a longer outage of the store
+  /// can be covered.
+  double m_FreshReserveShare = 0.6;
+  double m_LowReserveShare = 0.17;
+  double m_LowFreeFraction = 0.45;
+
+  /// The same after an outage of the store, which makes another one likelier. At 0.9, a little less
+  /// than half of the unused tokens is held.
+  double m_ReserveShareAfterOutage = 0.9;
+
+  /// How long an outage counts, and the shortest one that does.
+  std::chrono::milliseconds m_OutageMemory{600000};
+  std::chrono::milliseconds m_MinOutage{500};
 
   /// Time constant of the moving average of demand.
   std::chrono::milliseconds m_RateWindow{5000};
--- a/src/budget/internal/grantallocator.cpp
+++ b/src/budget/internal/grantallocator.cpp
@@ -112,6 +112,27 @@
   return Demand < 2 * Item.m_MeanRequestTokens ? 0 : static_cast<Tokens>(Demand);
 }
 
+auto GrantAllocator::setStoreReachable(bool IsReachable, base::SteadyTime Now) -> void {
+  if (m_IsStoreReachable && !IsReachable) {
+    m_OutageStarted = Now;
+  } else if (!m_IsStoreReachable && IsReachable && Now - m_OutageStarted >= m_Options.m_MinOutage) {
+    m_OutageEnded = Now;
+  }
+  m_IsStoreReachable = IsReachable;
+}
+
+auto GrantAllocator::reserveShare(const BudgetState &Item, base::SteadyTime Now) const -> double {
+  if (m_OutageEnded && Now - *m_OutageEnded < m_Options.m_OutageMemory) {
+    return m_Options.m_ReserveShareAfterOutage;
+  }
+  const auto FreeFraction =
+      static_cast<double>(freeTokensOf(Item)) / std::max(1.0, static_cast<double>(Item.m_Prepaid));
+  const auto Freshness = std::clamp(
+      (FreeFraction - m_Options.m_LowFreeFraction) / (1.0 - m_Options.m_LowFreeFraction), 0.0, 1.0);
+  return m_Options.m_LowReserveShare +
+         Freshness * (m_Options.m_FreshReserveShare - m_Options.m_LowReserveShare);
+}
+
 auto GrantAllocator::desiredReserve(const std::string &Name, const BudgetState &Item,
                                     base::SteadyTime Now) const -> Tokens {
   if (m_IsDraining || m_IsSuperseded || m_BudgetsWithoutReserve.contains(Name)) {
@@ -123,7 +144,7 @@
   const auto Free = freeTokensOf(Item);
   const auto Share =
       static_cast<Tokens>(static_cast<double>(Free + unreservedTokens(Item)) *
-                          m_Options.m_ReserveShare / static_cast<double>(m_SharingRouters));
+                          reserveShare(Item, Now) / static_cast<double>(m_SharingRouters));
   const auto Horizon = m_IsSharded ? m_Options.m_ShardOwnerHorizon : m_Options.m_Horizon;
   const auto Demand = demandRate(Item, Now) * static_cast<double>(Horizon.count());
   // Arrivals vary, so one standard deviation of a Poisson process is added.
@@ -358,8 +379,9 @@
   Next.m_RouterGrants.m_Sequence = ++m_Sequence;
   auto Changes = std::vector<std::pair<const std::string *, Tokens>>();
   for (const auto &[Name, Item] : m_Budgets) {
-    if (Item.m_Granted != 0) {
-      Next.m_RouterGrants.m_Granted[Name] = Item.m_Granted;
+    const auto WriteOff = unreportedWriteOff(Item);
+    if (Item.m_Granted != 0 || WriteOff != 0) {
+      Next.m_RouterGrants.m_Granted[Name] = Item.m_Granted + WriteOff;
       Next.m_RouterGrants.m_Settled[Name] = std::max<Tokens>(0, Item.m_ReportedUsed);
     }
     // Between refreshes only budgets with waiting requests are written, so that few writes
@@ -424,8 +446,7 @@
   for (auto &[Name, Item] : m_Budgets) {
     Item.m_GrantedLowerBound.reset();
     const auto Lower = [&Name = Name, &Item = Item](const UnconfirmedWrite &Open) {
-      const auto Found = Open.m_RouterGrants.m_Granted.find(Name);
-      const auto Left = Found == Open.m_RouterGrants.m_Granted.end() ? Tokens{0} : Found->second;
+      const auto Left = grantIn(Open, Name, Item);
       Item.m_GrantedLowerBound = std::min(Item.m_GrantedLowerBound.value_or(Left), Left);
     };
     if (m_InFlight) {
@@ -435,10 +456,18 @@
   }
 }
 
+auto GrantAllocator::grantIn(const UnconfirmedWrite &Write, const std::string &Name,
+                             const BudgetState &Item) -> Tokens {
+  const auto Found = Write.m_RouterGrants.m_Granted.find(Name);
+  if (Found == Write.m_RouterGrants.m_Granted.end()) {
+    return 0;
+  }
+  return Found->second - (Write.m_ReportedUsed.contains(Name) ? 0 : unreportedWriteOff(Item));
+}
+
 auto GrantAllocator::applyLandedWrite(const UnconfirmedWrite &Landed) -> void {
   for (auto &[Name, Item] : m_Budgets) {
-    const auto Found = Landed.m_RouterGrants.m_Granted.find(Name);
-    Item.m_Granted = Found == Landed.m_RouterGrants.m_Granted.end() ? 0 : Found->second;
+    Item.m_Granted = grantIn(Landed, Name, Item);
     if (const auto Reported = Landed.m_ReportedUsed.find(Name);
         Reported != Landed.m_ReportedUsed.end()) {
       Item.m_ReportedUsed = Reported->second;
--- a/src/budget/internal/grantservice.cpp
+++ b/src/budget/internal/grantservice.cpp
@@ -341,7 +341,7 @@
 
 auto GrantService::setStoreReachable(bool IsReachable) -> void {
   m_IsStoreReachable = IsReachable;
-  m_Allocator.setStoreReachable(IsReachable);
+  m_Allocator.setStoreReachable(IsReachable, m_Clock.steadyNow());
   advance();
 }
 
--- a/src/budget/tests/grantbook_test.cpp
+++ b/src/budget/tests/grantbook_test.cpp
@@ -141,6 +141,98 @@
   }
 }
 
+namespace {
+
+/// Tokens that are neither used nor free after all processes were killed, over those not used.
+auto strandedShare(const GrantSimulation &Simulation) -> double {
+  const auto Left = Simulation.highestPrepaid() - Simulation.used();
+  const auto Free = Simulation.highestPrepaid() - Simulation.totals().m_Granted;
+  return static_cast<double>(Left - Free) / static_cast<double>(Left);
+}
+
+} // namespace
+
+// Guards against prepaid tokens that a kill of all routers takes away: a fifth of a budget that was
+// meant for the requests after the restart. The budget lasts for half a minute; at most a quarter
+// of what is left may be lost, requests in flight included, whenever the kill comes.
+Test(grantallocator, killOfAllProcessesStrandsLittleBeforeAnyOutage) {
+  for (const auto Routers : {std::size_t{3}, std::size_t{9}}) {
+    auto Sum = 0.0;
+    for (auto Seed = std::uint64_t{1}; Seed <= Seeds; ++Seed) {
+      auto Simulation = GrantSimulation(Routers, 2800000, {.m_FollowsStore = true}, Seed);
+      for (auto Step = 0; Step < 1200; ++Step) {
+        Simulation.step(0.15 / static_cast<double>(Routers));
+      }
+      Simulation.killAll();
+      Sum += strandedShare(Simulation);
+    }
+    cr_assert_leq(Sum / Seeds, 0.333, "%zu routers: %.3f of what is left", Routers, Sum / Seeds);
+  }
+}
+
+Test(grantallocator, killsInSeriesLeaveAThirdOfTheBudget) {
+  for (auto Seed = std::uint64_t{1}; Seed <= Seeds; ++Seed) {
+    auto Simulation = GrantSimulation(3, 6000000, {.m_FollowsStore = true}, Seed);
+    for (auto Kill = 0; Kill < 5; ++Kill) {
+      for (auto Step = 0; Step < 300; ++Step) {
+        Simulation.step(0.02);
+      }
+      Simulation.killAll();
+    }
+    cr_assert_leq(strandedShare(Simulation), 0.66, "seed %lu: %.3f", Seed,
+                  strandedShare(Simulation));
+  }
+}
+
+// Guards against a second outage that meets as small a reserve as the first one.
+Test(grantallocator, moreIsHeldAfterAnOutage) {
+  const auto heldShare = [](bool HasOutage) {
+    auto Simulation = GrantSimulation(9, 2800000, {.m_FollowsStore = true}, 5);
+    const auto play = [&Simulation](int Steps) {
+      for (auto Step = 0; Step < Steps; ++Step) {
+        Simulation.step(0.015);
+      }
+    };
+    play(600);
+    Simulation.disconnectAll(HasOutage);
+    play(100);
+    Simulation.disconnectAll(false);
+    play(500);
+    Simulation.killAll();
+    return strandedShare(Simulation);
+  };
+  cr_expect_geq(heldShare(true), heldShare(false) + 0.05, "%.3f and %.3f", heldShare(true),
+                heldShare(false));
+}
+
+// Guards against tokens that are no longer known to be used after two kills: callers would be told
+// to come back for a budget that can never serve them.
+Test(grantallocator, secondKillForgetsNoWriteOff) {
+  auto Allocator = GrantAllocator(GrantOptions{.m_Incarnation = 5});
+  Allocator.setPrepaid({{"a", 100000}, {"b", 1000}}, Start);
+  Allocator.onReadStarted();
+  const auto Former = RouterGrants{3, 9, {{"a", 500}, {"b", 1000}}, {{"a", 100}, {"b", 200}}};
+  const auto Totals = std::map<std::string, Versioned<GrantTotals>>{{"a", {{500, 100}, 7}},
+                                                                    {"b", {{1000, 200}, 7}}};
+  Allocator.onRecordsRead({Former, 7}, Totals, Start);
+  const auto Write = Allocator.composeWrite(Start + 2s);
+  cr_assert(Write.m_TotalsByBudget.contains("a"));
+  cr_assert_not(Write.m_TotalsByBudget.contains("b"), "nothing is free, so nothing is drawn");
+  cr_assert_eq(Write.m_TotalsByBudget.at("a").m_Value.m_Settled, 500);
+  const auto &Record = Write.m_RouterGrants.m_Value;
+  cr_assert_eq(Record.m_Granted.at("b") - Record.m_Settled.at("b"), 800);
+  Allocator.onWriteLanded(8, Start + 2s);
+  cr_assert_eq(Allocator.spendable("b"), 0, "what the former process held is not this one's");
+  auto Next = GrantAllocator(GrantOptions{.m_Incarnation = 6});
+  Next.setPrepaid({{"a", 100000}, {"b", 6000}}, Start);
+  Next.onReadStarted();
+  Next.onRecordsRead({Record, 8}, {{"a", Write.m_TotalsByBudget.at("a")}, {"b", {{1000, 200}, 7}}},
+                     Start);
+  const auto Last = Next.composeWrite(Start + 2s);
+  cr_assert_eq(Last.m_TotalsByBudget.at("b").m_Value.m_Settled, 1000);
+  cr_assert_gt(Last.m_TotalsByBudget.at("b").m_Value.m_Granted, 1000, "the top-up is drawn on");
+}
+
 Test(grantallocator, drainReturnsAllUnusedTokens) {
   auto Simulation = GrantSimulation(3, 1000000, {}, 1);
   for (auto Step = 0; Step < 300; ++Step) {
@@ -172,7 +264,7 @@
 
 Test(grantallocator, requestIsRefusedAtOnceWithoutTheStore) {
   auto Allocator = readyAllocator(1000000);
-  Allocator.setStoreReachable(false);
+  Allocator.setStoreReachable(false, Start);
   auto Answer = std::optional<ReservationOutcome>();
   Allocator.reserve("b", 100, Start + 1s, Start,
                     [&Answer](ReservationOutcome Got) { Answer = Got; });
@@ -187,7 +279,7 @@
   const auto Held = Allocator.spendable("b");
   cr_assert(Allocator.tryReserve("b", Held, Start));
   cr_assert_eq(Allocator.nextCall(Start + 10s), GrantCall::Write);
-  Allocator.setStoreReachable(false);
+  Allocator.setStoreReachable(false, Start);
   cr_assert_eq(Allocator.nextCall(Start + 10s), GrantCall::None);
   cr_assert_not(Allocator.nextWakeTime(Start + 10s), "only the store's return changes that");
   Allocator.settle("b", Held, 0, Start + 10s);
@@ -299,11 +391,11 @@
 Test(grantallocator, refusedRequestsDoNotCountAsDemand) {
   const auto GrantedAfterRefusals = [](int Refused) {
     auto Allocator = readyAllocator(10000000);
-    Allocator.setStoreReachable(false);
+    Allocator.setStoreReachable(false, Start);
     for (auto Number = 0; Number < Refused; ++Number) {
       Allocator.reserve("b", 9000, Start + 1s, Start, [](ReservationOutcome) {});
     }
-    Allocator.setStoreReachable(true);
+    Allocator.setStoreReachable(true, Start);
     return Allocator.composeWrite(Start + 5s).m_TotalsByBudget.at("b").m_Value.m_Granted;
   };
   cr_expect_eq(GrantedAfterRefusals(50), GrantedAfterRefusals(0));
--- a/src/budget/tests/grantsimulation.h
+++ b/src/budget/tests/grantsimulation.h
@@ -35,6 +35,9 @@
 
   /// Whether a router whose grant does not cover a request asks another one for tokens.
   bool m_TransfersTokens = false;
+
+  /// Whether the routers learn of each other's writes by a watch, as in a small fleet.
+  bool m_FollowsStore = false;
 };
 
 /// Simulates several routers that draw on one budget through a store that loses answers and applies
@@ -307,7 +310,7 @@
     const auto IsDisconnected = m_Now < Item.m_DisconnectedUntil;
     if (IsDisconnected == Item.m_IsReachable) {
       Item.m_IsReachable = !IsDisconnected;
-      Item.m_Allocator->setStoreReachable(!IsDisconnected);
+      Item.m_Allocator->setStoreReachable(!IsDisconnected, m_Now);
     }
     switch (Item.m_Allocator->nextCall(m_Now)) {
     case GrantCall::None:
@@ -366,9 +369,24 @@
     for (const auto &[Name, Totals] : Write.m_TotalsByBudget) {
       m_Totals = {Totals.m_Value, m_Revision};
     }
+    if (m_Faults.m_FollowsStore) {
+      tellOfTotals();
+    }
     return true;
   }
 
+  /// Tells all connected routers of the totals once their next watch ends.
+  auto tellOfTotals() -> void {
+    m_Timers.start(m_Clock.steadyNow() + std::chrono::milliseconds(m_Random() % 700),
+                   [this, Totals = m_Totals] {
+                     for (auto &Item : m_Routers) {
+                       if (Item->m_Allocator != nullptr && m_Now >= Item->m_DisconnectedUntil) {
+                         Item->m_Allocator->updateTotals(Budget, Totals);
+                       }
+                     }
+                   });
+  }
+
   auto applyLateWrites() -> void {
     std::erase_if(m_LateWrites, [this](const LateWrite &Late) {
       if (Late.m_At > m_Now) {
