--- a/src/budget/internal/recordcodec.cpp
+++ b/src/budget/internal/recordcodec.cpp
@@ -1,5 +1,7 @@
 #include "budget/internal/recordcodec.h"
 
+#include "base/shallowjson.h"
+
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
 #include <cereal/archives/json.hpp>
@@ -46,26 +48,6 @@
 
 } // namespace
 
-auto isShallowJson(std::string_view Text) -> bool {
-  int Depth = 0;
-  auto InString = false;
-  for (std::size_t At = 0; At < Text.size(); ++At) {
-    const auto Symbol = Text[At];
-    if (InString) {
-      At += Symbol == '\\' ? 1 : 0;
-      InString = Symbol != '"';
-      continue;
-    }
-    InString = Symbol == '"';
-    Depth += Symbol == '[' || Symbol == '{' ? 1 : 0;
-    Depth -= Symbol == ']' || Symbol == '}' ? 1 : 0;
-    if (Depth > MaxJsonDepth) {
-      return false;
-    }
-  }
-  return true;
-}
-
 auto packBills(const std::vector<RecentBill> &Bills) -> std::string {
   auto Text = std::string();
   for (const auto &Bill : Bills) {
@@ -102,7 +84,7 @@
 }
 
 auto decodeRecord(std::string_view Text) -> absl::StatusOr<BudgetRecord> {
-  if (!internal::isShallowJson(Text)) {
+  if (!base::isShallowJson(Text)) {
     return absl::InvalidArgumentError("the JSON of the budget record is nested too deeply");
   }
   auto Record = BudgetRecord();
--- a/src/budget/internal/recordcodec.h
+++ b/src/budget/internal/recordcodec.h
@@ -9,13 +9,6 @@
 
 namespace geraniumlift::budget::internal {
 
-/// Greatest nesting depth of the JSON text that is parsed; a record nests object, list of holders
-/// and holder. The JSON parser is recursive, so that deeper text must be rejected before parsing.
-inline constexpr int MaxJsonDepth = 4;
-
-/// Whether the brackets of a JSON text are nested no deeper than MaxJsonDepth.
-auto isShallowJson(std::string_view Text) -> bool;
-
 /// Packs recent bills into one string, because 4,096 JSON objects would triple the size of the
 /// record. Each bill is "hash.tokens.seconds;" with the numbers in hexadecimal.
 auto packBills(const std::vector<RecentBill> &Bills) -> std::string;
--- a/src/fleet/internal/fleetcodec.cpp
+++ b/src/fleet/internal/fleetcodec.cpp
@@ -1,6 +1,7 @@
 #include "fleet/fleettypes.h"
 
 #include "base/boundedread.h"
+#include "base/shallowjson.h"
 
 #include <cereal/archives/json.hpp>
 #include <cereal/archives/portable_binary.hpp>
@@ -127,6 +128,9 @@
 }
 
 auto decodeRouter(std::string_view Text) -> absl::StatusOr<RouterRecord> {
+  if (!base::isShallowJson(Text)) {
+    return absl::InvalidArgumentError("the JSON of the router's record is nested too deeply");
+  }
   try {
     auto Stream = std::istringstream(std::string(Text));
     auto Archive = cereal::JSONInputArchive(Stream);
--- a/src/fleet/tests/peertable_test.cpp
+++ b/src/fleet/tests/peertable_test.cpp
@@ -153,4 +153,6 @@
   cr_expect_not(decodeMessage("X").ok());
   cr_expect_not(decodeRouter("{}").ok());
   cr_expect_not(decodeRouter("nonsense").ok());
+  cr_expect_not(decodeRouter(R"({"router":)" + std::string(300000, '[')).ok(),
+                "it must not overflow the stack");
 }
--- a/src/quarantine/internal/quarantinecodec.cpp
+++ b/src/quarantine/internal/quarantinecodec.cpp
@@ -1,6 +1,7 @@
 #include "quarantine/quarantinetypes.h"
 
 #include "base/boundedread.h"
+#include "base/shallowjson.h"
 
 #include <cereal/archives/json.hpp>
 #include <cereal/archives/portable_binary.hpp>
@@ -83,6 +84,9 @@
 }
 
 auto decodeRecord(std::string_view Text) -> absl::StatusOr<QuarantineRecord> {
+  if (!base::isShallowJson(Text)) {
+    return absl::InvalidArgumentError("the JSON of the quarantine is nested too deeply");
+  }
   try {
     auto Stream = std::istringstream(std::string(Text));
     auto Archive = cereal::JSONInputArchive(Stream);
--- a/src/quarantine/tests/quarantineservice_test.cpp
+++ b/src/quarantine/tests/quarantineservice_test.cpp
@@ -238,3 +238,11 @@
     cr_expect_not(decodeUpdate(std::string_view(Bytes).substr(0, Size)).ok());
   }
 }
+
+// Guards against a router that ends at a record that somebody else has written.
+Test(quarantineservice, oddRecordIsRejected) {
+  for (const auto &Text : {std::string(300000, '['), std::string(R"({"part":1e999})"),
+                           R"({"part":)" + std::string(300000, '{')}) {
+    cr_expect_not(decodeRecord(Text).ok());
+  }
+}
