Resume a stream only with an answer of the same status and media type

Other operators told of an error's text in the middle of a stream, or a stream that ended as if complete, after the next runner had answered with an error. Answers with an error status held: they are never passed into a begun stream. But any 2xx of the next target went on with it: a JSON or HTML error of status 200 became part of the stream, and a 204 ended it as complete.

Change: an answer goes on with a begun stream only if its status and media type are those of the answer that the caller has begun to receive; otherwise the attempt has failed, and the caller's connection is closed in the middle.

Price: two short strings a stream.

--- a/src/forwarding/forwardsession.h
+++ b/src/forwarding/forwardsession.h
@@ -64,10 +64,14 @@
   auto onIdleTimeout() -> void;
   auto onDeadline() -> void;
 
+  /// Whether the response goes on with the stream that the caller has begun to receive.
+  [[nodiscard]] auto isContinuation(const http1::ResponseHead &Head) const -> bool;
+
   /// Handles the end of a buffered response: retries after a 5xx status if that is allowed,
   /// otherwise sends the response to the caller.
   auto onBufferedResponse() -> void;
   auto forwardEvents(std::string_view Bytes) -> void;
+  auto beginResponse() -> void;
 
   /// Ends the attempt and retries the request, or refuses it, or closes the caller's connection if
   /// part of the response was sent.
@@ -136,6 +140,10 @@
   /// Whether only the end of the connection ends the response: it has neither a length nor chunks.
   bool m_IsUnframed = false;
   bool m_HasResponseBegun = false;
+
+  /// Status and media type of the response that the caller has begun to receive.
+  int m_BegunStatus = 0;
+  std::string m_BegunMediaType;
   EventSplitter m_Events;
   std::int64_t m_EventsSent = 0;
 
--- a/src/forwarding/internal/forwardsessionanswer.cpp
+++ b/src/forwarding/internal/forwardsessionanswer.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/forwardsession.h"
 
+#include <absl/strings/ascii.h>
+
 // The part of ForwardSession that handles responses of targets.
 
 namespace geraniumlift::forwarding {
@@ -18,6 +20,14 @@
   return Status == 408 || Status == 421 || Status == 429 || Status == 503;
 }
 
+/// The media type of a response in lower case, without its parameters; empty if it has none.
+auto mediaType(const http1::ResponseHead &Head) -> std::string {
+  const auto Value = Head.m_Fields.find("Content-Type").value_or("");
+  auto Type = absl::AsciiStrToLower(std::string(Value.substr(0, Value.find(';'))));
+  absl::StripAsciiWhitespace(&Type);
+  return Type;
+}
+
 } // namespace
 
 auto ForwardSession::recordFirstByte() -> void {
@@ -51,7 +61,7 @@
     return;
   }
   m_IsEventStream = m_Route->m_Kind == RequestKind::Streaming && isSuccess(Head.m_Status);
-  if (m_HasResponseBegun && !m_IsEventStream) {
+  if (m_HasResponseBegun && !isContinuation(Head)) {
     attemptFailed(base::Verdict::MayHaveRun, AttemptResult::Failed, "not_resumed");
     return;
   }
@@ -61,6 +71,17 @@
   removeHopByHopFields(m_ResponseHead->m_Fields);
 }
 
+auto ForwardSession::isContinuation(const http1::ResponseHead &Head) const -> bool {
+  return m_IsEventStream && Head.m_Status == m_BegunStatus && mediaType(Head) == m_BegunMediaType;
+}
+
+auto ForwardSession::beginResponse() -> void {
+  m_HasResponseBegun = true;
+  m_BegunStatus = m_ResponseHead->m_Status;
+  m_BegunMediaType = mediaType(*m_ResponseHead);
+  m_Caller->begin(*m_ResponseHead);
+}
+
 auto ForwardSession::onBody(std::string Bytes) -> void {
   if (!m_ResponseHead) {
     return;
@@ -84,9 +105,9 @@
     return;
   }
   recordFirstByte();
-  if (!std::exchange(m_HasResponseBegun, true)) {
+  if (!m_HasResponseBegun) {
     m_Context.m_Quarantine.onResponseBegun(m_SharedParts);
-    m_Caller->begin(*m_ResponseHead);
+    beginResponse();
   }
   m_EventsSent = m_Events.count();
   m_Caller->sendChunk(std::move(Complete));
@@ -127,8 +148,7 @@
   endAttempt(AttemptResult::Success);
   recordFirstByte();
   if (!m_HasResponseBegun) {
-    m_HasResponseBegun = true;
-    m_Caller->begin(*m_ResponseHead);
+    beginResponse();
   }
   m_Caller->finish();
   finish("answered");
--- a/src/forwarding/tests/forwardingfakes.h
+++ b/src/forwarding/tests/forwardingfakes.h
@@ -296,10 +296,13 @@
   }
 
   /// Delivers a response header to the newest attempt.
-  auto answerHead(int Status, const std::vector<std::string> &Marks, const std::string &Id = "r1")
-      -> void {
+  auto answerHead(int Status, const std::vector<std::string> &Marks, const std::string &Id = "r1",
+                  const std::string &MediaType = {}) -> void {
     auto Head = http1::ResponseHead{Status, "x", {}};
     Head.m_Fields.add("id", Id);
+    if (!MediaType.empty()) {
+      Head.m_Fields.add("Content-Type", MediaType);
+    }
     for (const auto &Mark : Marks) {
       Head.m_Fields.add(Mark, "1");
     }
--- a/src/forwarding/tests/forwardsession_test.cpp
+++ b/src/forwarding/tests/forwardsession_test.cpp
@@ -186,6 +186,44 @@
   cr_assert_eq(Fixture.m_Caller->m_Body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
 }
 
+// Guards against the text of an error, or its whole head, in the middle of a stream, and against a
+// stream that ends as if it were complete: the target that is to resume it answers with an error.
+Test(forwardsession, errorOfTheNextTargetIsNoPartOfTheStream) {
+  struct Answer {
+    int m_Status;
+    std::vector<std::string> m_Marks;
+    std::string m_MediaType;
+  };
+  const auto Error = std::string("{\"error\":\"boom\"}\n\n");
+  for (const auto &Next :
+       {Answer{500, {"signed"}, "text/event-stream"}, Answer{503, {"not-run"}, ""},
+        Answer{503, {"signed"}, "application/json"}, Answer{404, {"signed"}, "text/plain"},
+        Answer{200, {"signed"}, "application/json"}, Answer{200, {"signed"}, "text/html"},
+        Answer{202, {"signed"}, "text/event-stream"}, Answer{204, {"signed"}, ""},
+        Answer{200, {}, "text/event-stream"}, Answer{304, {"signed"}, ""}}) {
+    auto Fixture = ForwardingFixture();
+    Fixture.request("/resumable/1", true);
+    Fixture.connect();
+    Fixture.answerHead(200, {"signed"}, "r1", "text/event-stream; charset=utf-8");
+    Fixture.body("id: 1\ndata: a\n\nid: 2\nda");
+    Fixture.fail(Verdict::MayHaveRun);
+    cr_assert_eq(Fixture.attempts().size(), 2U);
+    Fixture.connect();
+    Fixture.answerHead(Next.m_Status, Next.m_Marks, "r1", Next.m_MediaType);
+    if (!Fixture.attempts().back()->m_IsClosed) {
+      Fixture.body(Error);
+    }
+    if (!Fixture.attempts().back()->m_IsClosed) {
+      Fixture.end();
+    }
+    cr_expect_eq(Fixture.m_Caller->m_Body, "id: 1\ndata: a\n\n", "%d %s: %s", Next.m_Status,
+                 Next.m_MediaType.c_str(), Fixture.m_Caller->m_Body.c_str());
+    cr_expect_not(Fixture.m_Caller->m_IsComplete, "%d %s", Next.m_Status, Next.m_MediaType.c_str());
+    cr_expect(Fixture.m_Caller->m_IsAborted);
+    cr_expect_eq(Fixture.m_Caller->m_Status, 200);
+  }
+}
+
 // Guards against a target that sends bytes without end which never become an event: they would fill
 // the memory, and the caller would wait until its deadline.
 Test(forwardsession, eventWithoutEndFailsTheAttempt) {
