Take a refusal on a kept connection for no proof that a service call did not run

Other operators told of a runner that wrote an earlier refusal once more on a kept connection.

Change: a refusal proves that a call did not run only on the first exchange of a connection; later ones may have run. Calls that may not be repeated have a connection of their own already.

Evidence: refusalOnAKeptConnectionProvesNothing fails without the change (seen).

--- a/src/targets/internal/httpexchange.cpp
+++ b/src/targets/internal/httpexchange.cpp
@@ -193,8 +193,8 @@
       fail("The response ended before its length was reached.");
       return;
     }
-    const auto Verdict =
-        verdictOfResponse(m_Response->status_code(), isHeaderTrue(*m_Response, "X-Not-Run"));
+    const auto Verdict = verdictOfResponse(
+        m_Response->status_code(), isHeaderTrue(*m_Response, "X-Not-Run"), m_FreshConnection);
     postToReceiver([Verdict](IHttpReceiver &Receiver) { Receiver.onEnd({true, Verdict, ""}); });
   }
 
--- a/src/targets/internal/verdictrules.cpp
+++ b/src/targets/internal/verdictrules.cpp
@@ -23,9 +23,13 @@
                                                : base::Verdict::MayHaveRun;
 }
 
-auto verdictOfResponse(std::int64_t Status, bool HasNotRunHeader) -> base::Verdict {
+auto verdictOfResponse(std::int64_t Status, bool HasNotRunHeader, bool IsFreshConnection)
+    -> base::Verdict {
   const auto IsRefusal = Status == TooManyRequests || Status == ServiceUnavailable;
-  return IsRefusal && HasNotRunHeader ? base::Verdict::DidNotRun : base::Verdict::Ran;
+  if (!IsRefusal || !HasNotRunHeader) {
+    return base::Verdict::Ran;
+  }
+  return IsFreshConnection ? base::Verdict::DidNotRun : base::Verdict::MayHaveRun;
 }
 
 } // namespace geraniumlift::targets
--- a/src/targets/tests/httptargetclient_test.cpp
+++ b/src/targets/tests/httptargetclient_test.cpp
@@ -96,8 +96,8 @@
 /// Accepts one connection, reads once, writes fixed bytes and closes the connection.
 class RawServer {
 public:
-  explicit RawServer(std::string Bytes)
-      : m_Thread([this, Moved = std::move(Bytes)] { serve(Moved); }) {}
+  explicit RawServer(std::string Bytes, int Requests = 1)
+      : m_Thread([this, Moved = std::move(Bytes), Requests] { serve(Moved, Requests); }) {}
   ~RawServer() { m_Thread.join(); }
 
   auto url() -> std::string {
@@ -105,12 +105,14 @@
   }
 
 private:
-  auto serve(const std::string &Bytes) -> void {
+  auto serve(const std::string &Bytes, int Requests) -> void {
     auto Error = boost::system::error_code();
     auto Socket = m_Acceptor.accept(Error);
     auto Buffer = std::array<char, 4096>();
-    Socket.read_some(boost::asio::buffer(Buffer), Error);
-    boost::asio::write(Socket, boost::asio::buffer(Bytes), Error);
+    for (auto Number = 0; Number < Requests && !Error; ++Number) {
+      Socket.read_some(boost::asio::buffer(Buffer), Error);
+      boost::asio::write(Socket, boost::asio::buffer(Bytes), Error);
+    }
   }
 
   boost::asio::io_context m_Context;
@@ -277,6 +279,19 @@
   cr_assert_eq(Service.count("by_key", "k1"), 1);
 }
 
+// Guards against a service that writes an earlier refusal once more on a kept connection: the
+// caller of the next request would be told that it did not run.
+Test(service, refusalOnAKeptConnectionProvesNothing) {
+  const auto Refusal =
+      std::string("HTTP/1.1 503 x\r\nX-Not-Run: true\r\nContent-Length: 0\r\n\r\n");
+  auto Server = RawServer(Refusal, 2);
+  auto Setup = Fixture();
+  cr_assert(Setup.call(Server.url(), "GET", true).m_Verdict == base::Verdict::DidNotRun);
+  const auto Second = Setup.call(Server.url(), "GET", true);
+  cr_assert_eq(Second.m_Status, 503);
+  cr_assert(Second.m_Verdict == base::Verdict::MayHaveRun);
+}
+
 // Guards against following a redirect, which would send a call a second time and to a host that is
 // not a target.
 Test(service, redirectIsNotFollowed) {
--- a/src/targets/tests/streamstate_test.cpp
+++ b/src/targets/tests/streamstate_test.cpp
@@ -63,9 +63,11 @@
   cr_assert(verdictOfFailure({true, "Failed to write request headers"}) ==
             base::Verdict::MayHaveRun);
   cr_assert(verdictOfFailure({true, "an unknown text"}) == base::Verdict::MayHaveRun);
-  cr_assert(verdictOfResponse(503, true) == base::Verdict::DidNotRun);
-  cr_assert(verdictOfResponse(503, false) == base::Verdict::Ran);
-  cr_assert(verdictOfResponse(500, true) == base::Verdict::Ran);
+  cr_assert(verdictOfResponse(503, true, true) == base::Verdict::DidNotRun);
+  cr_assert(verdictOfResponse(503, false, true) == base::Verdict::Ran);
+  cr_assert(verdictOfResponse(500, true, true) == base::Verdict::Ran);
+  cr_assert(verdictOfResponse(503, true, false) == base::Verdict::MayHaveRun);
+  cr_assert(verdictOfResponse(503, false, false) == base::Verdict::Ran);
 }
 
 // Guards against a request ID whose characters change the path of a resumption request.
--- a/src/targets/verdictrules.h
+++ b/src/targets/verdictrules.h
@@ -22,7 +22,9 @@
 auto verdictOfFailure(const FailedExchange &Failed) -> base::Verdict;
 
 /// Verdict of a complete response: DidNotRun for status 429 or 503 with X-Not-Run: true, by which a
-/// target states that it refused the request before running it, else Ran.
-auto verdictOfResponse(std::int64_t Status, bool HasNotRunHeader) -> base::Verdict;
+/// target states that it refused the request before running it, else Ran. On a kept connection the
+/// refusal may be a second copy of one of an earlier request, so it proves nothing.
+auto verdictOfResponse(std::int64_t Status, bool HasNotRunHeader, bool IsFreshConnection)
+    -> base::Verdict;
 
 } // namespace geraniumlift::targets
--- a/testing/standins/platform/targetstandin.cpp
+++ b/testing/standins/platform/targetstandin.cpp
@@ -107,6 +107,10 @@
   if (Fault == TargetFault::Hangs) {
     return std::nullopt;
   }
+  if (Fault == TargetFault::RepeatsRefusal) {
+    return Reply{"HTTP/1.1 503 x\r\nRequest-Id: earlier\r\nNot-Executed: 1\r\n"
+                 "Content-Length: 0\r\n\r\n"};
+  }
   if (Fault == TargetFault::LosesAnswer) {
     return Reply{"", true};
   }
--- a/testing/standins/platform/targetstandin.h
+++ b/testing/standins/platform/targetstandin.h
@@ -8,7 +8,16 @@
 namespace geraniumlift::standins {
 
 /// What a target does with the next requests.
-enum class TargetFault { None, LosesAnswer, Refuses, Hangs, BreaksStream, Fails };
+enum class TargetFault {
+  None,
+  LosesAnswer,
+  Refuses,
+  Hangs,
+  BreaksStream,
+  Fails,
+  /// Runs the request, but first writes the refusal of an earlier one.
+  RepeatsRefusal,
+};
 
 /// A target that registers itself in the store and counts what it ran.
 class TargetStandin {
