Let relays confirm their knowledge at the relay's pace in fleets without shards, too

Cause: a relay that still follows all keys (no budgets, or their layout is not known yet) watched at the interval of an ordinary router, 0.35 change times, which is the lag at which a relay resigns: on a busy VM it would have resigned now and then without a fault.

Evidence: relaysStayWithoutAFault fails without the change (778 ms, 700 are the limit). Price: a relay without shards makes five watches of all keys in two change times, not three.

--- a/src/router/internal/storesubscription.cpp
+++ b/src/router/internal/storesubscription.cpp
@@ -29,7 +29,7 @@
 
 auto StoreSubscription::followerOptions() const -> keyvalue::StoreFollowerOptions {
   auto Result = keyvalue::StoreFollowerOptions();
-  const auto IsRelay = m_Role == fleet::FleetRole::Relay && !m_FollowsBudgets;
+  const auto IsRelay = m_Role == fleet::FleetRole::Relay;
   const auto &Times = m_Options.m_Times;
   Result.m_MinWatchInterval = IsRelay ? Times.m_RelayWatchInterval : Times.m_WatchInterval;
   Result.m_WatchTimeout = IsRelay ? Times.m_RelayWatchInterval : Times.m_WatchWait;
--- a/src/router/tests/storesubscription_test.cpp
+++ b/src/router/tests/storesubscription_test.cpp
@@ -149,7 +149,7 @@
     }
 
     auto advance() -> void {
-      if (m_Subscription.followsBudgets() && m_Sequence > 3) {
+      if (m_Fleet.m_HasShards && m_Subscription.followsBudgets() && m_Sequence > 3) {
         m_Subscription.stopFollowingBudgets();
       }
       auto Own = fleet::Heartbeat();
@@ -177,8 +177,8 @@
     }
   };
 
-  SubscribedFleet(int Routers, milliseconds ChangeTime)
-      : m_Times(mirror::followTimesFor(ChangeTime)) {
+  SubscribedFleet(int Routers, milliseconds ChangeTime, bool HasShards = true)
+      : m_Times(mirror::followTimesFor(ChangeTime)), m_HasShards(HasShards) {
     writeConfiguration();
     for (auto Number = 0; Number < Routers; ++Number) {
       const auto Spread = random(m_Times.m_MaxAgeSpread.count() + 1);
@@ -260,6 +260,9 @@
   fakes::ManualTimers m_Timers{m_Clock};
   PlayedStore m_Store;
   mirror::FollowTimes m_Times;
+
+  /// Whether budgets are split into shards, so that routers need not follow their records.
+  bool m_HasShards = true;
   std::vector<std::unique_ptr<Node>> m_Nodes;
 
 private:
@@ -342,6 +345,26 @@
   }
 }
 
+// Guards against relays that resign again and again although they reach the store: in a fleet
+// without shards every router follows all keys.
+Test(storesubscription, relaysStayWithoutAFault) {
+  for (const auto HasShards : {true, false}) {
+    auto Fleet = SubscribedFleet(40, 2000ms, HasShards);
+    Fleet.run(6s);
+    auto &Relay = Fleet.relay();
+    // A busy VM.
+    Relay.m_Timers.m_Delay = 40ms;
+    for (auto Step = 0; Step < 100; ++Step) {
+      Fleet.run(100ms);
+      const auto Age = Relay.m_Subscription.storeAge({});
+      cr_assert_lt(Age, Fleet.m_Times.m_MaxStoreLag, "shards %d, step %d: %ld ms", HasShards, Step,
+                   Age.count());
+      cr_assert(Relay.m_Peers.role() == fleet::FleetRole::Relay, "shards %d, step %d", HasShards,
+                Step);
+    }
+  }
+}
+
 // Guards against a store that all routers of a large fleet call: without a fault only relays do.
 Test(storesubscription, onlyRelaysCallTheStore) {
   auto Fleet = SubscribedFleet(74, 3000ms);
