Hand the last outage on to a restarted router; shard owners hold what a small fleet holds

The router's record now tells its successor when the last outage ended; it only sizes the reserve, so that a clock that jumps does no harm.

Price: one number in a record that is written anyway.

--- a/src/budget/grantallocator.h
+++ b/src/budget/grantallocator.h
@@ -49,7 +49,10 @@
 
   /// Sets whether the store can be reached; otherwise a request that needs a write is refused at
   /// once. After an outage more is held in reserve.
-  auto setStoreReachable(bool IsReachable, base::SteadyTime Now) -> void;
+  auto setStoreReachable(bool IsReachable, base::SteadyTime Now, base::SystemTime WallTime) -> void;
+
+  /// Takes over an outage that the former process on this VM has seen, if it is recent.
+  auto adoptOutage(std::int64_t EndedMs, base::SteadyTime Now, base::SystemTime WallTime) -> void;
 
   /// Reserves tokens at once or after a write has granted them. The callback runs once: with
   /// Granted, with Exhausted if the budget's totals show that too few tokens are left, and
@@ -270,6 +273,9 @@
   /// Start of the outage in progress, or of the last one, and end of the last one that counts.
   base::SteadyTime m_OutageStarted;
   std::optional<base::SteadyTime> m_OutageEnded;
+
+  /// See RouterGrants.
+  std::int64_t m_LastOutageMs = 0;
   bool m_IsDraining = false;
 
   /// Set when a newer process has taken over this router's record; no tokens are granted from then
--- a/src/budget/granttypes.h
+++ b/src/budget/granttypes.h
@@ -39,6 +39,11 @@
   /// Tokens of each budget that this incarnation has used and the budget's totals already include.
   std::map<std::string, Tokens> m_Settled = {};
 
+  /// End of the last outage of the store that the routers of this VM have seen, in milliseconds
+  /// since 1970 by the VM's clock; 0 if there was none. It only sizes the successor's reserve, so
+  /// that a clock that jumps does no harm.
+  std::int64_t m_LastOutageMs = 0;
+
   auto operator==(const RouterGrants &) const -> bool = default;
 };
 
--- a/src/budget/internal/grantallocator.cpp
+++ b/src/budget/internal/grantallocator.cpp
@@ -19,6 +19,10 @@
 /// Unit of the delay after several conflicts in a row.
 constexpr auto ConflictBackoffUnit = 6ms;
 
+auto toUnixMs(base::SystemTime Time) -> std::int64_t {
+  return std::chrono::duration_cast<milliseconds>(Time.time_since_epoch()).count();
+}
+
 auto toMs(std::chrono::steady_clock::duration Span) -> double {
   return std::chrono::duration<double, std::milli>(Span).count();
 }
@@ -112,15 +116,26 @@
   return Demand < 2 * Item.m_MeanRequestTokens ? 0 : static_cast<Tokens>(Demand);
 }
 
-auto GrantAllocator::setStoreReachable(bool IsReachable, base::SteadyTime Now) -> void {
+auto GrantAllocator::setStoreReachable(bool IsReachable, base::SteadyTime Now,
+                                       base::SystemTime WallTime) -> void {
   if (m_IsStoreReachable && !IsReachable) {
     m_OutageStarted = Now;
   } else if (!m_IsStoreReachable && IsReachable && Now - m_OutageStarted >= m_Options.m_MinOutage) {
     m_OutageEnded = Now;
+    m_LastOutageMs = toUnixMs(WallTime);
   }
   m_IsStoreReachable = IsReachable;
 }
 
+auto GrantAllocator::adoptOutage(std::int64_t EndedMs, base::SteadyTime Now,
+                                 base::SystemTime WallTime) -> void {
+  const auto Age = milliseconds(toUnixMs(WallTime) - EndedMs);
+  if (!m_OutageEnded && Age >= 0ms && Age < m_Options.m_OutageMemory) {
+    m_OutageEnded = Now - Age;
+    m_LastOutageMs = EndedMs;
+  }
+}
+
 auto GrantAllocator::reserveShare(const BudgetState &Item, base::SteadyTime Now) const -> double {
   if (m_OutageEnded && Now - *m_OutageEnded < m_Options.m_OutageMemory) {
     return m_Options.m_ReserveShareAfterOutage;
@@ -142,9 +157,11 @@
   // the free tokens: the rest stays free for routers that need it now, and is not lost if all
   // processes are killed.
   const auto Free = freeTokensOf(Item);
+  const auto Fraction = reserveShare(Item, Now);
+  // The owner of a shard holds as much as all routers of a small fleet hold together.
+  const auto Sharers = m_IsSharded ? 1.0 + Fraction : static_cast<double>(m_SharingRouters);
   const auto Share =
-      static_cast<Tokens>(static_cast<double>(Free + unreservedTokens(Item)) *
-                          reserveShare(Item, Now) / static_cast<double>(m_SharingRouters));
+      static_cast<Tokens>(static_cast<double>(Free + unreservedTokens(Item)) * Fraction / Sharers);
   const auto Horizon = m_IsSharded ? m_Options.m_ShardOwnerHorizon : m_Options.m_Horizon;
   const auto Demand = demandRate(Item, Now) * static_cast<double>(Horizon.count());
   // Arrivals vary, so one standard deviation of a Poisson process is added.
@@ -377,6 +394,7 @@
   auto Next = UnconfirmedWrite();
   Next.m_RouterGrants.m_Incarnation = m_Options.m_Incarnation;
   Next.m_RouterGrants.m_Sequence = ++m_Sequence;
+  Next.m_RouterGrants.m_LastOutageMs = m_LastOutageMs;
   auto Changes = std::vector<std::pair<const std::string *, Tokens>>();
   for (const auto &[Name, Item] : m_Budgets) {
     const auto WriteOff = unreportedWriteOff(Item);
--- a/src/budget/internal/grantcodec.cpp
+++ b/src/budget/internal/grantcodec.cpp
@@ -99,6 +99,10 @@
   Out.Uint64(RouterRecord.m_Sequence);
   writeAmounts(Out, "granted", RouterRecord.m_Granted);
   writeAmounts(Out, "settled", RouterRecord.m_Settled);
+  if (RouterRecord.m_LastOutageMs != 0) {
+    Out.Key("last_outage_ms");
+    Out.Int64(RouterRecord.m_LastOutageMs);
+  }
   Out.EndObject();
   return Buffer.GetString();
 }
@@ -113,6 +117,8 @@
       !readAmounts(Document, "settled", RouterRecord.m_Settled)) {
     return absl::InvalidArgumentError("not a valid record of the grants of a router");
   }
+  // Records of earlier versions, and of routers without an outage, lack the field.
+  static_cast<void>(readNonNegative(Document, "last_outage_ms", RouterRecord.m_LastOutageMs));
   return RouterRecord;
 }
 
--- a/src/budget/internal/grantservice.cpp
+++ b/src/budget/internal/grantservice.cpp
@@ -29,9 +29,8 @@
 /// Pause after a refill, so that a used-up shard is not asked for each request.
 constexpr auto RefillPause = std::chrono::milliseconds(100);
 
-/// Routers that a shard owner assumes to share its shard when it limits its reserve to their even
-/// share. With two it holds a little over half of the unused tokens, as all routers of a small
-/// fleet do together.
+/// Routers that may write to the record of a shard at the same time: its owner, and one that takes
+/// itself for the owner or draws for a request that the owner did not serve.
 constexpr auto AssumedShardSharers = std::int64_t{2};
 
 } // namespace
@@ -341,7 +340,7 @@
 
 auto GrantService::setStoreReachable(bool IsReachable) -> void {
   m_IsStoreReachable = IsReachable;
-  m_Allocator.setStoreReachable(IsReachable, m_Clock.steadyNow());
+  m_Allocator.setStoreReachable(IsReachable, m_Clock.steadyNow(), m_Clock.systemNow());
   advance();
 }
 
@@ -394,6 +393,10 @@
       return;
     }
     const auto Found = decode(Result->m_Items);
+    if (!m_Allocator.hasReadRecords()) {
+      m_Allocator.adoptOutage(Found.m_RouterGrants.m_Value.m_LastOutageMs, Now,
+                              m_Clock.systemNow());
+    }
     m_Allocator.onRecordsRead(Found.m_RouterGrants, Found.m_TotalsByBudget, Now);
     advance();
   });
--- a/src/budget/tests/grantbook_test.cpp
+++ b/src/budget/tests/grantbook_test.cpp
@@ -184,25 +184,86 @@
   }
 }
 
+// Guards against routers that are restarted one after the other and meet the next outage with the
+// reserve of a fleet that never had one.
+Test(grantallocator, restartedRouterKnowsOfTheLastOutage) {
+  const auto Wall = geraniumlift::base::SystemTime(1000000h);
+  const auto DrawnBy = [](GrantAllocator &Allocator) {
+    return Allocator.composeWrite(Start + 2s).m_TotalsByBudget.at("b").m_Value.m_Granted;
+  };
+  auto Former = readyAllocator(1000000);
+  Former.setStoreReachable(false, Start, Wall);
+  Former.setStoreReachable(true, Start + 8s, Wall + 8s);
+  const auto Written = Former.composeWrite(Start + 9s).m_RouterGrants.m_Value;
+  const auto Record = internal::decodeRouterGrants(internal::encodeRouterGrants(Written));
+  cr_assert(Record.ok());
+  cr_assert(*Record == Written);
+  const auto Started = [&Record](std::optional<geraniumlift::base::SystemTime> At) {
+    auto Allocator = GrantAllocator(GrantOptions{.m_Incarnation = 6, .m_InitialReserve = 1000000});
+    Allocator.setPrepaid({{"b", 1000000}}, Start);
+    Allocator.onReadStarted();
+    if (At) {
+      Allocator.adoptOutage(Record->m_LastOutageMs, Start, *At);
+    }
+    Allocator.onRecordsRead({}, {}, Start);
+    return Allocator;
+  };
+  auto Calm = Started({});
+  auto Recent = Started(Wall + 20s);
+  auto Long = Started(Wall + 2h);
+  auto SetBack = Started(Wall - 1h);
+  const auto Usual = DrawnBy(Calm);
+  cr_expect_gt(DrawnBy(Recent), Usual);
+  cr_expect_eq(DrawnBy(Long), Usual);
+  cr_expect_eq(DrawnBy(SetBack), Usual);
+  cr_expect_eq(Recent.composeWrite(Start + 3s).m_RouterGrants.m_Value.m_LastOutageMs,
+               Written.m_LastOutageMs, "it is handed on to the next process");
+}
+
+// Guards against a shard owner that holds much more, or much less, than the routers of a small
+// fleet hold of a budget together.
+Test(grantallocator, shardOwnerHoldsWhatASmallFleetHolds) {
+  const auto HeldFraction = [](bool IsSharded, Tokens Granted) {
+    auto Allocator = GrantAllocator(GrantOptions{.m_Incarnation = 5, .m_InitialReserve = 1000000});
+    Allocator.setPrepaid({{"b", 1000000}}, Start);
+    Allocator.setIsSharded(IsSharded);
+    Allocator.setRouterCounts(IsSharded ? 2 : 9, 9);
+    Allocator.onReadStarted();
+    Allocator.onRecordsRead({}, {{"b", {{Granted, Granted}, 3}}}, Start);
+    const auto Drawn =
+        Allocator.composeWrite(Start + 2s).m_TotalsByBudget.at("b").m_Value.m_Granted - Granted;
+    return static_cast<double>(Drawn) / static_cast<double>(1000000 - Granted);
+  };
+  for (const auto Granted : {0L, 300000L, 600000L}) {
+    // What nine routers hold once each has drawn by what the others left free.
+    const auto Each = HeldFraction(false, Granted);
+    const auto All = 9 * Each / (1.0 - Each);
+    const auto Fleet = All / (1.0 + All);
+    const auto Owner = HeldFraction(true, Granted);
+    cr_expect_geq(Owner, 0.9 * Fleet, "%ld granted: %.3f, all routers %.3f", Granted, Owner, Fleet);
+    cr_expect_leq(Owner, Fleet, "%ld granted: %.3f, all routers %.3f", Granted, Owner, Fleet);
+  }
+}
+
 // Guards against a second outage that meets as small a reserve as the first one.
 Test(grantallocator, moreIsHeldAfterAnOutage) {
-  const auto heldShare = [](bool HasOutage) {
+  const auto HeldShare = [](bool HasOutage) {
     auto Simulation = GrantSimulation(9, 2800000, {.m_FollowsStore = true}, 5);
-    const auto play = [&Simulation](int Steps) {
+    const auto Play = [&Simulation](int Steps) {
       for (auto Step = 0; Step < Steps; ++Step) {
         Simulation.step(0.015);
       }
     };
-    play(600);
+    Play(600);
     Simulation.disconnectAll(HasOutage);
-    play(100);
+    Play(100);
     Simulation.disconnectAll(false);
-    play(500);
+    Play(500);
     Simulation.killAll();
     return strandedShare(Simulation);
   };
-  cr_expect_geq(heldShare(true), heldShare(false) + 0.05, "%.3f and %.3f", heldShare(true),
-                heldShare(false));
+  cr_expect_geq(HeldShare(true), HeldShare(false) + 0.05, "%.3f and %.3f", HeldShare(true),
+                HeldShare(false));
 }
 
 // Guards against tokens that are no longer known to be used after two kills: callers would be told
@@ -264,7 +325,7 @@
 
 Test(grantallocator, requestIsRefusedAtOnceWithoutTheStore) {
   auto Allocator = readyAllocator(1000000);
-  Allocator.setStoreReachable(false, Start);
+  Allocator.setStoreReachable(false, Start, {});
   auto Answer = std::optional<ReservationOutcome>();
   Allocator.reserve("b", 100, Start + 1s, Start,
                     [&Answer](ReservationOutcome Got) { Answer = Got; });
@@ -279,7 +340,7 @@
   const auto Held = Allocator.spendable("b");
   cr_assert(Allocator.tryReserve("b", Held, Start));
   cr_assert_eq(Allocator.nextCall(Start + 10s), GrantCall::Write);
-  Allocator.setStoreReachable(false, Start);
+  Allocator.setStoreReachable(false, Start, {});
   cr_assert_eq(Allocator.nextCall(Start + 10s), GrantCall::None);
   cr_assert_not(Allocator.nextWakeTime(Start + 10s), "only the store's return changes that");
   Allocator.settle("b", Held, 0, Start + 10s);
@@ -391,11 +452,11 @@
 Test(grantallocator, refusedRequestsDoNotCountAsDemand) {
   const auto GrantedAfterRefusals = [](int Refused) {
     auto Allocator = readyAllocator(10000000);
-    Allocator.setStoreReachable(false, Start);
+    Allocator.setStoreReachable(false, Start, {});
     for (auto Number = 0; Number < Refused; ++Number) {
       Allocator.reserve("b", 9000, Start + 1s, Start, [](ReservationOutcome) {});
     }
-    Allocator.setStoreReachable(true, Start);
+    Allocator.setStoreReachable(true, Start, {});
     return Allocator.composeWrite(Start + 5s).m_TotalsByBudget.at("b").m_Value.m_Granted;
   };
   cr_expect_eq(GrantedAfterRefusals(50), GrantedAfterRefusals(0));
--- a/src/budget/tests/grantsimulation.h
+++ b/src/budget/tests/grantsimulation.h
@@ -310,7 +310,7 @@
     const auto IsDisconnected = m_Now < Item.m_DisconnectedUntil;
     if (IsDisconnected == Item.m_IsReachable) {
       Item.m_IsReachable = !IsDisconnected;
-      Item.m_Allocator->setStoreReachable(!IsDisconnected, m_Now);
+      Item.m_Allocator->setStoreReachable(!IsDisconnected, m_Now, m_Clock.systemNow());
     }
     switch (Item.m_Allocator->nextCall(m_Now)) {
     case GrantCall::None:
