Gather what keeps requests from targets in TargetGate

Cause: readiness, ejection, named limits and the full uplink were each looked at in a place of their own, in the table of targets, in placing and in the session.

Change: TargetGate answers whether this router may send to a target now, why not, and until when. Placement asks it for each target; TargetTable lists targets without judging them. TargetAccessLog writes one line when a target's reason changes (target_access_changed) and counts targets by reason (geraniumlift_closed_targets). No decision changes.

--- a/src/forwarding/forwardingcontext.h
+++ b/src/forwarding/forwardingcontext.h
@@ -9,7 +9,6 @@
 #include "forwarding/iforwardingmetrics.h"
 #include "forwarding/placement.h"
 #include "forwarding/routingtable.h"
-#include "forwarding/uplinkguard.h"
 #include "quarantine/ipromptquarantine.h"
 #include "retry/retrybudget.h"
 
@@ -79,6 +78,7 @@
   ratelimits::ITargetLimits &m_Limits;
   TargetTable &m_Targets;
   const Placement &m_Placement;
+  TargetGate &m_Gate;
   ForwardingOptions m_Options;
   base::RandomEngine m_Random;
 
@@ -88,9 +88,6 @@
   /// Whether the router refuses new requests because it is stopping.
   bool m_IsStopping = false;
 
-  /// Whether this router reaches targets at all.
-  UplinkGuard m_UplinkGuard = UplinkGuard(UplinkGuardOptions());
-
   /// Retry budgets by pool name.
   std::map<std::string, retry::RetryBudget> m_RetryBudgets = {};
 
--- a/src/forwarding/internal/forwardsession.cpp
+++ b/src/forwarding/internal/forwardsession.cpp
@@ -22,6 +22,11 @@
       std::clamp<std::int64_t>(MostUrgent + 2 * Priority, MostUrgent, LeastUrgent));
 }
 
+/// Why a request is refused if this keeps it from all targets.
+auto refusalReason(GateReason Reason) -> RefusalReason {
+  return Reason == GateReason::Limited ? RefusalReason::TargetsLimited : RefusalReason::NoTarget;
+}
+
 /// Returns the IDs of the prompt's shared parts for the log, separated by commas.
 auto formatSharedParts(const std::optional<PromptMetadata> &Prompt) -> std::string {
   if (!Prompt) {
@@ -194,7 +199,7 @@
   if (m_SharedParts.empty() || m_HasResponseBegun) {
     return false;
   }
-  m_Block = m_Context.m_Quarantine.findBlock(workspaceHash(), m_SharedParts);
+  m_Block = m_Context.m_Gate.checkPrompt(workspaceHash(), m_SharedParts);
   if (m_Block) {
     refuse(m_MayHaveRun ? RefusalReason::TargetFailed : RefusalReason::PartQuarantined);
   }
@@ -228,13 +233,13 @@
   if (refuseIfQuarantined()) {
     return;
   }
-  if (!m_Context.m_UplinkGuard.mayConnect(now())) {
+  if (m_Context.m_Gate.checkRouter(now()) != GateReason::None) {
     refuseUnplaced(RefusalReason::TargetsUnreachable);
     return;
   }
   const auto *Prompt = m_Fields.m_Prompt ? &*m_Fields.m_Prompt : nullptr;
-  const auto Decision = m_Context.m_Placement.decide(
-      m_Context.m_Targets, {m_Pool, Prompt, m_TriedTargets, &m_Context.m_Limits}, now());
+  const auto Decision = m_Context.m_Placement.decide(m_Context.m_Targets, m_Context.m_Gate,
+                                                     {m_Pool, Prompt, m_TriedTargets}, now());
   const auto &Choice = Decision.m_Choice;
   if (Decision.m_Wanted && m_PermitRequests < m_Context.m_Options.m_MaxPermitRequests) {
     waitForPermit(Decision.m_Wanted->m_Key);
@@ -242,7 +247,7 @@
   }
   if (!Choice) {
     m_PermitWait = Decision.m_RetryAfter;
-    refuseUnplaced(Decision.m_IsLimited ? RefusalReason::TargetsLimited : RefusalReason::NoTarget);
+    refuseUnplaced(refusalReason(Decision.m_Reason));
     return;
   }
   const auto Target = m_Context.m_Targets.find(Choice->m_TargetId)->record();
@@ -269,7 +274,7 @@
                           {"shared_parts", formatSharedParts(m_Fields.m_Prompt)},
                           {"left_ms", timeLeft().count()}});
   m_IsConnecting = true;
-  m_Context.m_UplinkGuard.onConnecting();
+  m_Context.m_Gate.uplink().onConnecting();
   m_Attempt = m_Context.m_Connector.send(Target, formatTargetHead(Target), m_Body,
                                          m_Head.m_Method == "HEAD", *this);
 }
@@ -295,7 +300,7 @@
 
 auto ForwardSession::recordConnectEnd(bool HasTimedOut) -> void {
   if (std::exchange(m_IsConnecting, false)) {
-    m_Context.m_UplinkGuard.onConnectEnded(m_TargetId, HasTimedOut, now());
+    m_Context.m_Gate.uplink().onConnectEnded(m_TargetId, HasTimedOut, now());
   }
 }
 
@@ -379,7 +384,7 @@
     m_Context.m_Targets.recordResponseStart(m_TargetId, m_UncachedTokens);
   }
   if (std::exchange(m_IsConnecting, false)) {
-    m_Context.m_UplinkGuard.onConnectAbandoned();
+    m_Context.m_Gate.uplink().onConnectAbandoned();
   }
   m_Context.m_Targets.recordEnd(m_TargetId);
   m_Context.m_Targets.recordResult(m_TargetId, Result, now());
--- a/src/forwarding/internal/placement.cpp
+++ b/src/forwarding/internal/placement.cpp
@@ -25,19 +25,22 @@
   return std::min(Sum, Prompt.m_PromptTokens);
 }
 
+} // namespace
+
 /// Returns the candidate that all routers expect to have the part in its cache, by rendezvous
 /// hashing.
-auto affinityTarget(const PromptPart &Part, const std::vector<const TargetState *> &Candidates)
+auto Placement::affinityTarget(const PromptPart &Part, const std::vector<Candidate> &Candidates)
     -> const TargetState * {
-  return *std::max_element(Candidates.begin(), Candidates.end(),
-                           [&Part](const TargetState *Left, const TargetState *Right) {
-                             return base::rendezvousRank(Part.m_Id, Left->record().m_Id) <
-                                    base::rendezvousRank(Part.m_Id, Right->record().m_Id);
-                           });
+  const auto Rank = [&Part](const Candidate &Item) {
+    return base::rendezvousRank(Part.m_Id, Item.m_Target->record().m_Id);
+  };
+  return std::max_element(Candidates.begin(), Candidates.end(),
+                          [&Rank](const Candidate &Left, const Candidate &Right) {
+                            return Rank(Left) < Rank(Right);
+                          })
+      ->m_Target;
 }
 
-} // namespace
-
 auto Placement::expectedMs(const TargetState &Target, const PlacementRequest &Request,
                            Tokens CachedTokens) const -> double {
   auto Load = Target.ownLoad();
@@ -56,33 +59,45 @@
          Active * m_Options.m_MsPerActiveStream;
 }
 
-auto Placement::decide(const TargetTable &Targets, const PlacementRequest &Request,
-                       base::SteadyTime Now) const -> PlacementDecision {
-  auto Candidates = std::vector<const TargetState *>();
-  auto Ejected = std::vector<const TargetState *>();
-  for (const auto *Target : Targets.availableTargets(Request.m_Pool)) {
-    if (!Request.m_Excluded.contains(Target->record().m_Id)) {
-      (Target->isEjected(Now) ? Ejected : Candidates).push_back(Target);
+auto Placement::findCandidates(const TargetTable &Targets, const TargetGate &Gate,
+                               const PlacementRequest &Request, base::SteadyTime Now,
+                               PlacementDecision &Decision) -> std::vector<Candidate> {
+  auto Preferred = std::vector<Candidate>();
+  auto LastResorts = std::vector<Candidate>();
+  for (const auto *Target : Targets.targetsOf(Request.m_Pool)) {
+    if (Request.m_Excluded.contains(Target->record().m_Id)) {
+      continue;
+    }
+    const auto Checked = Gate.checkTarget(*Target, Now);
+    if (Checked.m_Access == GateAccess::Closed && !Checked.m_RetryAfter) {
+      continue;
     }
+    (Checked.m_IsLastResort ? LastResorts : Preferred).push_back({Target, Checked});
   }
-  if (Candidates.empty()) {
-    Candidates = std::move(Ejected);
+  auto Candidates = std::move(Preferred.empty() ? LastResorts : Preferred);
+  for (const auto &[Target, Checked] : Candidates) {
+    if (Checked.m_Access != GateAccess::Open) {
+      Decision.m_Reason = Checked.m_Reason;
+    }
+    if (Checked.m_Access == GateAccess::Closed) {
+      Decision.m_RetryAfter =
+          std::min(Decision.m_RetryAfter.value_or(*Checked.m_RetryAfter), *Checked.m_RetryAfter);
+    }
   }
+  return Candidates;
+}
+
+auto Placement::decide(const TargetTable &Targets, const TargetGate &Gate,
+                       const PlacementRequest &Request, base::SteadyTime Now) const
+    -> PlacementDecision {
   auto Decision = PlacementDecision();
-  if (Candidates.empty()) {
-    return Decision;
-  }
+  const auto Candidates = findCandidates(Targets, Gate, Request, Now, Decision);
   const auto *Shared = lastSharedPart(Request.m_Prompt);
-  const auto *AffinityTarget = Shared == nullptr ? nullptr : affinityTarget(*Shared, Candidates);
-  for (const auto *Target : Candidates) {
-    const auto MaySend =
-        Request.m_Limits == nullptr || Request.m_Limits->maySend(Target->limitKey());
-    if (!MaySend) {
-      Decision.m_IsLimited = true;
-      if (const auto RetryAfter = Request.m_Limits->retryAfter(Target->limitKey())) {
-        Decision.m_RetryAfter = std::min(Decision.m_RetryAfter.value_or(*RetryAfter), *RetryAfter);
-        continue;
-      }
+  const auto *AffinityTarget =
+      Shared == nullptr || Candidates.empty() ? nullptr : affinityTarget(*Shared, Candidates);
+  for (const auto &[Target, Checked] : Candidates) {
+    if (Checked.m_Access == GateAccess::Closed) {
+      continue;
     }
     auto CachedTokens =
         Request.m_Prompt == nullptr ? 0 : Target->cachedTokens(*Request.m_Prompt, Now);
@@ -90,7 +105,7 @@
       CachedTokens = std::max(CachedTokens, sharedTokens(*Request.m_Prompt));
     }
     const auto Ms = expectedMs(*Target, Request, CachedTokens);
-    if (!MaySend) {
+    if (Checked.m_Access == GateAccess::NeedsPermit) {
       if (!Decision.m_Wanted || Ms < Decision.m_Wanted->m_ExpectedMs) {
         Decision.m_Wanted = WantedTarget{Target->limitKey(), Ms};
       }
--- a/src/forwarding/internal/targettable.cpp
+++ b/src/forwarding/internal/targettable.cpp
@@ -61,11 +61,10 @@
   return Found == m_Targets.end() ? nullptr : &Found->second;
 }
 
-auto TargetTable::availableTargets(std::string_view Pool) const
-    -> std::vector<const TargetState *> {
+auto TargetTable::targetsOf(std::string_view Pool) const -> std::vector<const TargetState *> {
   auto Result = std::vector<const TargetState *>();
   for (const auto &[Id, State] : m_Targets) {
-    if (State.m_Record.m_Pool == Pool && !State.m_Record.m_IsLeaving) {
+    if (State.m_Record.m_Pool == Pool) {
       Result.push_back(&State);
     }
   }
--- a/src/forwarding/placement.h
+++ b/src/forwarding/placement.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "forwarding/targettable.h"
-#include "ratelimits/itargetlimits.h"
+#include "forwarding/targetgate.h"
 
 #include <functional>
 
@@ -42,9 +41,6 @@
 
   /// IDs of targets to which the request was sent already.
   std::set<std::string> m_Excluded;
-
-  /// Limits of the targets; nullptr if they do not matter.
-  const ratelimits::ITargetLimits *m_Limits = nullptr;
 };
 
 /// The chosen target and its forecast.
@@ -72,8 +68,11 @@
   /// The best of the targets that may get it with a permit, if it is better than the choice.
   std::optional<WantedTarget> m_Wanted;
 
-  /// Whether limits keep the request from a target, and the shortest time until one has a permit.
-  bool m_IsLimited = false;
+  /// What keeps the request from targets that it was not sent to, if there is no choice. Reasons
+  /// that end by themselves go before others.
+  GateReason m_Reason = GateReason::None;
+
+  /// Shortest time until that may change for a target.
   std::optional<std::chrono::milliseconds> m_RetryAfter;
 };
 
@@ -90,18 +89,34 @@
   Placement(PlacementOptions Options, PeerLoadSource Others)
       : m_Options(std::move(Options)), m_PeerLoad(std::move(Others)) {}
 
-  /// Targets that are ejected after failures are used only if there is no other. Targets that name
-  /// a limit are used only with a permit.
-  [[nodiscard]] auto decide(const TargetTable &Targets, const PlacementRequest &Request,
-                            base::SteadyTime Now) const -> PlacementDecision;
+  /// Only targets that the gate lets requests pass to are chosen.
+  [[nodiscard]] auto decide(const TargetTable &Targets, const TargetGate &Gate,
+                            const PlacementRequest &Request, base::SteadyTime Now) const
+      -> PlacementDecision;
 
   /// Returns the choice of decide().
-  [[nodiscard]] auto choose(const TargetTable &Targets, const PlacementRequest &Request,
-                            base::SteadyTime Now) const -> std::optional<PlacementChoice> {
-    return decide(Targets, Request, Now).m_Choice;
+  [[nodiscard]] auto choose(const TargetTable &Targets, const TargetGate &Gate,
+                            const PlacementRequest &Request, base::SteadyTime Now) const
+      -> std::optional<PlacementChoice> {
+    return decide(Targets, Gate, Request, Now).m_Choice;
   }
 
 private:
+  /// A target that is open, may be open with a permit, or will open again.
+  struct Candidate {
+    const TargetState *m_Target = nullptr;
+    GateDecision m_Gate;
+  };
+
+  [[nodiscard]] static auto affinityTarget(const PromptPart &Part,
+                                           const std::vector<Candidate> &Candidates)
+      -> const TargetState *;
+
+  /// Returns the targets that are to be compared: last resorts only if there is no other. Fills in
+  /// why some are closed.
+  [[nodiscard]] static auto findCandidates(const TargetTable &Targets, const TargetGate &Gate,
+                                           const PlacementRequest &Request, base::SteadyTime Now,
+                                           PlacementDecision &Decision) -> std::vector<Candidate>;
   [[nodiscard]] auto expectedMs(const TargetState &Target, const PlacementRequest &Request,
                                 Tokens CachedTokens) const -> double;
 
--- /dev/null
+++ b/src/forwarding/targetgate.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "base/nametable.h"
+#include "forwarding/targettable.h"
+#include "forwarding/uplinkguard.h"
+#include "quarantine/ipromptquarantine.h"
+#include "ratelimits/itargetlimits.h"
+
+namespace geraniumlift::forwarding {
+
+/// Why this router may not send a request to a target, or only as a last resort.
+enum class GateReason {
+  None,
+  /// The target's registration says that it is leaving.
+  Leaving,
+  /// The target is ejected after failures.
+  Ejected,
+  /// The target names a limit, and this router holds no permit.
+  Limited,
+  /// This router reaches hardly any target.
+  Unreachable,
+};
+
+inline constexpr auto GateReasonNames = std::array{
+    base::NamedValue<GateReason>{GateReason::None, "none"},
+    base::NamedValue<GateReason>{GateReason::Leaving, "leaving"},
+    base::NamedValue<GateReason>{GateReason::Ejected, "ejected"},
+    base::NamedValue<GateReason>{GateReason::Limited, "limited"},
+    base::NamedValue<GateReason>{GateReason::Unreachable, "unreachable"},
+};
+
+/// How far a target is open to requests.
+enum class GateAccess {
+  Open,
+  /// A request may be sent with a permit, which can be asked for.
+  NeedsPermit,
+  Closed,
+};
+
+/// Answer to the question whether a request may be sent to a target now.
+struct GateDecision {
+  GateAccess m_Access = GateAccess::Open;
+
+  /// Whether the target is to be used only if no other one takes the request.
+  bool m_IsLastResort = false;
+
+  /// What keeps requests away; None if the target is open and no last resort.
+  GateReason m_Reason = GateReason::None;
+
+  /// Time until the answer may change; nothing if only an event can change it.
+  std::optional<std::chrono::milliseconds> m_RetryAfter;
+};
+
+/// Decides whether this router may send to a target now, and if not, why and until when. All ways
+/// to a target ask it: first attempts, retries and resumed streams. Does no input or output.
+class TargetGate {
+public:
+  TargetGate(ratelimits::ITargetLimits &Limits, quarantine::IPromptQuarantine &Quarantine)
+      : m_Limits(Limits), m_Quarantine(Quarantine) {}
+
+  /// Decides whether a request of the workspace with these shared prompt parts may be sent to any
+  /// target; returns what is in quarantine if not.
+  [[nodiscard]] auto checkPrompt(quarantine::WorkspaceHash Workspace,
+                                 const std::vector<quarantine::PartHash> &Parts)
+      -> std::optional<quarantine::Block> {
+    return m_Quarantine.findBlock(Workspace, Parts);
+  }
+
+  /// Decides whether this router may send to any target: None or Unreachable.
+  [[nodiscard]] auto checkRouter(base::SteadyTime Now) -> GateReason {
+    return m_Uplink.mayConnect(Now) ? GateReason::None : GateReason::Unreachable;
+  }
+
+  /// Decides on requests to one target.
+  [[nodiscard]] auto checkTarget(const TargetState &Target, base::SteadyTime Now) const
+      -> GateDecision;
+
+  /// Records whether connecting to targets succeeds.
+  [[nodiscard]] auto uplink() -> UplinkGuard & { return m_Uplink; }
+
+private:
+  ratelimits::ITargetLimits &m_Limits;
+  quarantine::IPromptQuarantine &m_Quarantine;
+  UplinkGuard m_Uplink = UplinkGuard(UplinkGuardOptions());
+};
+
+} // namespace geraniumlift::forwarding
--- a/src/forwarding/targettable.h
+++ b/src/forwarding/targettable.h
@@ -79,6 +79,9 @@
   /// Whether the target is left out of placement after failures.
   [[nodiscard]] auto isEjected(base::SteadyTime Now) const -> bool { return Now < m_EjectedUntil; }
 
+  /// End of the last ejection.
+  [[nodiscard]] auto ejectedUntil() const -> base::SteadyTime { return m_EjectedUntil; }
+
   /// Moving average of the share of attempts that failed, 0 to 1.
   [[nodiscard]] auto failureRate() const -> double { return m_FailureRate; }
 
@@ -111,9 +114,8 @@
   /// Returns the target, or nullptr. The pointer is valid until the target is removed.
   [[nodiscard]] auto find(const std::string &Id) const -> const TargetState *;
 
-  /// Returns the targets of the pool that are not leaving, ejected ones included.
-  [[nodiscard]] auto availableTargets(std::string_view Pool) const
-      -> std::vector<const TargetState *>;
+  /// Returns the targets of the pool, whether or not they take requests.
+  [[nodiscard]] auto targetsOf(std::string_view Pool) const -> std::vector<const TargetState *>;
 
   [[nodiscard]] auto all() const -> const std::map<std::string, TargetState> & { return m_Targets; }
 
--- a/src/forwarding/tests/forwardingfakes.h
+++ b/src/forwarding/tests/forwardingfakes.h
@@ -227,6 +227,7 @@
                   m_Limits,
                   m_Targets,
                   m_Placement,
+                  m_Gate,
                   ForwardingOptions(),
                   base::RandomEngine(7)} {
     m_Context.m_Table = table();
@@ -327,6 +328,7 @@
   FakeLimits m_Limits;
   TargetTable m_Targets;
   Placement m_Placement;
+  TargetGate m_Gate{m_Limits, m_Quarantine};
   ForwardingContext m_Context;
   std::shared_ptr<FakeCaller> m_Caller;
   std::shared_ptr<ForwardSession> m_Session;
--- a/src/forwarding/tests/placement_test.cpp
+++ b/src/forwarding/tests/placement_test.cpp
@@ -37,6 +37,28 @@
   return {Options, [](const TargetRecord &) { return TargetLoad(); }};
 }
 
+/// A gate without limits and quarantine.
+struct OpenGate {
+  tests::FakeLimits m_Limits;
+  tests::FakeQuarantine m_Quarantine;
+  TargetGate m_Gate{m_Limits, m_Quarantine};
+};
+
+auto choose(const TargetTable &Targets, const PlacementRequest &Request)
+    -> std::optional<PlacementChoice> {
+  return placement().choose(Targets, OpenGate().m_Gate, Request, Start);
+}
+
+/// Number of targets of the pool that the gate does not close.
+auto openTargets(const TargetTable &Targets) -> std::size_t {
+  auto Fixture = OpenGate();
+  const auto All = Targets.targetsOf("p");
+  return static_cast<std::size_t>(
+      std::count_if(All.begin(), All.end(), [&Fixture](const TargetState *Target) {
+        return Fixture.m_Gate.checkTarget(*Target, Start).m_Access != GateAccess::Closed;
+      }));
+}
+
 /// A prompt with a shared part and 1,000 tokens that no other request shares.
 auto prompt(const std::string &Shared, Tokens SharedTokens) -> PromptMetadata {
   static auto Count = 0;
@@ -54,8 +76,8 @@
   auto ChosenTargets = std::set<std::string>();
   for (auto Number = 0; Number < 40; ++Number) {
     const auto Prompt = prompt(fmt::format("part{}", Number), 6000);
-    const auto FirstChoice = placement().choose(First, {"p", &Prompt, {}}, Start);
-    const auto SecondChoice = placement().choose(Second, {"p", &Prompt, {}}, Start);
+    const auto FirstChoice = choose(First, {"p", &Prompt, {}});
+    const auto SecondChoice = choose(Second, {"p", &Prompt, {}});
     cr_assert_eq(FirstChoice->m_TargetId, SecondChoice->m_TargetId);
     ChosenTargets.insert(FirstChoice->m_TargetId);
   }
@@ -67,10 +89,10 @@
 Test(placement, cachedTokensDoNotCountAsLoad) {
   auto Targets = table(4);
   const auto First = prompt("subject", 6000);
-  const auto AffinityTarget = placement().choose(Targets, {"p", &First, {}}, Start)->m_TargetId;
+  const auto AffinityTarget = choose(Targets, {"p", &First, {}})->m_TargetId;
   for (auto Number = 0; Number < 3; ++Number) {
     const auto Prompt = prompt("subject", 6000);
-    const auto Choice = placement().choose(Targets, {"p", &Prompt, {}}, Start);
+    const auto Choice = choose(Targets, {"p", &Prompt, {}});
     cr_assert_eq(Choice->m_TargetId, AffinityTarget);
     Targets.recordSent(AffinityTarget, &Prompt, Prompt.m_PromptTokens - Choice->m_CachedTokens,
                        Start);
@@ -83,7 +105,7 @@
   auto Sent = std::map<std::string, int>();
   for (auto Number = 0; Number < 100; ++Number) {
     const auto Prompt = prompt("hot", 4000);
-    const auto Choice = placement().choose(Targets, {"p", &Prompt, {}}, Start);
+    const auto Choice = choose(Targets, {"p", &Prompt, {}});
     Targets.recordSent(Choice->m_TargetId, &Prompt, Prompt.m_PromptTokens - Choice->m_CachedTokens,
                        Start);
     ++Sent[Choice->m_TargetId];
@@ -100,19 +122,18 @@
   Leaving.m_IsLeaving = true;
   Targets.put(Leaving);
   for (auto Round = 0; Round < 5; ++Round) {
-    cr_assert_eq(placement().choose(Targets, {"p", nullptr, {}}, Start)->m_TargetId, "t2");
+    cr_assert_eq(choose(Targets, {"p", nullptr, {}})->m_TargetId, "t2");
   }
   Targets.recordResult("t2", AttemptResult::Unresponsive, Start);
-  cr_assert(placement().choose(Targets, {"p", nullptr, {}}, Start),
-            "an ejected target is better than none");
-  cr_assert_not(placement().choose(Targets, {"p", nullptr, {"t0", "t2"}}, Start));
+  cr_assert(choose(Targets, {"p", nullptr, {}}), "an ejected target is better than none");
+  cr_assert_not(choose(Targets, {"p", nullptr, {"t0", "t2"}}));
 }
 
 Test(placement, sameDataCentreIsPreferredWhenIdle) {
   auto Targets = TargetTable(HealthOptions());
   Targets.put(record(0, "b"));
   Targets.put(record(1, "a"));
-  cr_assert_eq(placement().choose(Targets, {"p", nullptr, {}}, Start)->m_TargetId, "t1");
+  cr_assert_eq(choose(Targets, {"p", nullptr, {}})->m_TargetId, "t1");
 }
 
 Test(targettable, singleFailureDoesNotEjectATarget) {
@@ -172,14 +193,12 @@
 Test(targetdirectory, lapsedTargetsAreKeptForAWhileAfterAnOutage) {
   auto Fixture = OutageFixture();
   Fixture.remove(12, Start + 15s);
-  cr_assert_eq(Fixture.m_Targets.availableTargets("p").size(), 12U,
-               "all registrations expired during the outage");
+  cr_assert_eq(openTargets(Fixture.m_Targets), 12U, "all registrations expired during the outage");
   Fixture.m_Directory.put(record(0), 30);
   Fixture.m_Directory.removeExpired(Start + 17s);
-  cr_assert_eq(Fixture.m_Targets.availableTargets("p").size(), 12U);
+  cr_assert_eq(openTargets(Fixture.m_Targets), 12U);
   Fixture.m_Directory.removeExpired(Start + 18s);
-  cr_assert_eq(Fixture.m_Targets.availableTargets("p").size(), 1U,
-               "the others were not registered again");
+  cr_assert_eq(openTargets(Fixture.m_Targets), 1U, "the others were not registered again");
 }
 
 // Guards against a router that alone loses its connection to the store and keeps using a target
@@ -188,19 +207,19 @@
 Test(targetdirectory, fewLapsedTargetsAfterAnOutageAreRemoved) {
   auto Fixture = OutageFixture();
   Fixture.remove(2, Start + 15s);
-  cr_assert_eq(Fixture.m_Targets.availableTargets("p").size(), 10U);
+  cr_assert_eq(openTargets(Fixture.m_Targets), 10U);
 }
 
 Test(targetdirectory, removalsAfterAShortOutageApplyAtOnce) {
   auto Fixture = OutageFixture(Start + 12s);
   Fixture.remove(12, Start + 12s);
-  cr_assert(Fixture.m_Targets.availableTargets("p").empty());
+  cr_assert(openTargets(Fixture.m_Targets) == 0);
 }
 
 Test(targetdirectory, removalsLongAfterAnOutageApplyAtOnce) {
   auto Fixture = OutageFixture();
   Fixture.remove(12, Start + 30s);
-  cr_assert(Fixture.m_Targets.availableTargets("p").empty());
+  cr_assert(openTargets(Fixture.m_Targets) == 0);
 }
 
 Test(targetdirectory, leavingStateLastsUntilARestart) {
@@ -211,46 +230,46 @@
   Leaving.m_IsLeaving = true;
   Directory.put(Leaving, 5);
   Directory.put(record(0), 4);
-  cr_assert(Targets.availableTargets("p").empty(),
-            "a listing may return an older revision than a watch event");
+  cr_assert(openTargets(Targets) == 0, "a listing may return an older revision than a watch event");
   Directory.put(record(0), 6);
-  cr_assert(Targets.availableTargets("p").empty(),
-            "only a restarted target accepts requests again");
+  cr_assert(openTargets(Targets) == 0, "only a restarted target accepts requests again");
   auto Restarted = record(0);
   Restarted.m_Incarnation = 9;
   Directory.put(Restarted, 7);
-  cr_assert_eq(Targets.availableTargets("p").size(), 1U);
+  cr_assert_eq(openTargets(Targets), 1U);
 }
 
 // Answers a load in which some targets name limits: they get what they take, the others the rest.
 Test(placement, targetWithALimitNeedsAPermit) {
   auto Targets = table(2);
-  auto Limited = tests::FakeLimits();
+  auto Fixture = OpenGate();
+  auto &Limited = Fixture.m_Limits;
   const auto Key = Targets.find("t0")->limitKey();
   Limited.m_Limited = {Key};
-  const auto Request = PlacementRequest{"p", nullptr, {}, &Limited};
+  const auto Request = PlacementRequest{"p", nullptr, {}};
   for (auto Number = 0; Number < 4; ++Number) {
     Targets.recordSent("t1", nullptr, 0, Start);
   }
-  const auto Busy = placement().decide(Targets, Request, Start);
+  const auto Busy = placement().decide(Targets, Fixture.m_Gate, Request, Start);
   cr_expect_eq(Busy.m_Choice->m_TargetId, "t1");
   cr_assert(Busy.m_Wanted.has_value());
   cr_expect_eq(Busy.m_Wanted->m_Key, Key);
   Limited.m_Permits = {Key};
-  cr_expect_eq(placement().choose(Targets, Request, Start)->m_TargetId, "t0");
+  cr_expect_eq(placement().choose(Targets, Fixture.m_Gate, Request, Start)->m_TargetId, "t0");
   Limited.m_Permits.clear();
   Limited.m_Refused = {Key};
-  const auto Refused = placement().decide(Targets, Request, Start);
+  const auto Refused = placement().decide(Targets, Fixture.m_Gate, Request, Start);
   cr_expect_not(Refused.m_Wanted.has_value());
-  cr_expect(Refused.m_IsLimited);
+  cr_expect_eq(Refused.m_Reason, GateReason::Limited);
   cr_expect(Refused.m_RetryAfter == std::optional<std::chrono::milliseconds>(400ms));
 }
 
 Test(placement, permitIsNotRequestedWhereATargetWithoutLimitIsAsGood) {
   auto Targets = table(2);
-  auto Limited = tests::FakeLimits();
+  auto Fixture = OpenGate();
+  auto &Limited = Fixture.m_Limits;
   Limited.m_Limited = {Targets.find("t0")->limitKey()};
-  const auto Decision = placement().decide(Targets, {"p", nullptr, {}, &Limited}, Start);
+  const auto Decision = placement().decide(Targets, Fixture.m_Gate, {"p", nullptr, {}}, Start);
   cr_expect_eq(Decision.m_Choice->m_TargetId, "t1");
   cr_expect_not(Decision.m_Wanted.has_value());
 }
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -153,6 +153,7 @@
                    Dependencies.m_Log),
       m_Limits(m_Settings.m_Vm, m_PeerLink, Dependencies.m_Timers, Dependencies.m_Clock,
                Dependencies.m_Log),
+      m_Gate(m_Limits, m_Quarantine), m_TargetAccess(Dependencies.m_Log),
       m_Placement(placementOptions(m_Settings),
                   [this](const forwarding::TargetRecord &Target) {
                     return m_Peers.peerLoad(Target.m_Id, now());
@@ -169,6 +170,7 @@
                                                    m_Limits,
                                                    m_Targets,
                                                    m_Placement,
+                                                   m_Gate,
                                                    forwardingOptions(m_Settings),
                                                    base::RandomEngine(
                                                        seedOf(m_Settings, m_Incarnation))},
@@ -447,6 +449,7 @@
   sendHeartbeats();
   advanceQuarantine();
   advanceLimits(AlivePeers);
+  reportTargetAccess();
   m_Subscription.mirror().removeExpired(now());
   m_Dependencies.m_Metrics.gauge(
       "geraniumlift_store_knowledge_age_seconds", {},
--- a/src/router/internal/routermessages.cpp
+++ b/src/router/internal/routermessages.cpp
@@ -144,6 +144,15 @@
                                  static_cast<double>(m_Limits.limitedTargets()));
 }
 
+auto Router::reportTargetAccess() -> void {
+  for (const auto &[Reason, Count] : m_TargetAccess.update(m_Targets, m_Gate, now())) {
+    m_Dependencies.m_Metrics.gauge(
+        "geraniumlift_closed_targets",
+        {{"reason", std::string(nameOf(forwarding::GateReasonNames, Reason))}},
+        static_cast<double>(Count));
+  }
+}
+
 auto Router::onLimitMessage(std::string_view Bytes) -> void {
   const auto Message = ratelimits::decodeMessage(Bytes);
   if (!Message.ok()) {
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -2,6 +2,7 @@
 
 #include "budget/grantservice.h"
 #include "fleet/peertable.h"
+#include "forwarding/targetaccesslog.h"
 #include "forwarding/targetdirectory.h"
 #include "keyvalue/storemonitor.h"
 #include "quarantine/quarantineservice.h"
@@ -68,6 +69,9 @@
   auto onQuarantineUpdate(std::string_view Bytes) -> void;
   auto onLimitMessage(std::string_view Bytes) -> void;
 
+  /// Logs and counts what keeps requests from targets.
+  auto reportTargetAccess() -> void;
+
   /// Keeps the limits of targets up to date with the fleet.
   auto advanceLimits(const std::set<std::string> &AlivePeers) -> void;
   auto applyItem(const keyvalue::KeyValue &Item) -> void;
@@ -112,6 +116,8 @@
   transport::ListenerCheck m_ListenerCheck;
   quarantine::QuarantineService m_Quarantine;
   ratelimits::LimitService m_Limits;
+  forwarding::TargetGate m_Gate;
+  forwarding::TargetAccessLog m_TargetAccess;
   forwarding::Placement m_Placement;
   transport::TargetConnector m_Connector;
   RequestMetrics m_Metrics;
