Obey targets that say they leave or ask for a pause

Change: both are statements of one process of a target, kept with it and dropped with it. A target that has said it leaves is a last resort for half of the drain time and closed afterwards; one that has asked for a pause is closed until its end and then probed by one request. A pause counts neither as a failure nor towards ejection. Callers whose targets all pause get 503 targets_paused with the end of the shortest pause, spread by a quarter. Unreadable values are ignored, with one log line at 1, 2, 4, 8 and so on.

--- a/src/forwarding/forwardsession.h
+++ b/src/forwarding/forwardsession.h
@@ -64,6 +64,9 @@
   auto onIdleTimeout() -> void;
   auto onDeadline() -> void;
 
+  /// Records what the target says of itself in its response.
+  auto recordStatements(const ResponseMetadata &Metadata) -> void;
+
   /// Whether the response goes on with the stream that the caller has begun to receive.
   [[nodiscard]] auto isContinuation(const http1::ResponseHead &Head) const -> bool;
 
@@ -117,11 +120,12 @@
 
   std::unique_ptr<ITargetAttempt> m_Attempt;
   std::string m_TargetId;
+  std::int64_t m_TargetIncarnation = 0;
   std::set<std::string> m_TriedTargets;
   int m_PermitRequests = 0;
 
-  /// Time until a target has a permit, if limits keep the request from all targets.
-  std::optional<std::chrono::milliseconds> m_PermitWait;
+  /// Time until a target may open, if the gate keeps the request from all targets.
+  std::optional<std::chrono::milliseconds> m_GateWait;
   std::int64_t m_SendCount = 0;
   double m_ExpectedMs = 0.0;
 
--- a/src/forwarding/internal/forwardsession.cpp
+++ b/src/forwarding/internal/forwardsession.cpp
@@ -24,7 +24,14 @@
 
 /// Why a request is refused if this keeps it from all targets.
 auto refusalReason(GateReason Reason) -> RefusalReason {
-  return Reason == GateReason::Limited ? RefusalReason::TargetsLimited : RefusalReason::NoTarget;
+  switch (Reason) {
+  case GateReason::Limited:
+    return RefusalReason::TargetsLimited;
+  case GateReason::Paused:
+    return RefusalReason::TargetsPaused;
+  default:
+    return RefusalReason::NoTarget;
+  }
 }
 
 /// Returns the IDs of the prompt's shared parts for the log, separated by commas.
@@ -246,12 +253,13 @@
     return;
   }
   if (!Choice) {
-    m_PermitWait = Decision.m_RetryAfter;
+    m_GateWait = Decision.m_RetryAfter;
     refuseUnplaced(refusalReason(Decision.m_Reason));
     return;
   }
   const auto Target = m_Context.m_Targets.find(Choice->m_TargetId)->record();
   m_TargetId = Target.m_Id;
+  m_TargetIncarnation = Target.m_Incarnation;
   m_ExpectedMs = Choice->m_ExpectedMs;
   m_TriedTargets.insert(m_TargetId);
   m_ResponseHead.reset();
@@ -439,8 +447,8 @@
   const auto &Options = m_Context.m_Options;
   auto Base = Reason == RefusalReason::BudgetUnavailable ? Options.m_BudgetRetryAfterBase
                                                          : Options.m_RetryAfterBase;
-  if (Reason == RefusalReason::TargetsLimited && m_PermitWait) {
-    Base = std::max(Base, *m_PermitWait);
+  if (Reason == RefusalReason::TargetsLimited && m_GateWait) {
+    Base = std::max(Base, *m_GateWait);
   }
   if (Reason == RefusalReason::TargetsUnreachable) {
     Base = Options.m_UnreachableRetryAfterBase;
@@ -448,8 +456,13 @@
   if (Reason == RefusalReason::PartQuarantined && m_Block) {
     return m_Block->m_Left;
   }
-  const auto Factor =
-      boost::random::uniform_real_distribution<double>(1.0, 2.0)(m_Context.m_Random);
+  // The end of a pause is known, so callers need only be spread over a part of it.
+  const auto IsPause = Reason == RefusalReason::TargetsPaused && m_GateWait;
+  if (IsPause) {
+    Base = *m_GateWait;
+  }
+  const auto Factor = boost::random::uniform_real_distribution<double>(1.0, IsPause ? 1.25 : 2.0)(
+      m_Context.m_Random);
   return milliseconds(static_cast<std::int64_t>(static_cast<double>(Base.count()) * Factor));
 }
 
--- a/src/forwarding/internal/forwardsessionanswer.cpp
+++ b/src/forwarding/internal/forwardsessionanswer.cpp
@@ -46,12 +46,13 @@
     return;
   }
   m_NamedLimit = Metadata.m_RequestsPerSecond.value_or(0.0);
-  if (const auto *Target = m_Context.m_Targets.find(m_TargetId);
-      Target != nullptr && !Metadata.m_IsWrongTarget) {
-    m_Context.m_Limits.onAnswer(Target->limitKey(), Metadata.m_RequestsPerSecond);
+  if (!Metadata.m_IsWrongTarget) {
+    recordStatements(Metadata);
   }
   if (Metadata.m_DidNotRun || Metadata.m_IsWrongTarget) {
-    attemptFailed(base::Verdict::DidNotRun, AttemptResult::Refused,
+    // A target that asks for a pause has not failed.
+    attemptFailed(base::Verdict::DidNotRun,
+                  Metadata.m_Pause ? AttemptResult::Unknown : AttemptResult::Refused,
                   Metadata.m_IsWrongTarget ? "other_target_at_address" : "refused_by_target");
     return;
   }
@@ -71,6 +72,28 @@
   removeHopByHopFields(m_ResponseHead->m_Fields);
 }
 
+auto ForwardSession::recordStatements(const ResponseMetadata &Metadata) -> void {
+  if (const auto *Target = m_Context.m_Targets.find(m_TargetId)) {
+    m_Context.m_Limits.onAnswer(Target->limitKey(), Metadata.m_RequestsPerSecond);
+  }
+  if (Metadata.m_IsLeaving) {
+    m_Context.m_Targets.recordLeaving(m_TargetId, m_TargetIncarnation, now());
+  }
+  if (Metadata.m_Pause) {
+    m_Context.m_Targets.recordPause(m_TargetId, m_TargetIncarnation, *Metadata.m_Pause, now());
+  }
+  if (!Metadata.m_HasUnreadableSignal) {
+    return;
+  }
+  const auto Count = m_Context.m_Targets.countUnreadableStatement(m_TargetId);
+  // Powers of two, so that a target that repeats itself does not fill the log.
+  if ((Count & (Count - 1)) == 0) {
+    m_Context.m_Log.record(
+        base::LogLevel::Warning, "target_statement_unreadable",
+        {{"request", m_Fields.m_RequestId}, {"target", m_TargetId}, {"count", Count}});
+  }
+}
+
 auto ForwardSession::isContinuation(const http1::ResponseHead &Head) const -> bool {
   return m_IsEventStream && Head.m_Status == m_BegunStatus && mediaType(Head) == m_BegunMediaType;
 }
--- a/src/forwarding/internal/placement.cpp
+++ b/src/forwarding/internal/placement.cpp
@@ -76,12 +76,13 @@
   }
   auto Candidates = std::move(Preferred.empty() ? LastResorts : Preferred);
   for (const auto &[Target, Checked] : Candidates) {
-    if (Checked.m_Access != GateAccess::Open) {
+    if (Checked.m_Access == GateAccess::NeedsPermit && Decision.m_Reason == GateReason::None) {
       Decision.m_Reason = Checked.m_Reason;
     }
-    if (Checked.m_Access == GateAccess::Closed) {
-      Decision.m_RetryAfter =
-          std::min(Decision.m_RetryAfter.value_or(*Checked.m_RetryAfter), *Checked.m_RetryAfter);
+    if (Checked.m_Access == GateAccess::Closed &&
+        (!Decision.m_RetryAfter || *Checked.m_RetryAfter < *Decision.m_RetryAfter)) {
+      Decision.m_RetryAfter = Checked.m_RetryAfter;
+      Decision.m_Reason = Checked.m_Reason;
     }
   }
   return Candidates;
--- a/src/forwarding/internal/targettable.cpp
+++ b/src/forwarding/internal/targettable.cpp
@@ -79,6 +79,9 @@
   }
   auto &State = Found->second;
   ++State.m_OwnLoad.m_ActiveRequests;
+  if (State.m_Statements.m_MustProbe && Now >= State.m_Statements.m_PausedUntil) {
+    ++State.m_Statements.m_Probes;
+  }
   if (Prompt == nullptr) {
     return;
   }
@@ -104,8 +107,10 @@
 auto TargetTable::recordEnd(const std::string &Id) -> void {
   const auto Found = m_Targets.find(Id);
   if (Found != m_Targets.end()) {
-    auto &OwnLoad = Found->second.m_OwnLoad;
-    OwnLoad.m_ActiveRequests = std::max<std::int64_t>(0, OwnLoad.m_ActiveRequests - 1);
+    auto &State = Found->second;
+    State.m_OwnLoad.m_ActiveRequests =
+        std::max<std::int64_t>(0, State.m_OwnLoad.m_ActiveRequests - 1);
+    State.m_Statements.m_Probes = std::max<std::int64_t>(0, State.m_Statements.m_Probes - 1);
   }
 }
 
@@ -116,6 +121,9 @@
     return;
   }
   auto &State = Found->second;
+  if (Now >= State.m_Statements.m_PausedUntil) {
+    State.m_Statements.m_MustProbe = false;
+  }
   const auto Failed = Result != AttemptResult::Success;
   State.m_FailureRate +=
       m_Options.m_FailureRateSmoothing * ((Failed ? 1.0 : 0.0) - State.m_FailureRate);
@@ -136,4 +144,33 @@
   }
 }
 
+auto TargetTable::findProcess(const std::string &Id, std::int64_t Incarnation) -> TargetState * {
+  const auto Found = m_Targets.find(Id);
+  return Found == m_Targets.end() || Found->second.m_Record.m_Incarnation != Incarnation
+             ? nullptr
+             : &Found->second;
+}
+
+auto TargetTable::recordLeaving(const std::string &Id, std::int64_t Incarnation,
+                                base::SteadyTime Now) -> void {
+  if (auto *State = findProcess(Id, Incarnation)) {
+    State->m_Statements.m_LeavingSince = State->m_Statements.m_LeavingSince.value_or(Now);
+  }
+}
+
+auto TargetTable::recordPause(const std::string &Id, std::int64_t Incarnation,
+                              std::chrono::milliseconds Pause, base::SteadyTime Now) -> void {
+  if (auto *State = findProcess(Id, Incarnation)) {
+    auto &Statements = State->m_Statements;
+    Statements.m_PausedUntil = std::max(Statements.m_PausedUntil, Now + Pause);
+    Statements.m_MustProbe = true;
+    Statements.m_Probes = 0;
+  }
+}
+
+auto TargetTable::countUnreadableStatement(const std::string &Id) -> std::int64_t {
+  const auto Found = m_Targets.find(Id);
+  return Found == m_Targets.end() ? 0 : ++Found->second.m_Statements.m_Unreadable;
+}
+
 } // namespace geraniumlift::forwarding
--- a/src/forwarding/placement.h
+++ b/src/forwarding/placement.h
@@ -68,12 +68,10 @@
   /// The best of the targets that may get it with a permit, if it is better than the choice.
   std::optional<WantedTarget> m_Wanted;
 
-  /// What keeps the request from targets that it was not sent to, if there is no choice. Reasons
-  /// that end by themselves go before others.
-  GateReason m_Reason = GateReason::None;
-
-  /// Shortest time until that may change for a target.
+  /// Shortest time until a closed target may open, and what closes that target. Without such a
+  /// time, the reason why targets need permits.
   std::optional<std::chrono::milliseconds> m_RetryAfter;
+  GateReason m_Reason = GateReason::None;
 };
 
 /// Chooses the target with the shortest forecast wait. The forecast covers the load that this and
--- a/src/forwarding/requesttypes.h
+++ b/src/forwarding/requesttypes.h
@@ -81,6 +81,16 @@
 
   /// Requests a second that the target takes from all routers together, if it names a limit.
   std::optional<double> m_RequestsPerSecond;
+
+  /// The target states that it is leaving.
+  bool m_IsLeaving = false;
+
+  /// Time for which the target wants no requests from this router; set only in a response that
+  /// turns the request away.
+  std::optional<std::chrono::milliseconds> m_Pause;
+
+  /// A field about leaving or pausing has a value without a meaning, and is ignored.
+  bool m_HasUnreadableSignal = false;
 };
 
 /// Decodes and encodes the header fields of one protocol.
--- a/src/forwarding/targetgate.h
+++ b/src/forwarding/targetgate.h
@@ -13,6 +13,10 @@
   None,
   /// The target's registration says that it is leaving.
   Leaving,
+  /// The target has said in a response that it is leaving.
+  SaidLeaving,
+  /// The target has asked for a pause, or has not answered since one ended.
+  Paused,
   /// The target is ejected after failures.
   Ejected,
   /// The target names a limit, and this router holds no permit.
@@ -24,6 +28,8 @@
 inline constexpr auto GateReasonNames = std::array{
     base::NamedValue<GateReason>{GateReason::None, "none"},
     base::NamedValue<GateReason>{GateReason::Leaving, "leaving"},
+    base::NamedValue<GateReason>{GateReason::SaidLeaving, "said_leaving"},
+    base::NamedValue<GateReason>{GateReason::Paused, "paused"},
     base::NamedValue<GateReason>{GateReason::Ejected, "ejected"},
     base::NamedValue<GateReason>{GateReason::Limited, "limited"},
     base::NamedValue<GateReason>{GateReason::Unreachable, "unreachable"},
@@ -51,12 +57,20 @@
   std::optional<std::chrono::milliseconds> m_RetryAfter;
 };
 
+/// Times of a TargetGate.
+struct GateOptions {
+  /// A target that has said that it is leaving may be used for this long if no other target takes
+  /// the request.
+  std::chrono::milliseconds m_LeavingGrace{1000};
+};
+
 /// Decides whether this router may send to a target now, and if not, why and until when. All ways
 /// to a target ask it: first attempts, retries and resumed streams. Does no input or output.
 class TargetGate {
 public:
-  TargetGate(ratelimits::ITargetLimits &Limits, quarantine::IPromptQuarantine &Quarantine)
-      : m_Limits(Limits), m_Quarantine(Quarantine) {}
+  TargetGate(GateOptions Options, ratelimits::ITargetLimits &Limits,
+             quarantine::IPromptQuarantine &Quarantine)
+      : m_Options(Options), m_Limits(Limits), m_Quarantine(Quarantine) {}
 
   /// Decides whether a request of the workspace with these shared prompt parts may be sent to any
   /// target; returns what is in quarantine if not.
@@ -79,6 +93,12 @@
   [[nodiscard]] auto uplink() -> UplinkGuard & { return m_Uplink; }
 
 private:
+  /// Whether the target's responses close it: after it has said that it is leaving, and during a
+  /// pause. At the end of a pause one request probes the target before others follow.
+  [[nodiscard]] auto checkStatements(const TargetState &Target, base::SteadyTime Now) const
+      -> GateDecision;
+
+  GateOptions m_Options;
   ratelimits::ITargetLimits &m_Limits;
   quarantine::IPromptQuarantine &m_Quarantine;
   UplinkGuard m_Uplink = UplinkGuard(UplinkGuardOptions());
--- a/src/forwarding/targettable.h
+++ b/src/forwarding/targettable.h
@@ -58,6 +58,24 @@
   double m_FailureRateSmoothing = 0.12;
 };
 
+/// What a target has said about itself in its responses.
+struct TargetStatements {
+  /// When it first said that it is leaving.
+  std::optional<base::SteadyTime> m_LeavingSince;
+
+  /// End of the longest pause that it has asked for.
+  base::SteadyTime m_PausedUntil;
+
+  /// Whether no request has been answered since the last pause.
+  bool m_MustProbe = false;
+
+  /// Requests sent since the end of the pause that have not ended.
+  std::int64_t m_Probes = 0;
+
+  /// Number of unreadable statements.
+  std::int64_t m_Unreadable = 0;
+};
+
 /// A target's registration, load and health as seen by this router.
 class TargetState {
 public:
@@ -82,6 +100,8 @@
   /// End of the last ejection.
   [[nodiscard]] auto ejectedUntil() const -> base::SteadyTime { return m_EjectedUntil; }
 
+  [[nodiscard]] auto statements() const -> const TargetStatements & { return m_Statements; }
+
   /// Moving average of the share of attempts that failed, 0 to 1.
   [[nodiscard]] auto failureRate() const -> double { return m_FailureRate; }
 
@@ -94,6 +114,7 @@
 
   /// Time of the last request by ID of a prompt part.
   absl::flat_hash_map<std::string, base::SteadyTime> m_CachedParts;
+  TargetStatements m_Statements;
   base::SteadyTime m_EjectedUntil;
   double m_FailureRate = 0.0;
   int m_ConsecutiveFailures = 0;
@@ -136,7 +157,19 @@
   /// unhealthy. Unknown results are ignored.
   auto recordResult(const std::string &Id, AttemptResult Result, base::SteadyTime Now) -> void;
 
+  /// Records that a process of the target has said that it is leaving, or has asked for a pause.
+  /// Ignored if another process runs under the ID by now.
+  auto recordLeaving(const std::string &Id, std::int64_t Incarnation, base::SteadyTime Now) -> void;
+  auto recordPause(const std::string &Id, std::int64_t Incarnation, std::chrono::milliseconds Pause,
+                   base::SteadyTime Now) -> void;
+
+  /// Counts an unreadable statement. Returns how many the target's process has made.
+  auto countUnreadableStatement(const std::string &Id) -> std::int64_t;
+
 private:
+  /// Returns the state of the target's process, or nullptr if it is not the current one.
+  auto findProcess(const std::string &Id, std::int64_t Incarnation) -> TargetState *;
+
   HealthOptions m_Options;
   std::map<std::string, TargetState> m_Targets;
 };
--- a/src/forwarding/tests/forwardingfakes.h
+++ b/src/forwarding/tests/forwardingfakes.h
@@ -168,8 +168,8 @@
 };
 
 /// A protocol with the header fields `id`, `host`, `key`, `left` and `prompt` from callers,
-/// `target`, `left-now` and `after` to targets, and `id`, `signed`, `not-run` and `limited` from
-/// targets.
+/// `target`, `left-now` and `after` to targets, and `id`, `signed`, `not-run`, `limited`,
+/// `leaving`, `pause` (3 s) and `odd` from targets.
 class FakeHeaderCodec final : public IHeaderCodec {
 public:
   [[nodiscard]] auto decodeRequest(const http1::RequestHead &Head) const -> RequestFields override {
@@ -204,6 +204,11 @@
     if (Head.m_Fields.has("limited")) {
       Metadata.m_RequestsPerSecond = 2.0;
     }
+    Metadata.m_IsLeaving = Head.m_Fields.has("leaving");
+    Metadata.m_HasUnreadableSignal = Head.m_Fields.has("odd");
+    if (Head.m_Fields.has("pause")) {
+      Metadata.m_Pause = std::chrono::milliseconds(3000);
+    }
     return Metadata;
   }
   auto markRouterResponse(http1::ResponseHead &, const std::string &) const -> void override {}
@@ -328,7 +333,7 @@
   FakeLimits m_Limits;
   TargetTable m_Targets;
   Placement m_Placement;
-  TargetGate m_Gate{m_Limits, m_Quarantine};
+  TargetGate m_Gate{GateOptions(), m_Limits, m_Quarantine};
   ForwardingContext m_Context;
   std::shared_ptr<FakeCaller> m_Caller;
   std::shared_ptr<ForwardSession> m_Session;
--- a/src/forwarding/tests/forwardsession_test.cpp
+++ b/src/forwarding/tests/forwardsession_test.cpp
@@ -511,3 +511,74 @@
       Fixture.m_Log.has("request_refused", {"reason=targets_unreachable", "verdict=did_not_run"}));
   cr_expect(Fixture.m_Caller->m_Head.m_Fields.has("Retry-After"));
 }
+
+// Guards against requests to a target that says in its responses that it leaves, whatever its
+// record in the store says. Every kind of response counts.
+Test(forwardsession, targetThatSaysItLeavesGetsNoFurtherRequests) {
+  for (const auto &Marks : {std::vector<std::string>{"signed", "leaving"},
+                            std::vector<std::string>{"not-run", "leaving"}}) {
+    auto Fixture = ForwardingFixture();
+    Fixture.request("/book/1");
+    Fixture.connect();
+    const auto Leaving = Fixture.attempts()[0]->m_TargetId;
+    Fixture.answerHead(Marks[0] == "signed" ? 200 : 503, Marks);
+    for (auto Number = 0; Number < 5; ++Number) {
+      Fixture.request("/book/2");
+      Fixture.connect();
+      cr_expect_neq(Fixture.attempts().back()->m_TargetId, Leaving);
+    }
+  }
+}
+
+// Guards against requests that wait for a pool that leaves as a whole.
+Test(forwardsession, requestIsRefusedAtOnceWhenAllTargetsHaveLeft) {
+  auto Fixture = ForwardingFixture();
+  for (const auto *Id : {"s1", "s2"}) {
+    Fixture.m_Targets.recordLeaving(Id, 0, Fixture.m_Clock.steadyNow());
+  }
+  Fixture.m_Clock.advance(1500ms);
+  Fixture.request("/book/1");
+  cr_expect(Fixture.attempts().empty());
+  cr_expect_eq(Fixture.m_Caller->m_Status, 503);
+  cr_expect(Fixture.m_Log.has("request_refused", {"reason=no_target", "verdict=did_not_run"}));
+}
+
+// Guards against requests to a target that has asked for a pause, against its ejection, and against
+// callers who all return at the moment when the pause ends.
+Test(forwardsession, callersAreToldWhenThePauseOfAllTargetsEnds) {
+  auto Fixture = ForwardingFixture();
+  Fixture.request("/book/1");
+  for (auto Number = 0; Number < 2; ++Number) {
+    Fixture.connect();
+    Fixture.answerHead(503, {"not-run", "pause"});
+  }
+  cr_expect_eq(Fixture.attempts().size(), 2U);
+  cr_expect_eq(Fixture.m_Caller->m_Status, 503);
+  cr_expect_not(Fixture.m_Targets.find("s1")->isEjected(Fixture.m_Clock.steadyNow()));
+  cr_expect_eq(Fixture.m_Targets.find("s1")->failureRate(), 0.0);
+  auto Times = std::set<std::string>();
+  for (auto Number = 0; Number < 8; ++Number) {
+    Fixture.request("/book/2");
+    const auto RetryAfter =
+        std::string(Fixture.m_Caller->m_Head.m_Fields.find("Retry-After").value());
+    Times.insert(RetryAfter);
+    cr_expect_geq(std::stod(RetryAfter), 3.0);
+    cr_expect_leq(std::stod(RetryAfter), 3.75);
+  }
+  cr_expect_gt(Times.size(), 4U);
+  cr_expect_eq(Fixture.attempts().size(), 2U);
+  cr_expect(Fixture.m_Log.has("request_refused", {"reason=targets_paused"}));
+}
+
+Test(forwardsession, unreadableStatementIsLoggedAndIgnored) {
+  auto Fixture = ForwardingFixture();
+  for (auto Number = 0; Number < 5; ++Number) {
+    Fixture.request("/look/1");
+    Fixture.connect();
+    Fixture.answerHead(200, {"signed", "odd"});
+    Fixture.end();
+    cr_expect_eq(Fixture.m_Caller->m_Status, 200);
+  }
+  cr_expect(Fixture.m_Log.has("target_statement_unreadable", {"count=1"}));
+  cr_expect_not(Fixture.m_Log.has("target_statement_unreadable", {"count=3"}));
+}
--- a/src/forwarding/tests/placement_test.cpp
+++ b/src/forwarding/tests/placement_test.cpp
@@ -41,7 +41,7 @@
 struct OpenGate {
   tests::FakeLimits m_Limits;
   tests::FakeQuarantine m_Quarantine;
-  TargetGate m_Gate{m_Limits, m_Quarantine};
+  TargetGate m_Gate{GateOptions(), m_Limits, m_Quarantine};
 };
 
 auto choose(const TargetTable &Targets, const PlacementRequest &Request)
--- a/src/forwarding/tests/targetgate_test.cpp
+++ b/src/forwarding/tests/targetgate_test.cpp
@@ -26,7 +26,7 @@
   TargetTable m_Targets{HealthOptions()};
   tests::FakeLimits m_Limits;
   tests::FakeQuarantine m_Quarantine;
-  TargetGate m_Gate{m_Limits, m_Quarantine};
+  TargetGate m_Gate{GateOptions(), m_Limits, m_Quarantine};
 };
 
 } // namespace
@@ -80,3 +80,45 @@
   cr_expect(Log.has("target_access_changed", {"reason=ejected", "before=none"}));
   cr_expect(Log.has("target_access_changed", {"reason=none", "before=ejected"}));
 }
+
+// Guards against requests to a target that has said in a response that it leaves.
+Test(targetgate, targetThatSaidItLeavesIsALastResortAndThenClosed) {
+  auto Fixture = GateFixture();
+  Fixture.m_Targets.recordLeaving("t", 0, Start);
+  cr_expect(Fixture.check(Start + 1s).m_IsLastResort);
+  cr_expect_eq(Fixture.check(Start + 1s).m_Access, GateAccess::Open);
+  Fixture.m_Targets.recordLeaving("t", 0, Start + 1s);
+  cr_expect_eq(Fixture.check(Start + 1001ms).m_Access, GateAccess::Closed,
+               "a repeated statement does not extend the time");
+  cr_expect_eq(Fixture.check(Start + 1001ms).m_Reason, GateReason::SaidLeaving);
+  Fixture.m_Targets.put(Fixture.target().record());
+  cr_expect_eq(Fixture.check(Start + 1h).m_Access, GateAccess::Closed,
+               "a record that still says ready does not open the target");
+  auto Restarted = Fixture.target().record();
+  Restarted.m_Incarnation = 7;
+  Fixture.m_Targets.put(Restarted);
+  cr_expect_eq(Fixture.check(Start + 1h).m_Reason, GateReason::None);
+}
+
+// Guards against closing a target because of a late answer of the process before it.
+Test(targetgate, statementsOfAFormerProcessAreIgnored) {
+  auto Fixture = GateFixture();
+  Fixture.m_Targets.recordLeaving("t", 3, Start);
+  Fixture.m_Targets.recordPause("t", 3, 5s, Start);
+  cr_expect_eq(Fixture.check().m_Reason, GateReason::None);
+}
+
+// Guards against the whole queue that returns at once when a pause ends.
+Test(targetgate, pausedTargetIsClosedAndThenProbedByOneRequest) {
+  auto Fixture = GateFixture();
+  Fixture.m_Targets.recordPause("t", 0, 3s, Start);
+  Fixture.m_Targets.recordPause("t", 0, 1s, Start);
+  cr_expect_eq(Fixture.check(Start + 2s).m_Access, GateAccess::Closed,
+               "a shorter pause does not end a longer one");
+  cr_expect(Fixture.check(Start + 2s).m_RetryAfter == std::optional(1000ms));
+  cr_expect_eq(Fixture.check(Start + 3s).m_Reason, GateReason::None);
+  Fixture.m_Targets.recordSent("t", nullptr, 0, Start + 3s);
+  cr_expect(Fixture.check(Start + 3s).m_IsLastResort);
+  Fixture.m_Targets.recordResult("t", AttemptResult::Success, Start + 3s);
+  cr_expect_eq(Fixture.check(Start + 3s).m_Reason, GateReason::None);
+}
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -95,6 +95,14 @@
   return Options;
 }
 
+auto gateOptions(const RouterSettings &Settings) -> forwarding::GateOptions {
+  auto Options = forwarding::GateOptions();
+  // Half of the time within which a leaving target must get no more requests: a request that was
+  // placed in the last moment has yet to arrive there.
+  Options.m_LeavingGrace = Settings.m_DrainTime / 2;
+  return Options;
+}
+
 auto placementOptions(const RouterSettings &Settings) -> forwarding::PlacementOptions {
   auto Options = forwarding::PlacementOptions();
   Options.m_DataCentre = Settings.m_DataCentre;
@@ -153,7 +161,7 @@
                    Dependencies.m_Log),
       m_Limits(m_Settings.m_Vm, m_PeerLink, Dependencies.m_Timers, Dependencies.m_Clock,
                Dependencies.m_Log),
-      m_Gate(m_Limits, m_Quarantine), m_TargetAccess(Dependencies.m_Log),
+      m_Gate(gateOptions(m_Settings), m_Limits, m_Quarantine), m_TargetAccess(Dependencies.m_Log),
       m_Placement(placementOptions(m_Settings),
                   [this](const forwarding::TargetRecord &Target) {
                     return m_Peers.peerLoad(Target.m_Id, now());
