--- a/src/fleet/addressselector.h
+++ b/src/fleet/addressselector.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "base/iclock.h"
+
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -13,6 +16,7 @@
 
   /// Address for callers, as IP:PORT.
   std::string m_Address;
+  std::string m_DataCentre = {};
 
   /// Whether the router has been silent for longer than the heartbeat timeout.
   bool m_IsSilent = false;
@@ -29,18 +33,27 @@
   /// Callers read no more addresses than this.
   static constexpr std::size_t DefaultMaxAddresses = 64;
 
-  /// Self is the name of the router that answers.
-  explicit AddressSelector(std::string Self, std::size_t MaxAddresses = DefaultMaxAddresses)
-      : m_Self(std::move(Self)), m_MaxAddresses(MaxAddresses) {}
+  /// Self is the name of the router that answers. A silent majority of the routers counts as gone
+  /// after MaxIsolation, if the store can be reached all the while.
+  explicit AddressSelector(std::string Self, std::size_t MaxAddresses = DefaultMaxAddresses,
+                           std::chrono::milliseconds MaxIsolation = std::chrono::milliseconds(3000))
+      : m_Self(std::move(Self)), m_MaxAddresses(MaxAddresses), m_MaxIsolation(MaxIsolation) {}
 
-  /// Silent routers are left out, unless more than half are silent: then this router is probably
-  /// isolated itself.
-  [[nodiscard]] auto choose(std::vector<AddressCandidate> Candidates) const
-      -> std::vector<std::string>;
+  /// Silent routers are left out. If more than half are silent, this router is probably isolated
+  /// itself, and they stay listed for a while.
+  [[nodiscard]] auto choose(std::vector<AddressCandidate> Candidates, bool IsStoreReachable,
+                            base::SteadyTime Now) -> std::vector<std::string>;
 
 private:
+  auto removeSilent(std::vector<AddressCandidate> &Candidates, bool IsStoreReachable,
+                    base::SteadyTime Now) -> void;
+
   std::string m_Self;
   std::size_t m_MaxAddresses;
+  std::chrono::milliseconds m_MaxIsolation;
+
+  /// Since when more than half of the routers are silent while the store can be reached.
+  std::optional<base::SteadyTime> m_IsolatedSince;
 };
 
 } // namespace geraniumlift::fleet
--- a/src/fleet/internal/addressselector.cpp
+++ b/src/fleet/internal/addressselector.cpp
@@ -6,21 +6,24 @@
 
 namespace geraniumlift::fleet {
 
-namespace {
-
-auto removeSilent(std::vector<AddressCandidate> &Candidates) -> void {
+auto AddressSelector::removeSilent(std::vector<AddressCandidate> &Candidates, bool IsStoreReachable,
+                                   base::SteadyTime Now) -> void {
   const auto IsSilent = [](const AddressCandidate &Item) { return Item.m_IsSilent; };
   const auto Silent = std::count_if(Candidates.begin(), Candidates.end(), IsSilent);
-  if (static_cast<std::size_t>(Silent) * 2 <= Candidates.size()) {
+  const auto IsMajoritySilent = static_cast<std::size_t>(Silent) * 2 > Candidates.size();
+  if (!IsMajoritySilent || !IsStoreReachable) {
+    m_IsolatedSince.reset();
+  } else if (!m_IsolatedSince) {
+    m_IsolatedSince = Now;
+  }
+  if (!IsMajoritySilent || (m_IsolatedSince && Now - *m_IsolatedSince >= m_MaxIsolation)) {
     std::erase_if(Candidates, IsSilent);
   }
 }
 
-} // namespace
-
-auto AddressSelector::choose(std::vector<AddressCandidate> Candidates) const
-    -> std::vector<std::string> {
-  removeSilent(Candidates);
+auto AddressSelector::choose(std::vector<AddressCandidate> Candidates, bool IsStoreReachable,
+                             base::SteadyTime Now) -> std::vector<std::string> {
+  removeSilent(Candidates, IsStoreReachable, Now);
   auto Ranked = std::vector<std::pair<std::uint64_t, std::string *>>();
   for (auto &Item : Candidates) {
     Ranked.emplace_back(base::rendezvousRank(m_Self, Item.m_Router), &Item.m_Address);
--- a/src/fleet/internal/peertable.cpp
+++ b/src/fleet/internal/peertable.cpp
@@ -285,6 +285,22 @@
   return Name != m_Options.m_Self && Item.m_HasRecord && !isLeaving(Item) && isAlive(Item, Now);
 }
 
+auto PeerTable::isInContact(base::SteadyTime Now) const -> bool {
+  if (m_Role == FleetRole::Member && Now - m_DigestAt > m_Options.m_HeartbeatTimeout) {
+    return false;
+  }
+  // This router counts among both.
+  auto Records = std::size_t{1};
+  auto Alive = std::size_t{1};
+  for (const auto &[Name, Item] : m_Peers) {
+    if (Name != m_Options.m_Self && Item.m_HasRecord) {
+      ++Records;
+      Alive += isAlive(Item, Now) ? 1 : 0;
+    }
+  }
+  return Alive * 2 > Records;
+}
+
 auto PeerTable::findRecord(const std::string &Router) const -> const RouterRecord * {
   const auto Found = m_Peers.find(Router);
   return Found == m_Peers.end() || !Found->second.m_HasRecord ? nullptr : &Found->second.m_Record;
@@ -348,7 +364,7 @@
     const auto IsSilent = !IsSelf && !isAlive(Item, Now);
     const auto IsLeavingNow = IsSelf ? IsSelfLeaving : isLeaving(Item) && !IsSilent;
     if (Item.m_HasRecord && !IsLeavingNow) {
-      Result.push_back({Name, Item.m_Record.m_CallerAddress, IsSilent});
+      Result.push_back({Name, Item.m_Record.m_CallerAddress, Item.m_Record.m_DataCentre, IsSilent});
     }
   }
   return Result;
--- a/src/fleet/peertable.h
+++ b/src/fleet/peertable.h
@@ -75,6 +75,10 @@
   /// Returns the names of the other routers that are alive and not leaving.
   [[nodiscard]] auto alivePeers(base::SteadyTime Now) const -> std::set<std::string>;
 
+  /// Whether this router hears, itself or through its relay, more than half of the routers with a
+  /// record, itself included. Of several parts of a divided fleet at most one is in contact.
+  [[nodiscard]] auto isInContact(base::SteadyTime Now) const -> bool;
+
   /// Returns the record of a router, or nullptr if it has none.
   [[nodiscard]] auto findRecord(const std::string &Router) const -> const RouterRecord *;
 
--- a/src/fleet/tests/addressselector_test.cpp
+++ b/src/fleet/tests/addressselector_test.cpp
@@ -13,13 +13,15 @@
 
 namespace {
 
+constexpr auto Start = base::SteadyTime(std::chrono::hours(1));
+
 /// Mean number of connections to a router in a played load.
 constexpr auto ConnectionsPerRouter = 200;
 
 auto fleetOf(int Routers) -> std::vector<AddressCandidate> {
   auto Result = std::vector<AddressCandidate>();
   for (auto Number = 0; Number < Routers; ++Number) {
-    Result.push_back({fmt::format("vm-{}", Number), fmt::format("10.0.0.{}:80", Number)});
+    Result.push_back({fmt::format("vm-{}", Number), fmt::format("10.0.0.{}:80", Number), "a"});
   }
   return Result;
 }
@@ -34,7 +36,7 @@
   };
   auto Lists = std::vector<std::vector<std::string>>();
   for (const auto &Router : Fleet) {
-    Lists.push_back(AddressSelector(Router.m_Router).choose(Fleet));
+    Lists.push_back(AddressSelector(Router.m_Router).choose(Fleet, true, Start));
   }
   auto Connections = std::map<std::string, int>();
   for (auto Caller = 0; Caller < Routers * ConnectionsPerRouter; ++Caller) {
@@ -59,19 +61,19 @@
 }
 
 Test(addressselector, smallFleetIsListedWhole) {
-  cr_assert_eq(AddressSelector("vm-1").choose(fleetOf(9)).size(), 9U);
+  cr_assert_eq(AddressSelector("vm-1").choose(fleetOf(9), true, Start).size(), 9U);
 }
 
 // Guards against callers that close most of their connections with each new list.
 Test(addressselector, listsChangeOnlyWhereRoutersComeAndGo) {
   auto Fleet = fleetOf(195);
-  const auto Selector = AddressSelector("vm-3");
-  auto Before = Selector.choose(Fleet);
+  auto Selector = AddressSelector("vm-3");
+  auto Before = Selector.choose(Fleet, true, Start);
   cr_assert_eq(Before.size(), 64U, "callers read no more");
-  cr_assert(Selector.choose(Fleet) == Before);
+  cr_assert(Selector.choose(Fleet, true, Start) == Before);
   Fleet.erase(std::find_if(Fleet.begin(), Fleet.end(),
                            [&Before](const auto &Item) { return Item.m_Address == Before[5]; }));
-  auto After = Selector.choose(Fleet);
+  auto After = Selector.choose(Fleet, true, Start);
   cr_assert_eq(After.size(), 64U);
   std::sort(Before.begin(), Before.end());
   std::sort(After.begin(), After.end());
@@ -86,9 +88,25 @@
   for (auto Number = 0; Number < 20; ++Number) {
     Fleet[static_cast<std::size_t>(Number)].m_IsSilent = true;
   }
-  const auto Selector = AddressSelector("vm-30");
-  cr_assert_eq(Selector.choose(Fleet).size(), 20U);
+  auto Selector = AddressSelector("vm-30");
+  cr_assert_eq(Selector.choose(Fleet, true, Start).size(), 20U);
   Fleet[20].m_IsSilent = true;
-  cr_assert_eq(Selector.choose(Fleet).size(), 40U,
+  cr_assert_eq(Selector.choose(Fleet, true, Start).size(), 40U,
                "a router that hears few others is isolated itself");
 }
+
+// Guards against callers who are told of routers that were killed, when most of the fleet was.
+Test(addressselector, silentMajorityIsGoneIfTheStoreCanBeReachedAllTheWhile) {
+  using namespace std::chrono_literals;
+  auto Fleet = fleetOf(40);
+  for (auto Number = 0; Number < 30; ++Number) {
+    Fleet[static_cast<std::size_t>(Number)].m_IsSilent = true;
+  }
+  auto Selector = AddressSelector("vm-35", 64, 4000ms);
+  cr_expect_eq(Selector.choose(Fleet, true, Start).size(), 40U);
+  cr_expect_eq(Selector.choose(Fleet, true, Start + 3999ms).size(), 40U);
+  cr_expect_eq(Selector.choose(Fleet, false, Start + 4s).size(), 40U,
+               "a router without the store is isolated itself");
+  cr_expect_eq(Selector.choose(Fleet, true, Start + 5s).size(), 40U);
+  cr_expect_eq(Selector.choose(Fleet, true, Start + 9s).size(), 10U);
+}
--- a/src/forwarding/internal/forwardsession.cpp
+++ b/src/forwarding/internal/forwardsession.cpp
@@ -26,6 +26,7 @@
 auto refusalReason(GateReason Reason) -> RefusalReason {
   switch (Reason) {
   case GateReason::Limited:
+  case GateReason::Cold:
     return RefusalReason::TargetsLimited;
   case GateReason::Paused:
     return RefusalReason::TargetsPaused;
@@ -245,8 +246,11 @@
     return;
   }
   const auto *Prompt = m_Fields.m_Prompt ? &*m_Fields.m_Prompt : nullptr;
-  const auto Decision = m_Context.m_Placement.decide(m_Context.m_Targets, m_Context.m_Gate,
-                                                     {m_Pool, Prompt, m_TriedTargets}, now());
+  const auto Regions =
+      RequestRegions{&m_Route->m_AllowedRegions,
+                     m_Workspace == nullptr ? nullptr : &m_Workspace->m_AllowedRegions};
+  const auto Decision = m_Context.m_Placement.decide(
+      m_Context.m_Targets, m_Context.m_Gate, {m_Pool, Prompt, m_TriedTargets, Regions}, now());
   const auto &Choice = Decision.m_Choice;
   if (Decision.m_Wanted && m_PermitRequests < m_Context.m_Options.m_MaxPermitRequests) {
     waitForPermit(Decision.m_Wanted->m_Key);
--- a/src/forwarding/internal/placement.cpp
+++ b/src/forwarding/internal/placement.cpp
@@ -68,7 +68,7 @@
     if (Request.m_Excluded.contains(Target->record().m_Id)) {
       continue;
     }
-    const auto Checked = Gate.checkTarget(*Target, Now);
+    const auto Checked = Gate.checkTarget(*Target, Request.m_Regions, Now);
     if (Checked.m_Access == GateAccess::Closed && !Checked.m_RetryAfter) {
       continue;
     }
--- a/src/forwarding/internal/routingtable.cpp
+++ b/src/forwarding/internal/routingtable.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/routingtable.h"
 
 #include <absl/strings/ascii.h>
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace geraniumlift::forwarding {
@@ -68,6 +69,16 @@
   return absl::OkStatus();
 }
 
+auto RoutingTable::allowsRegion(std::string_view Host, const std::string &Region) const -> bool {
+  const auto Found = m_Hosts.find(toLower(Host));
+  return Found == m_Hosts.end() ||
+         std::all_of(Found->second.begin(), Found->second.end(), [&](const auto &Item) {
+           const auto &Regions = m_Routes[Item.second].m_AllowedRegions;
+           return Regions.empty() ||
+                  std::find(Regions.begin(), Regions.end(), Region) != Regions.end();
+         });
+}
+
 auto RoutingTable::findRoute(std::string_view Host, std::string_view Target) const
     -> const Route * {
   auto Found = m_Hosts.find(toLower(Host));
--- a/src/forwarding/internal/targetgate.cpp
+++ b/src/forwarding/internal/targetgate.cpp
@@ -1,10 +1,20 @@
 #include "forwarding/targetgate.h"
 
+#include <algorithm>
+
 namespace geraniumlift::forwarding {
 
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
+auto RequestRegions::allows(const std::string &Region) const -> bool {
+  const auto IsIn = [&Region](const std::vector<std::string> *List) {
+    return List == nullptr || List->empty() ||
+           std::find(List->begin(), List->end(), Region) != List->end();
+  };
+  return IsIn(m_Route) && IsIn(m_Workspace);
+}
+
 auto TargetGate::checkStatements(const TargetState &Target, base::SteadyTime Now) const
     -> GateDecision {
   const auto &Said = Target.statements();
@@ -24,11 +34,19 @@
   return {};
 }
 
-auto TargetGate::checkTarget(const TargetState &Target, base::SteadyTime Now) const
-    -> GateDecision {
-  if (Target.record().m_IsLeaving) {
+auto TargetGate::checkTarget(const TargetState &Target, const RequestRegions &Regions,
+                             base::SteadyTime Now) const -> GateDecision {
+  const auto &Record = Target.record();
+  if (Record.m_IsLeaving) {
     return {GateAccess::Closed, false, GateReason::Leaving, std::nullopt};
   }
+  if (m_Evacuated.contains(Record.m_DataCentre)) {
+    return {GateAccess::Closed, false, GateReason::Evacuated, std::nullopt};
+  }
+  const auto Region = m_Options.m_Regions.find(Record.m_DataCentre);
+  if (!Regions.allows(Region == m_Options.m_Regions.end() ? std::string() : Region->second)) {
+    return {GateAccess::Closed, false, GateReason::OutsideRegions, std::nullopt};
+  }
   auto Decision = checkStatements(Target, Now);
   if (Decision.m_Access == GateAccess::Closed) {
     return Decision;
@@ -39,7 +57,7 @@
     Decision.m_RetryAfter = duration_cast<milliseconds>(Target.ejectedUntil() - Now);
   }
   if (!m_Limits.maySend(Target.limitKey())) {
-    Decision.m_Reason = GateReason::Limited;
+    Decision.m_Reason = m_Limits.isCold(Target.limitKey()) ? GateReason::Cold : GateReason::Limited;
     Decision.m_RetryAfter = m_Limits.retryAfter(Target.limitKey());
     Decision.m_Access = Decision.m_RetryAfter ? GateAccess::Closed : GateAccess::NeedsPermit;
   }
--- a/src/forwarding/placement.h
+++ b/src/forwarding/placement.h
@@ -41,6 +41,9 @@
 
   /// IDs of targets to which the request was sent already.
   std::set<std::string> m_Excluded;
+
+  /// Where the request may be served.
+  RequestRegions m_Regions = {};
 };
 
 /// The chosen target and its forecast.
--- a/src/forwarding/routetypes.h
+++ b/src/forwarding/routetypes.h
@@ -53,6 +53,9 @@
   /// Maximum number of targets to which one request is sent. Failures to connect do not count.
   std::int64_t m_MaxAttempts = 1;
 
+  /// Regions whose targets may serve the route; all if empty.
+  std::vector<std::string> m_AllowedRegions;
+
   /// Whether callers need no API key.
   bool m_IsPublic = false;
 
@@ -83,6 +86,9 @@
 
   /// Absent for pools of plain services.
   std::optional<EngineParameters> m_Engine;
+
+  /// Requests a second that a cold target of the pool tolerates; 0 if the pool names none.
+  double m_ColdPerSecond = 0.0;
 };
 
 /// Limits on the size of requests and timeouts of caller connections.
@@ -102,6 +108,9 @@
 
   /// Total number of prepaid tokens; no limit if absent.
   std::optional<Tokens> m_Prepaid;
+
+  /// Regions whose targets may serve the workspace; all if empty.
+  std::vector<std::string> m_AllowedRegions = {};
 };
 
 } // namespace geraniumlift::forwarding
--- a/src/forwarding/routingtable.h
+++ b/src/forwarding/routingtable.h
@@ -34,6 +34,10 @@
   [[nodiscard]] auto findRoute(std::string_view Host, std::string_view Target) const
       -> const Route *;
 
+  /// Whether routers of the region may be named to callers of the host: every route of the host
+  /// allows it, or has no regions.
+  [[nodiscard]] auto allowsRegion(std::string_view Host, const std::string &Region) const -> bool;
+
   /// Returns the workspace of the API key, or nullptr.
   [[nodiscard]] auto findWorkspace(std::string_view Key) const -> const Workspace *;
 
--- a/src/forwarding/targetgate.h
+++ b/src/forwarding/targetgate.h
@@ -21,6 +21,12 @@
   Ejected,
   /// The target names a limit, and this router holds no permit.
   Limited,
+  /// The target is cold, and this router holds no permit.
+  Cold,
+  /// The target's data centre is evacuated.
+  Evacuated,
+  /// The target is outside the regions of the request.
+  OutsideRegions,
   /// This router reaches hardly any target.
   Unreachable,
 };
@@ -32,6 +38,9 @@
     base::NamedValue<GateReason>{GateReason::Paused, "paused"},
     base::NamedValue<GateReason>{GateReason::Ejected, "ejected"},
     base::NamedValue<GateReason>{GateReason::Limited, "limited"},
+    base::NamedValue<GateReason>{GateReason::Cold, "cold"},
+    base::NamedValue<GateReason>{GateReason::Evacuated, "evacuated"},
+    base::NamedValue<GateReason>{GateReason::OutsideRegions, "outside_regions"},
     base::NamedValue<GateReason>{GateReason::Unreachable, "unreachable"},
 };
 
@@ -62,6 +71,19 @@
   /// A target that has said that it is leaving may be used for this long if no other target takes
   /// the request.
   std::chrono::milliseconds m_LeavingGrace{1000};
+
+  /// Region of each data centre.
+  std::map<std::string, std::string> m_Regions;
+};
+
+/// Regions in which a request may be served: those of its route and of its workspace. An empty list
+/// allows all.
+struct RequestRegions {
+  const std::vector<std::string> *m_Route = nullptr;
+  const std::vector<std::string> *m_Workspace = nullptr;
+
+  /// Whether both lists allow the region.
+  [[nodiscard]] auto allows(const std::string &Region) const -> bool;
 };
 
 /// Decides whether this router may send to a target now, and if not, why and until when. All ways
@@ -70,7 +92,7 @@
 public:
   TargetGate(GateOptions Options, ratelimits::ITargetLimits &Limits,
              quarantine::IPromptQuarantine &Quarantine)
-      : m_Options(Options), m_Limits(Limits), m_Quarantine(Quarantine) {}
+      : m_Options(std::move(Options)), m_Limits(Limits), m_Quarantine(Quarantine) {}
 
   /// Decides whether a request of the workspace with these shared prompt parts may be sent to any
   /// target; returns what is in quarantine if not.
@@ -85,9 +107,21 @@
     return m_Uplink.mayConnect(Now) ? GateReason::None : GateReason::Unreachable;
   }
 
-  /// Decides on requests to one target.
+  /// Decides on requests to one target that may be served in the given regions.
+  [[nodiscard]] auto checkTarget(const TargetState &Target, const RequestRegions &Regions,
+                                 base::SteadyTime Now) const -> GateDecision;
+
+  /// As above, for requests without regions.
   [[nodiscard]] auto checkTarget(const TargetState &Target, base::SteadyTime Now) const
-      -> GateDecision;
+      -> GateDecision {
+    return checkTarget(Target, RequestRegions(), Now);
+  }
+
+  /// Sets the data centres whose targets get no requests until they are taken back.
+  auto setEvacuated(std::set<std::string> DataCentres) -> void {
+    m_Evacuated = std::move(DataCentres);
+  }
+  [[nodiscard]] auto evacuated() const -> const std::set<std::string> & { return m_Evacuated; }
 
   /// Records whether connecting to targets succeeds.
   [[nodiscard]] auto uplink() -> UplinkGuard & { return m_Uplink; }
@@ -101,6 +135,7 @@
   GateOptions m_Options;
   ratelimits::ITargetLimits &m_Limits;
   quarantine::IPromptQuarantine &m_Quarantine;
+  std::set<std::string> m_Evacuated;
   UplinkGuard m_Uplink = UplinkGuard(UplinkGuardOptions());
 };
 
--- a/src/forwarding/targettable.h
+++ b/src/forwarding/targettable.h
@@ -24,6 +24,9 @@
 
   /// Whether the target has stopped accepting new requests.
   bool m_IsLeaving = false;
+
+  /// How long the target stays cold, as of the writing of the registration.
+  std::chrono::milliseconds m_ColdTime{0};
 };
 
 /// Load that one router puts on a target, or the sum over several routers.
--- a/src/forwarding/tests/forwardingfakes.h
+++ b/src/forwarding/tests/forwardingfakes.h
@@ -142,6 +142,9 @@
     return m_Refused.contains(Target) ? std::optional(std::chrono::milliseconds(400))
                                       : std::nullopt;
   }
+  [[nodiscard]] auto isCold(ratelimits::TargetKey Target) const -> bool override {
+    return m_Cold.contains(Target);
+  }
   auto onSend(ratelimits::TargetKey Target) -> void override { m_Permits.erase(Target); }
   auto onAnswer(ratelimits::TargetKey Target, std::optional<double> PerSecond) -> void override {
     m_Stated[Target] = PerSecond;
@@ -160,6 +163,7 @@
   }
 
   std::set<ratelimits::TargetKey> m_Limited;
+  std::set<ratelimits::TargetKey> m_Cold;
   std::set<ratelimits::TargetKey> m_Permits;
   std::set<ratelimits::TargetKey> m_Refused;
   std::map<ratelimits::TargetKey, std::optional<double>> m_Stated;
--- a/src/forwarding/tests/targetgate_test.cpp
+++ b/src/forwarding/tests/targetgate_test.cpp
@@ -122,3 +122,53 @@
   Fixture.m_Targets.recordResult("t", AttemptResult::Success, Start + 3s);
   cr_expect_eq(Fixture.check(Start + 3s).m_Reason, GateReason::None);
 }
+
+Test(targetgate, evacuatedDataCentreIsClosedUntilItIsTakenBack) {
+  auto Fixture = GateFixture();
+  auto Record = Fixture.target().record();
+  Record.m_DataCentre = "north";
+  Fixture.m_Targets.put(Record);
+  Fixture.m_Gate.setEvacuated({"south"});
+  cr_expect_eq(Fixture.check().m_Access, GateAccess::Open);
+  Fixture.m_Gate.setEvacuated({"south", "north"});
+  cr_expect_eq(Fixture.check().m_Access, GateAccess::Closed);
+  cr_expect_eq(Fixture.check().m_Reason, GateReason::Evacuated);
+  Fixture.m_Gate.setEvacuated({});
+  cr_expect_eq(Fixture.check().m_Access, GateAccess::Open);
+}
+
+// Guards against a request that leaves the regions of its route or of its workspace.
+Test(targetgate, regionsOfRouteAndWorkspaceBindTogether) {
+  auto Fixture = GateFixture();
+  auto Options = GateOptions();
+  Options.m_Regions = {{"north-a", "north"}, {"south-a", "south"}};
+  const auto Gate = TargetGate(Options, Fixture.m_Limits, Fixture.m_Quarantine);
+  auto Record = Fixture.target().record();
+  Record.m_DataCentre = "north-a";
+  Fixture.m_Targets.put(Record);
+  const auto North = std::vector<std::string>{"north"};
+  const auto South = std::vector<std::string>{"south"};
+  const auto Both = std::vector<std::string>{"south", "north"};
+  const auto None = std::vector<std::string>();
+  const auto ReasonOf = [&](const RequestRegions &Regions) {
+    return Gate.checkTarget(Fixture.target(), Regions, Start).m_Reason;
+  };
+  cr_expect_eq(ReasonOf({}), GateReason::None);
+  cr_expect_eq(ReasonOf({&None, &North}), GateReason::None);
+  cr_expect_eq(ReasonOf({&Both, &North}), GateReason::None);
+  cr_expect_eq(ReasonOf({&South, &North}), GateReason::OutsideRegions);
+  cr_expect_eq(ReasonOf({&North, &South}), GateReason::OutsideRegions);
+  Record.m_DataCentre = "unknown";
+  Fixture.m_Targets.put(Record);
+  cr_expect_eq(ReasonOf({}), GateReason::None);
+  cr_expect_eq(ReasonOf({&North, nullptr}), GateReason::OutsideRegions);
+}
+
+Test(targetgate, coldTargetNeedsAPermit) {
+  auto Fixture = GateFixture();
+  const auto Key = Fixture.target().limitKey();
+  Fixture.m_Limits.m_Limited = {Key};
+  Fixture.m_Limits.m_Cold = {Key};
+  cr_expect_eq(Fixture.check().m_Access, GateAccess::NeedsPermit);
+  cr_expect_eq(Fixture.check().m_Reason, GateReason::Cold);
+}
--- a/src/ratelimits/internal/limitcodec.cpp
+++ b/src/ratelimits/internal/limitcodec.cpp
@@ -3,6 +3,7 @@
 #include "base/boundedread.h"
 #include "base/hashing.h"
 
+#include <algorithm>
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
@@ -16,6 +17,11 @@
   Data(Item.m_Target, Item.m_PerThousandSeconds, Item.m_AgeMs);
 }
 
+template <typename Archive>
+auto serialize(Archive &Data, ReportedCold &Item) -> void {
+  Data(Item.m_PerThousandSeconds, Item.m_ThousandthsOfBurst, Item.m_LeftMs);
+}
+
 namespace {
 
 /// Limit on the length of the list in an update. Pools are smaller, so more entries mean that the
@@ -33,7 +39,7 @@
 }
 
 auto write(OutputArchive &Data, const PermitRequest &Message) -> void {
-  Data(Message.m_Router, Message.m_Id, Message.m_Limit);
+  Data(Message.m_Router, Message.m_Id, Message.m_Limit, Message.m_Cold);
 }
 
 auto write(OutputArchive &Data, const PermitReply &Message) -> void {
@@ -47,7 +53,7 @@
 
 auto read(InputArchive &Data, PermitRequest &Message, std::size_t Size) -> void {
   base::readText(Data, Message.m_Router, Size);
-  Data(Message.m_Id, Message.m_Limit);
+  Data(Message.m_Id, Message.m_Limit, Message.m_Cold);
 }
 
 auto read(InputArchive &Data, PermitReply &Message, std::size_t /*Size*/) -> void {
@@ -67,6 +73,14 @@
   return base::hash64(fmt::format("{}/{}", TargetId, Incarnation));
 }
 
+auto coldAllowance(double PerSecond, double Overage, double Slack, base::SteadyTime Until)
+    -> ColdAllowance {
+  constexpr auto PermitSeconds = 1.6;
+  const auto Most = PerSecond * Overage + Slack;
+  const auto Rate = std::clamp(PerSecond, 0.0, std::max(0.0, (Most - 1.0) / PermitSeconds));
+  return {Rate, std::clamp(Most - PermitSeconds * Rate, 1.0, std::max(1.0, PerSecond)), Until};
+}
+
 auto encodeMessage(const LimitMessage &Message) -> std::string {
   auto Bytes = std::ostringstream();
   Bytes.put(KindBytes[Message.index()]);
--- a/src/ratelimits/internal/limitservice.cpp
+++ b/src/ratelimits/internal/limitservice.cpp
@@ -18,6 +18,15 @@
 
 constexpr auto ReportInterval = milliseconds(1000);
 
+/// Wait that is told while this router is out of contact with the fleet.
+constexpr auto OutOfContactWait = milliseconds(500);
+
+constexpr auto Thousand = 1000.0;
+
+auto toThousandths(double Value) -> std::uint32_t {
+  return static_cast<std::uint32_t>(std::clamp(Value * Thousand, 0.0, 4e9));
+}
+
 } // namespace
 
 LimitService::LimitService(std::string Router, ILimitLink &Link, base::ITimers &Timers,
@@ -26,10 +35,61 @@
       m_Log(Log), m_Routers{m_Router} {}
 
 auto LimitService::maySend(TargetKey Target) const -> bool {
+  if (isCold(Target)) {
+    return m_IsInContact && m_Pool.has(Target, now());
+  }
   return !m_Table.limitOf(Target) || m_Pool.has(Target, now());
 }
 
+auto LimitService::findCold(TargetKey Target) const -> const ColdAllowance * {
+  const auto Found = m_Cold.find(Target);
+  return Found == m_Cold.end() || Found->second.m_Until <= now() ? nullptr : &Found->second;
+}
+
+auto LimitService::isCold(TargetKey Target) const -> bool { return findCold(Target) != nullptr; }
+
+auto LimitService::coldTargets() const -> std::size_t {
+  return static_cast<std::size_t>(
+      std::count_if(m_Cold.begin(), m_Cold.end(),
+                    [this](const auto &Item) { return Item.second.m_Until > now(); }));
+}
+
+auto LimitService::setCold(TargetKey Target, const ColdAllowance &Allowance) -> void {
+  auto &Known = m_Cold[Target];
+  if (Allowance.m_Until <= Known.m_Until) {
+    return;
+  }
+  const auto WasCold = Known.m_Until > now();
+  Known = Allowance;
+  if (!WasCold && Allowance.m_Until > now()) {
+    m_Log.record(base::LogLevel::Info, "target_cold",
+                 {{"target", fmt::format("{:016x}", Target)},
+                  {"per_second", fmt::format("{:.2f}", Allowance.m_PerSecond)},
+                  {"burst", fmt::format("{:.2f}", Allowance.m_Burst)},
+                  {"left_ms", duration_cast<milliseconds>(Allowance.m_Until - now()).count()}});
+  }
+}
+
+auto LimitService::reportCold(TargetKey Target) const -> ReportedCold {
+  const auto *Cold = findCold(Target);
+  if (Cold == nullptr) {
+    return {};
+  }
+  return {toThousandths(Cold->m_PerSecond), toThousandths(Cold->m_Burst),
+          static_cast<std::uint32_t>(duration_cast<milliseconds>(Cold->m_Until - now()).count())};
+}
+
+auto LimitService::applyReportedCold(TargetKey Target, const ReportedCold &Item) -> void {
+  if (Item.m_LeftMs > 0 && !isCold(Target)) {
+    setCold(Target, {Item.m_PerThousandSeconds / Thousand, Item.m_ThousandthsOfBurst / Thousand,
+                     now() + milliseconds(Item.m_LeftMs)});
+  }
+}
+
 auto LimitService::retryAfter(TargetKey Target) const -> std::optional<milliseconds> {
+  if (!m_IsInContact && isCold(Target)) {
+    return OutOfContactWait;
+  }
   const auto Found = m_RefusedUntil.find(Target);
   if (Found == m_RefusedUntil.end() || Found->second <= now()) {
     return std::nullopt;
@@ -38,7 +98,7 @@
 }
 
 auto LimitService::onSend(TargetKey Target) -> void {
-  if (m_Table.limitOf(Target)) {
+  if (m_Table.limitOf(Target) || isCold(Target)) {
     m_Pool.take(Target, now());
   }
 }
@@ -86,7 +146,17 @@
 
 auto LimitService::decide(TargetKey Target) -> PermitDecision {
   const auto Limit = m_Table.limitOf(Target);
-  return Limit ? m_Issuer.request(Target, *Limit, now()) : PermitDecision{true};
+  const auto *Cold = findCold(Target);
+  if (Cold == nullptr) {
+    return Limit ? m_Issuer.request(Target, *Limit, now()) : PermitDecision{true};
+  }
+  if (!m_IsInContact) {
+    return {false, OutOfContactWait};
+  }
+  const auto PerSecond = std::min(Cold->m_PerSecond, Limit.value_or(Cold->m_PerSecond));
+  const auto Burst =
+      std::min(Cold->m_Burst, Limit ? PermitIssuer::defaultBurst(*Limit) : Cold->m_Burst);
+  return m_Issuer.request(Target, PerSecond, Burst, now());
 }
 
 auto LimitService::requestPermit(TargetKey Target, std::function<void(PermitOutcome)> Done)
@@ -104,7 +174,8 @@
     return;
   }
   Pending.m_Timer = m_Timers.start(now() + ReplyTimeout, [this, Id] { finishRequest(Id, {}); });
-  m_Link.send(Keeper, PermitRequest{m_Router, Id, m_Table.toReport(Target, now())});
+  m_Link.send(Keeper,
+              PermitRequest{m_Router, Id, m_Table.toReport(Target, now()), reportCold(Target)});
 }
 
 auto LimitService::finishRequest(std::uint32_t Id, const PermitOutcome &Outcome) -> void {
@@ -149,6 +220,7 @@
 auto LimitService::onPermitRequest(const PermitRequest &Request) -> void {
   const auto Target = Request.m_Limit.m_Target;
   addStatement(Target, LimitTable::fromReport(Request.m_Limit, now()));
+  applyReportedCold(Target, Request.m_Cold);
   auto Reply = PermitReply();
   Reply.m_Id = Request.m_Id;
   // Only one router gives out permits; an asker whose view of the fleet differs has to wait until
@@ -175,6 +247,7 @@
   m_LastReport = now();
   m_Table.removeExpired(now());
   m_Issuer.removeExpired(now());
+  absl::erase_if(m_Cold, [this](const auto &Item) { return Item.second.m_Until <= now(); });
   absl::erase_if(m_RefusedUntil, [this](const auto &Item) { return Item.second <= now(); });
   auto Update = LimitUpdate{m_Router, m_Table.reportAll(now())};
   if (!Update.m_Limits.empty()) {
--- a/src/ratelimits/internal/permitissuer.cpp
+++ b/src/ratelimits/internal/permitissuer.cpp
@@ -15,15 +15,18 @@
 
 } // namespace
 
-auto PermitIssuer::request(TargetKey Target, double PerSecond, base::SteadyTime Now)
+auto PermitIssuer::defaultBurst(double PerSecond) -> double {
+  return std::max(MinGathered, PerSecond * duration<double>(MaxGatheringTime).count());
+}
+
+auto PermitIssuer::request(TargetKey Target, double PerSecond, double Burst, base::SteadyTime Now)
     -> PermitDecision {
   if (PerSecond <= 0.0) {
     return {false, MaxRetryAfter};
   }
   auto &Item = m_Buckets.try_emplace(Target, Bucket{0.0, Now}).first->second;
   const auto Elapsed = duration<double>(Now - Item.m_FilledAt).count();
-  const auto Limit = std::max(MinGathered, PerSecond * duration<double>(MaxGatheringTime).count());
-  Item.m_Permits = std::min(Limit, Item.m_Permits + Elapsed * PerSecond);
+  Item.m_Permits = std::min(std::max(1.0, Burst), Item.m_Permits + Elapsed * PerSecond);
   Item.m_FilledAt = Now;
   if (Item.m_Permits >= 1.0) {
     Item.m_Permits -= 1.0;
--- a/src/ratelimits/itargetlimits.h
+++ b/src/ratelimits/itargetlimits.h
@@ -14,8 +14,9 @@
   std::chrono::milliseconds m_RetryAfter{0};
 };
 
-/// Tells which targets may get requests now, where targets name limits. Forwarding reports what
-/// targets say and takes a permit for each request that it sends to a target with a limit.
+/// Tells which targets may get requests now, where targets name limits or are cold. Forwarding
+/// reports what targets say and takes a permit for each request that it sends to a target with a
+/// limit.
 class ITargetLimits {
 public:
   virtual ~ITargetLimits() = default;
@@ -27,6 +28,9 @@
   [[nodiscard]] virtual auto retryAfter(TargetKey Target) const
       -> std::optional<std::chrono::milliseconds> = 0;
 
+  /// Whether the target is cold, so that it takes few requests.
+  [[nodiscard]] virtual auto isCold(TargetKey Target) const -> bool = 0;
+
   /// Takes the permit for a request that is being sent.
   virtual auto onSend(TargetKey Target) -> void = 0;
 
--- a/src/ratelimits/limitservice.h
+++ b/src/ratelimits/limitservice.h
@@ -34,6 +34,7 @@
   [[nodiscard]] auto maySend(TargetKey Target) const -> bool override;
   [[nodiscard]] auto retryAfter(TargetKey Target) const
       -> std::optional<std::chrono::milliseconds> override;
+  [[nodiscard]] auto isCold(TargetKey Target) const -> bool override;
   auto onSend(TargetKey Target) -> void override;
   auto onAnswer(TargetKey Target, std::optional<double> PerSecond) -> void override;
   auto requestPermit(TargetKey Target, std::function<void(PermitOutcome)> Done) -> void override;
@@ -45,10 +46,19 @@
   /// Sets the routers that may keep permits: all that are alive and not leaving.
   auto setRouters(const std::set<std::string> &Routers) -> void;
 
+  /// Sets what a cold target tolerates. A later end than the known one replaces it.
+  auto setCold(TargetKey Target, const ColdAllowance &Allowance) -> void;
+
+  /// Sets whether this router hears most of the fleet. Without contact it neither gives out nor
+  /// uses permits for cold targets, because another part of the fleet may have a keeper of its own.
+  auto setInContact(bool IsInContact) -> void { m_IsInContact = IsInContact; }
+
   /// Drops what has expired and, once a second, tells the other routers what is known. To be called
   /// several times a second.
   auto advance() -> void;
 
+  /// Number of targets that are known to be cold.
+  [[nodiscard]] auto coldTargets() const -> std::size_t;
   [[nodiscard]] auto limitedTargets() const -> std::size_t { return m_Table.limitedTargets(); }
 
 private:
@@ -63,6 +73,11 @@
   auto onPermitReply(const PermitReply &Reply) -> void;
   auto addStatement(TargetKey Target, const LimitStatement &Statement) -> bool;
   auto decide(TargetKey Target) -> PermitDecision;
+
+  /// Returns what a cold target tolerates, or nullptr if it is not cold.
+  [[nodiscard]] auto findCold(TargetKey Target) const -> const ColdAllowance *;
+  [[nodiscard]] auto reportCold(TargetKey Target) const -> ReportedCold;
+  auto applyReportedCold(TargetKey Target, const ReportedCold &Item) -> void;
   auto finishRequest(std::uint32_t Id, const PermitOutcome &Outcome) -> void;
   auto keeperOf(TargetKey Target) -> const std::string &;
   [[nodiscard]] auto now() const -> base::SteadyTime { return m_Clock.steadyNow(); }
@@ -76,6 +91,8 @@
   PermitIssuer m_Issuer;
   PermitPool m_Pool;
   std::set<std::string> m_Routers;
+  bool m_IsInContact = true;
+  absl::flat_hash_map<TargetKey, ColdAllowance> m_Cold;
 
   /// Keepers by target, for the current routers.
   std::map<TargetKey, std::string> m_Keepers;
--- a/src/ratelimits/limittypes.h
+++ b/src/ratelimits/limittypes.h
@@ -35,6 +35,33 @@
   std::uint32_t m_AgeMs = 0;
 };
 
+/// What a cold target tolerates from all routers together. A target is cold for a while after its
+/// start, and crashes if it gets much more.
+struct ColdAllowance {
+  double m_PerSecond = 0.0;
+
+  /// Requests that may be sent at once after a time without any.
+  double m_Burst = 1.0;
+
+  /// When the target is no longer cold.
+  base::SteadyTime m_Until;
+};
+
+/// Returns what a cold target may get if it tolerates PerSecond, and the fleet may exceed that by
+/// the factor Overage and by Slack requests in every second. Permits are used up to half a second
+/// after they were given out and take a moment to arrive, so that a second's arrivals are 1.6
+/// seconds' permits and the burst.
+auto coldAllowance(double PerSecond, double Overage, double Slack, base::SteadyTime Until)
+    -> ColdAllowance;
+
+/// A ColdAllowance in a message, in thousandths of a request and in milliseconds. m_LeftMs is 0 if
+/// the target is not cold.
+struct ReportedCold {
+  std::uint32_t m_PerThousandSeconds = 0;
+  std::uint32_t m_ThousandthsOfBurst = 0;
+  std::uint32_t m_LeftMs = 0;
+};
+
 /// ReportedLimit::m_PerThousandSeconds of a target without a limit.
 inline constexpr auto NoLimit = std::uint32_t{UINT32_MAX};
 
@@ -49,6 +76,9 @@
   std::string m_Router;
   std::uint32_t m_Id = 0;
   ReportedLimit m_Limit;
+
+  /// What the asking router knows; the keeper may not have heard of it yet.
+  ReportedCold m_Cold;
 };
 
 /// The answer to a PermitRequest.
--- a/src/ratelimits/permitissuer.h
+++ b/src/ratelimits/permitissuer.h
@@ -20,7 +20,16 @@
 /// expired when it gives out as many again. Does no input or output.
 class PermitIssuer {
 public:
-  auto request(TargetKey Target, double PerSecond, base::SteadyTime Now) -> PermitDecision;
+  auto request(TargetKey Target, double PerSecond, base::SteadyTime Now) -> PermitDecision {
+    return request(Target, PerSecond, defaultBurst(PerSecond), Now);
+  }
+
+  /// As above, with the number of permits that may gather while nobody asks, at least 1.
+  auto request(TargetKey Target, double PerSecond, double Burst, base::SteadyTime Now)
+      -> PermitDecision;
+
+  /// The permits that gather for a limit that comes without a burst.
+  [[nodiscard]] static auto defaultBurst(double PerSecond) -> double;
   auto removeExpired(base::SteadyTime Now) -> void;
 
 private:
--- a/src/ratelimits/tests/limitservice_test.cpp
+++ b/src/ratelimits/tests/limitservice_test.cpp
@@ -55,14 +55,47 @@
     m_Timers.start(m_Clock.steadyNow() + 2s, [this] { updateViews(); });
   }
 
+  /// Makes all targets cold for a while. Routers learn of it within 600 ms; the others hear of it
+  /// when they are asked for permits.
+  auto makeCold(double PerSecond, milliseconds Time) -> void {
+    m_NamesLimit = false;
+    m_CountsAll = true;
+    const auto Until = m_Clock.steadyNow() + Time;
+    for (const auto &Item : m_Nodes) {
+      m_Timers.start(m_Clock.steadyNow() + milliseconds(random(600)),
+                     [this, &Item, PerSecond, Until] {
+                       for (const auto Target : m_Targets) {
+                         Item->m_Service.setCold(Target, coldAllowance(PerSecond, 1.5, 5.0, Until));
+                       }
+                     });
+    }
+  }
+
+  /// Cuts the first routers off from the others: each part hears only itself.
+  auto divide(std::size_t First) -> void {
+    m_CutOff = First;
+    auto Parts = std::array<std::set<std::string>, 2>();
+    for (std::size_t Number = 0; Number < m_Nodes.size(); ++Number) {
+      Parts[Number < First ? 0 : 1].insert(m_Nodes[Number]->m_Name);
+    }
+    for (std::size_t Number = 0; Number < m_Nodes.size(); ++Number) {
+      const auto &Part = Parts[Number < First ? 0 : 1];
+      m_Nodes[Number]->m_Service.setRouters(Part);
+      m_Nodes[Number]->m_Service.setInContact(Part.size() * 2 > m_Nodes.size());
+    }
+  }
+
   /// Most requests that a target got in 4 s from routers that it had told of its limit 500 ms
   /// before.
-  [[nodiscard]] auto mostInFourSeconds() const -> int {
+  [[nodiscard]] auto mostInFourSeconds() const -> int { return mostIn(4s); }
+
+  /// Most of the counted requests that a target got in some span of this length.
+  [[nodiscard]] auto mostIn(milliseconds Span) const -> int {
     auto Most = 0;
     for (const auto &[Target, Times] : m_Arrivals) {
       for (std::size_t First = 0; First < Times.size(); ++First) {
         auto Last = First;
-        while (Last < Times.size() && Times[Last] < Times[First] + 4s) {
+        while (Last < Times.size() && Times[Last] < Times[First] + Span) {
           ++Last;
         }
         Most = std::max(Most, static_cast<int>(Last - First));
@@ -77,6 +110,9 @@
 
   double m_Limit;
   bool m_NamesLimit = true;
+
+  /// Whether all requests are counted, not only those after a target has named its limit.
+  bool m_CountsAll = false;
   int m_Served = 0;
   int m_Refused = 0;
   std::map<TargetKey, std::vector<base::SteadyTime>> m_Arrivals;
@@ -88,12 +124,12 @@
           m_Service(m_Name, *this, Play.m_Timers, Play.m_Clock, m_Log) {}
 
     auto send(const std::string &Router, const LimitMessage &Message) -> void override {
-      m_Play.deliver(Router, Message);
+      m_Play.deliver(m_Name, Router, Message);
     }
     auto publish(const LimitUpdate &Update) -> void override {
       for (const auto &Other : m_Play.m_Nodes) {
         if (Other.get() != this) {
-          m_Play.deliver(Other->m_Name, Update);
+          m_Play.deliver(m_Name, Other->m_Name, Update);
         }
       }
     }
@@ -110,10 +146,18 @@
     return boost::random::uniform_int_distribution<std::size_t>(0, Count - 1)(m_Random);
   }
 
-  auto deliver(const std::string &Name, const LimitMessage &Message) -> void {
+  auto deliver(const std::string &Sender, const std::string &Name, const LimitMessage &Message)
+      -> void {
     if (boost::random::uniform_real_distribution<double>(0.0, 1.0)(m_Random) < m_LossRate) {
       return;
     }
+    const auto IsCutOff = [this](const std::string &Router) {
+      return std::any_of(m_Nodes.begin(), m_Nodes.begin() + static_cast<std::ptrdiff_t>(m_CutOff),
+                         [&Router](const auto &Item) { return Item->m_Name == Router; });
+    };
+    if (IsCutOff(Name) != IsCutOff(Sender)) {
+      return;
+    }
     const auto Decoded = decodeMessage(encodeMessage(Message));
     cr_assert(Decoded.ok());
     for (const auto &Item : m_Nodes) {
@@ -173,7 +217,7 @@
     ++m_Served;
     const auto Now = m_Clock.steadyNow();
     const auto Told = Item.m_ToldAt.find(Target);
-    if (Told != Item.m_ToldAt.end() && Now - Told->second >= 500ms) {
+    if (m_CountsAll || (Told != Item.m_ToldAt.end() && Now - Told->second >= 500ms)) {
       m_Arrivals[Target].push_back(Now);
     }
     m_Timers.start(Now + 150ms, [this, &Item, Target] {
@@ -187,6 +231,9 @@
   }
 
   double m_LossRate;
+
+  /// Number of routers, the first ones, that are cut off from the others.
+  std::size_t m_CutOff = 0;
   base::ManualClock m_Clock;
   fakes::ManualTimers m_Timers{m_Clock};
   base::RandomEngine m_Random{7};
@@ -242,10 +289,50 @@
   cr_expect_eq(Play.m_Refused, Refused);
 }
 
+// Guards against routers that flood cold targets together, and against leaving these idle.
+Test(limitservice, coldTargetsGetWhatTheyTolerateFromAllRoutersTogether) {
+  for (const auto Routers : {1, 18, 58, 82}) {
+    auto Play = LimitedTargets(Routers, 6, 0.0);
+    Play.makeCold(10.0, 8s);
+    Play.run(700ms, 1.0);
+    Play.m_Arrivals.clear();
+    const auto Before = Play.m_Served;
+    Play.run(5s, 400.0);
+    cr_expect_leq(Play.mostIn(1s), 20, "%d routers: %d in a second", Routers, Play.mostIn(1s));
+    // Six targets, five seconds, ten a second.
+    cr_expect_geq(Play.m_Served - Before, 200, "%d routers serve %d", Routers,
+                  Play.m_Served - Before);
+    Play.run(4s, 400.0);
+    const auto Refused = Play.m_Refused;
+    Play.run(1s, 400.0);
+    cr_expect_eq(Play.m_Refused, Refused, "targets that are no longer cold take everything");
+  }
+}
+
+// Guards against two keepers, one on each side of a cut, that each give out what a cold target
+// tolerates.
+Test(limitservice, coldTargetsGetNothingFromRoutersWithoutContact) {
+  auto Play = LimitedTargets(20, 4, 0.0);
+  Play.makeCold(10.0, 20s);
+  // Until all routers know of it, the load is light.
+  Play.run(700ms, 1.0);
+  Play.m_Arrivals.clear();
+  Play.run(2s, 300.0);
+  for (const auto CutOff : {6U, 10U, 20U}) {
+    Play.divide(CutOff);
+    const auto Before = Play.m_Served;
+    Play.run(3s, 300.0);
+    cr_expect_leq(Play.mostIn(1s), 20, "%u cut off: %d in a second", CutOff, Play.mostIn(1s));
+    if (CutOff == 10) {
+      cr_expect_leq(Play.m_Served - Before, 20, "no part is in contact");
+    }
+  }
+}
+
 Test(limitservice, unreadableMessagesAreRejected) {
-  const auto Messages =
-      std::vector<LimitMessage>{LimitUpdate{"vm", {{1, 2, 3}}}, PermitRequest{"vm", 4, {1, 2, 3}},
-                                PermitReply{4, true, 5, {1, 2, 3}}};
+  const auto Messages = std::vector<LimitMessage>{LimitUpdate{"vm", {{1, 2, 3}}},
+                                                  PermitRequest{"vm", 4, {1, 2, 3}, {4, 5, 6}},
+                                                  PermitReply{4, true, 5, {1, 2, 3}}};
   for (const auto &Message : Messages) {
     const auto Bytes = encodeMessage(Message);
     cr_expect_eq(decodeMessage(Bytes)->index(), Message.index());
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -1,5 +1,6 @@
 #include "router/router.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace geraniumlift::router {
@@ -67,8 +68,9 @@
 
 /// The part of a target's record that matters to routers; targets rewrite the rest all the time.
 auto meaningOf(const forwarding::TargetRecord &Record) -> std::string {
-  return fmt::format("{} {} {}:{} {} {}", Record.m_Incarnation, Record.m_Pool, Record.m_Address,
-                     Record.m_Port, Record.m_DataCentre, Record.m_IsLeaving);
+  const auto ColdSeconds = std::chrono::ceil<std::chrono::seconds>(Record.m_ColdTime).count();
+  return fmt::format("{} {} {}:{} {} {} {}", Record.m_Incarnation, Record.m_Pool, Record.m_Address,
+                     Record.m_Port, Record.m_DataCentre, Record.m_IsLeaving, ColdSeconds);
 }
 
 auto seedOf(const RouterSettings &Settings, std::uint64_t Incarnation) -> std::uint64_t {
@@ -100,6 +102,7 @@
   // Half of the time within which a leaving target must get no more requests: a request that was
   // placed in the last moment has yet to arrive there.
   Options.m_LeavingGrace = Settings.m_DrainTime / 2;
+  Options.m_Regions = Settings.m_Regions;
   return Options;
 }
 
@@ -139,13 +142,15 @@
 Router::Router(RouterDependencies Dependencies, RouterSettings Settings)
     : m_Dependencies(Dependencies), m_Settings(std::move(Settings)),
       m_Incarnation(incarnationOf(Dependencies.m_Clock)), m_Peers(peerOptions(m_Settings)),
-      m_AddressSelector(m_Settings.m_Vm), m_FleetExchange(exchangeOptions(m_Settings), m_Peers),
+      m_AddressSelector(m_Settings.m_Vm, fleet::AddressSelector::DefaultMaxAddresses,
+                        m_Settings.m_ContactTime),
+      m_FleetExchange(exchangeOptions(m_Settings), m_Peers),
       m_PeerSocket(Dependencies.m_Loop, [this](std::string_view Bytes) { onDatagram(Bytes); }),
       m_PeerLink(m_Peers, m_FleetExchange, m_PeerSocket, Dependencies.m_Clock),
       m_Subscription(subscriptionOptions(m_Settings,
                                          {Dependencies.m_Documents.targetPrefix(),
                                           std::string(fleet::RouterPrefix),
-                                          Dependencies.m_Documents.routingPrefix()},
+                                          Dependencies.m_Documents.operatorPrefix()},
                                          seedOf(m_Settings, m_Incarnation)),
                      Dependencies.m_Store, m_PeerLink, Dependencies.m_Timers, Dependencies.m_Clock,
                      Dependencies.m_Log, *this),
@@ -278,7 +283,11 @@
 auto Router::onRecordsListed(std::string_view Prefix, const keyvalue::ListResult &Result) -> void {
   auto Targets = std::set<std::string>();
   auto IsRegistered = false;
+  auto Evacuated = std::set<std::string>();
   for (const auto &Item : Result.m_Items) {
+    if (m_Dependencies.m_Documents.kindOf(Item.m_Key) == DocumentKind::Evacuation) {
+      Evacuated.insert(m_Dependencies.m_Documents.evacuatedDataCentre(Item.m_Key));
+    }
     if (m_Dependencies.m_Documents.kindOf(Item.m_Key) == DocumentKind::Target) {
       Targets.insert(m_Dependencies.m_Documents.targetIdOf(Item.m_Key));
     }
@@ -290,11 +299,33 @@
     m_TargetDirectory.applyRemovals(now());
     m_HasTargetList = true;
   }
+  if (m_Dependencies.m_Documents.operatorPrefix().starts_with(Prefix)) {
+    setEvacuated(std::move(Evacuated));
+  }
   if (!IsRegistered && fleet::RouterPrefix.starts_with(Prefix)) {
     registerSelf();
   }
 }
 
+auto Router::setEvacuated(std::set<std::string> DataCentres) -> void {
+  const auto &Before = m_Gate.evacuated();
+  const auto LogMissing = [this](std::string_view Event, const auto &Items, const auto &Others) {
+    for (const auto &Name : Items) {
+      if (!Others.contains(Name)) {
+        const auto Targets = std::count_if(
+            m_Targets.all().begin(), m_Targets.all().end(),
+            [&Name](const auto &Item) { return Item.second.record().m_DataCentre == Name; });
+        // Without targets the name may be a mistake.
+        m_Dependencies.m_Log.record(Targets > 0 ? base::LogLevel::Info : base::LogLevel::Warning,
+                                    Event, {{"data_centre", Name}, {"targets", Targets}});
+      }
+    }
+  };
+  LogMissing("data_centre_evacuated", DataCentres, Before);
+  LogMissing("data_centre_taken_back", Before, DataCentres);
+  m_Gate.setEvacuated(std::move(DataCentres));
+}
+
 auto Router::onRecordsChanged(const std::vector<keyvalue::WatchEvent> &Events) -> void {
   for (const auto &Event : Events) {
     if (Event.m_IsRemoved) {
@@ -324,6 +355,13 @@
   case DocumentKind::Target:
     applyTarget(Item);
     break;
+  case DocumentKind::Evacuation: {
+    m_Subscription.mirror().put(Item, "evacuated");
+    auto Evacuated = m_Gate.evacuated();
+    Evacuated.insert(m_Dependencies.m_Documents.evacuatedDataCentre(Item.m_Key));
+    setEvacuated(std::move(Evacuated));
+    break;
+  }
   case DocumentKind::Other:
     if (Item.m_Key.starts_with(fleet::RouterPrefix)) {
       applyRouter(Item);
@@ -342,6 +380,13 @@
     m_TargetDirectory.remove(m_Dependencies.m_Documents.targetIdOf(Item.m_Key), Item.m_ModRevision);
     return;
   }
+  if (m_Dependencies.m_Documents.kindOf(Item.m_Key) == DocumentKind::Evacuation) {
+    m_Subscription.mirror().remove(Item.m_Key, Item.m_ModRevision, now());
+    auto Evacuated = m_Gate.evacuated();
+    Evacuated.erase(m_Dependencies.m_Documents.evacuatedDataCentre(Item.m_Key));
+    setEvacuated(std::move(Evacuated));
+    return;
+  }
   if (Item.m_Key.starts_with(quarantine::QuarantinePrefix)) {
     m_Quarantine.onRecordRemoved(Item.m_Key);
   }
@@ -392,6 +437,7 @@
   m_Subscription.mirror().put(Item, Record.ok() ? meaningOf(*Record) : "unreadable");
   if (Record.ok()) {
     m_TargetDirectory.put(*Record, Item.m_ModRevision);
+    applyColdTime(*Record);
     return;
   }
   m_Dependencies.m_Log.record(
@@ -400,6 +446,16 @@
   m_TargetDirectory.remove(m_Dependencies.m_Documents.targetIdOf(Item.m_Key), Item.m_ModRevision);
 }
 
+auto Router::applyColdTime(const forwarding::TargetRecord &Record) -> void {
+  const auto *Pool = m_Context.m_Table ? m_Context.m_Table->findPool(Record.m_Pool) : nullptr;
+  if (Pool == nullptr || Pool->m_ColdPerSecond <= 0.0 || Record.m_ColdTime <= 0ms) {
+    return;
+  }
+  m_Limits.setCold(ratelimits::targetKey(Record.m_Id, Record.m_Incarnation),
+                   ratelimits::coldAllowance(Pool->m_ColdPerSecond, m_Settings.m_ColdOverage,
+                                             m_Settings.m_ColdSlack, now() + Record.m_ColdTime));
+}
+
 auto Router::applyRouter(const keyvalue::KeyValue &Item) -> void {
   m_Subscription.mirror().put(Item, Item.m_Value);
   if (Item.m_Key == ownKey()) {
@@ -436,8 +492,9 @@
   if (!m_Dependencies.m_Directory.isDirectoryRequest(Head)) {
     return {404, "Not Found", "application/json", "{}"};
   }
-  const auto Addresses =
-      m_AddressSelector.choose(m_Peers.addressCandidates(m_IsLeaving || !isReady(), now()));
+  auto Candidates = m_Peers.addressCandidates(m_IsLeaving || !isReady(), now());
+  keepAllowedRegions(m_Dependencies.m_Directory.decodeLookup(Head), Candidates);
+  const auto Addresses = m_AddressSelector.choose(std::move(Candidates), m_IsStoreReachable, now());
   if (Addresses.empty()) {
     return {503, "Service Unavailable", "application/json", "{}"};
   }
@@ -445,6 +502,23 @@
           m_Dependencies.m_Directory.encodeAddresses(Addresses, m_Settings.m_DirectoryTimeToLive)};
 }
 
+auto Router::keepAllowedRegions(const DirectoryLookup &Lookup,
+                                std::vector<fleet::AddressCandidate> &Candidates) const -> void {
+  const auto &Regions = m_Settings.m_Regions;
+  if (!m_Context.m_Table || Lookup.m_Region.empty()) {
+    return;
+  }
+  const auto IsAllowed = [&](const fleet::AddressCandidate &Item) {
+    const auto Region = Regions.find(Item.m_DataCentre);
+    return Region == Regions.end() || Region->second == Lookup.m_Region ||
+           m_Context.m_Table->allowsRegion(Lookup.m_Host, Region->second);
+  };
+  // A list without any router would help nobody.
+  if (std::any_of(Candidates.begin(), Candidates.end(), IsAllowed)) {
+    std::erase_if(Candidates, [&](const auto &Item) { return !IsAllowed(Item); });
+  }
+}
+
 auto Router::runPeriodicTasks() -> void {
   const auto Routers = m_Peers.countBudgetRouters(now());
   const auto AlivePeers = m_Peers.alivePeers(now());
--- a/src/router/internal/routermessages.cpp
+++ b/src/router/internal/routermessages.cpp
@@ -139,9 +139,12 @@
     Keepers.insert(m_Settings.m_Vm);
   }
   m_Limits.setRouters(Keepers);
+  m_Limits.setInContact(m_Peers.isInContact(now()));
   m_Limits.advance();
   m_Dependencies.m_Metrics.gauge("geraniumlift_limited_targets", {},
                                  static_cast<double>(m_Limits.limitedTargets()));
+  m_Dependencies.m_Metrics.gauge("geraniumlift_cold_targets", {},
+                                 static_cast<double>(m_Limits.coldTargets()));
 }
 
 auto Router::reportTargetAccess() -> void {
--- a/src/router/internal/routersettings.cpp
+++ b/src/router/internal/routersettings.cpp
@@ -118,6 +118,27 @@
   return readString(Table, "peers.ip", Out.m_Peers.m_Ip);
 }
 
+/// Reads the regions by data centre; the table may be missing.
+auto readRegions(const toml::table &Table, std::map<std::string, std::string> &Out)
+    -> absl::Status {
+  const auto Node = Table.at_path("regions");
+  if (!Node) {
+    return absl::OkStatus();
+  }
+  const auto *Regions = Node.as_table();
+  if (Regions == nullptr) {
+    return invalidSetting("regions", "a table");
+  }
+  for (const auto &[DataCentre, Value] : *Regions) {
+    const auto Region = Value.value<std::string>();
+    if (!Region || Region->empty()) {
+      return invalidSetting(fmt::format("regions.{}", DataCentre.str()), "a non-empty string");
+    }
+    Out[std::string(DataCentre.str())] = *Region;
+  }
+  return absl::OkStatus();
+}
+
 } // namespace
 
 auto readRouterSettings(const std::string &Text) -> absl::StatusOr<RouterSettings> {
@@ -130,17 +151,24 @@
   }
   auto Result = RouterSettings();
   for (const auto &Status :
-       {readString(Table, "vm", Result.m_Vm), readString(Table, "data_centre", Result.m_DataCentre),
+       {readString(Table, "vm", Result.m_Vm),
+        readString(Table, "data_centre", Result.m_DataCentre),
         readAddress(Table, "callers.listen", Result.m_Callers),
         readAddress(Table, "readiness.listen", Result.m_Readiness),
         readAddress(Table, "directory.listen", Result.m_Directory),
-        readAddress(Table, "store.address", Result.m_Store), readPeers(Table, Result),
-        readCores(Table, Result.m_Cores), readCount(Table, "limits.memory_mb", Result.m_MemoryMb),
+        readAddress(Table, "store.address", Result.m_Store),
+        readPeers(Table, Result),
+        readCores(Table, Result.m_Cores),
+        readCount(Table, "limits.memory_mb", Result.m_MemoryMb),
         readCount(Table, "limits.descriptors", Result.m_MaxDescriptors),
         readSeconds(Table, "stop.time_s", Result.m_StopTime),
         readSeconds(Table, "directory.time_to_live_s", Result.m_DirectoryTimeToLive),
         readMilliseconds(Table, "store.change_time_ms", Result.m_DrainTime),
         readMilliseconds(Table, "store.configuration_time_ms", Result.m_ConfigurationTime),
+        readRegions(Table, Result.m_Regions),
+        readMilliseconds(Table, "peers.contact_time_ms", Result.m_ContactTime),
+        readNumber(Table, "cold_targets.overage", Result.m_ColdOverage),
+        readNumber(Table, "cold_targets.slack", Result.m_ColdSlack),
         readNumber(Table, "retries.share", Result.m_RetryShare),
         readNumber(Table, "retries.slack", Result.m_RetrySlack)}) {
     if (!Status.ok()) {
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -78,6 +78,12 @@
   auto applyRemoval(const keyvalue::KeyValue &Item) -> void;
   auto applyRouting(const keyvalue::KeyValue &Item) -> void;
   auto applyTarget(const keyvalue::KeyValue &Item) -> void;
+
+  /// Passes on that a target is cold, if its pool says what cold targets tolerate.
+  auto applyColdTime(const forwarding::TargetRecord &Record) -> void;
+
+  /// Sets and logs the data centres whose targets get no requests.
+  auto setEvacuated(std::set<std::string> DataCentres) -> void;
   auto applyRouter(const keyvalue::KeyValue &Item) -> void;
   auto registerSelf() -> void;
   auto unregisterSelf() -> void;
@@ -94,6 +100,10 @@
   auto onTransfer(std::string_view Bytes) -> void;
   auto handleDirectoryRequest(const http1::RequestHead &Head) -> transport::DirectResponse;
   auto handleReadinessRequest(const http1::RequestHead &Head) -> transport::DirectResponse;
+
+  /// Removes the routers of regions that the caller's region and the regions of its host exclude.
+  auto keepAllowedRegions(const DirectoryLookup &Lookup,
+                          std::vector<fleet::AddressCandidate> &Candidates) const -> void;
   [[nodiscard]] auto isReady() const -> bool;
   auto updateRetryBudgets() -> void;
 
--- a/src/router/routersettings.h
+++ b/src/router/routersettings.h
@@ -3,6 +3,7 @@
 #include <absl/status/statusor.h>
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <string>
 
 namespace geraniumlift::router {
@@ -20,6 +21,9 @@
   std::string m_Vm;
   std::string m_DataCentre;
 
+  /// Region of each data centre; empty if there are no regions.
+  std::map<std::string, std::string> m_Regions;
+
   /// Address that accepts callers' requests.
   SocketAddress m_Callers;
 
@@ -52,6 +56,14 @@
   std::chrono::milliseconds m_DrainTime{2000};
   std::chrono::milliseconds m_ConfigurationTime{2000};
 
+  /// Time after which a router that has lost most of the others takes them for gone.
+  std::chrono::milliseconds m_ContactTime{3000};
+
+  /// How far all routers together may exceed, in one second, what a cold target tolerates: by a
+  /// factor and by a number of requests.
+  double m_ColdOverage = 1.5;
+  double m_ColdSlack = 5.0;
+
   /// Retries that the whole fleet may make: a share of the requests in a window, plus a fixed
   /// number.
   double m_RetryShare = 0.2;
--- a/src/router/tests/routersettings_test.cpp
+++ b/src/router/tests/routersettings_test.cpp
@@ -18,6 +18,13 @@
 [peers]
 ip = "10.0.0.1"
 ports = "7340,7355"
+contact_time_ms = "4000"
+[cold_targets]
+overage = ""
+slack = "7"
+[regions]
+"a" = "north"
+"b" = "south"
 [store]
 address = "10.9.0.1:90"
 change_time_ms = "3000"
@@ -49,6 +56,10 @@
   cr_expect_eq(Settings->m_MemoryMb, 260);
   cr_expect_float_eq(Settings->m_Cores, 0.24, 1e-9);
   cr_expect_eq(Settings->m_MaxDescriptors, RouterSettings().m_MaxDescriptors);
+  cr_expect_eq(Settings->m_ContactTime.count(), 4000);
+  cr_expect_float_eq(Settings->m_ColdOverage, 1.5, 1e-9);
+  cr_expect_float_eq(Settings->m_ColdSlack, 7.0, 1e-9);
+  cr_expect_eq(Settings->m_Regions.at("b"), "south");
 }
 
 Test(routersettings, errorsNameTheInvalidKey) {
@@ -66,4 +77,5 @@
   cr_expect(ErrorNames(withReplaced("\"8.5\"", "-1"), "stop.time_s"));
   cr_expect(ErrorNames(withReplaced("\"8.5\"", "\"soon\""), "stop.time_s"));
   cr_expect(ErrorNames(withReplaced("[stop]", "[stop"), "line"));
+  cr_expect(ErrorNames(withReplaced("\"south\"", "7"), "regions.b"));
 }
