Divide half of what is left of a shard, drawn at once, less after a kill

Change: the owner divides half of the free tokens and of those that routers report to hold; what they still may get is drawn with the next write. For ten seconds after an owner found tokens of a killed process it divides a tenth.

--- a/src/budget/grantallocator.h
+++ b/src/budget/grantallocator.h
@@ -132,14 +132,15 @@
   /// Refuses the waiting requests whose deadline has passed.
   auto expire(base::SteadyTime Now) -> void;
 
-  /// Largest reserve of a shard that this router owns, for itself and for the routers that hold
-  /// parts of it; 0 for an unknown budget.
-  [[nodiscard]] auto reserveLimit(const std::string &Budget, base::SteadyTime Now) const -> Tokens;
-
-  /// Sets the shards whose reserve is divided among the routers; this router then holds only a part
-  /// of it itself.
-  auto setSharedReserves(std::set<std::string> Shards) -> void {
-    m_SharedReserves = std::move(Shards);
+  /// Tokens of a shard that this router owns which all routers together may hold ahead of their
+  /// demand, if they hold so many already; 0 for an unknown budget.
+  [[nodiscard]] auto dividedReserve(const std::string &Budget, Tokens HeldAhead,
+                                    base::SteadyTime Now) const -> Tokens;
+
+  /// Sets the shards whose reserve is divided among the routers, with the tokens that these still
+  /// want and may hold. They are drawn together with the next ones that a request waits for.
+  auto setDividedReserves(std::map<std::string, Tokens> Backlogs) -> void {
+    m_DividedReserves = std::move(Backlogs);
   }
 
   /// Takes out all tokens received from other routers that are not reserved.
@@ -268,18 +269,24 @@
   [[nodiscard]] static auto grantIn(const UnconfirmedWrite &Write, const std::string &Name,
                                     const BudgetState &Item) -> Tokens;
   auto applyRecords(const Versioned<RouterGrants> &RouterRecord,
-                    const std::map<std::string, Versioned<GrantTotals>> &TotalsByBudget) -> void;
+                    const std::map<std::string, Versioned<GrantTotals>> &TotalsByBudget,
+                    base::SteadyTime Now) -> void;
   auto updateLowerBounds() -> void;
 
   /// Counts all tokens held by the former process on this VM as used.
-  auto writeOffFormerGrants(const RouterGrants &Former) -> void;
+  auto writeOffFormerGrants(const RouterGrants &Former, base::SteadyTime Now) -> void;
 
   GrantOptions m_Options;
   base::RandomEngine m_Random;
   std::map<std::string, BudgetState> m_Budgets;
   std::deque<WaitingRequest> m_WaitingRequests;
   std::set<std::string> m_BudgetsWithoutReserve;
-  std::set<std::string> m_SharedReserves;
+
+  /// Tokens still to be given by shard whose reserve is divided.
+  std::map<std::string, Tokens> m_DividedReserves;
+
+  /// When this process found tokens of a killed one.
+  std::optional<base::SteadyTime> m_StrandedAt;
   std::int64_t m_SharingRouters = 1;
   std::int64_t m_FleetRouters = 1;
   bool m_IsSharded = false;
--- a/src/budget/grantservice.h
+++ b/src/budget/grantservice.h
@@ -121,7 +121,7 @@
                      std::function<void(TokenExchange::Withdrawal)> Done) -> void;
 
   /// Tells the allocator which shards' reserves are divided.
-  auto updateSharedReserves() -> void;
+  auto updateDividedReserves() -> void;
 
   /// Gives tokens that other routers transferred back to the owner of the shard, at most so many.
   auto returnReceived(const std::string &Shard, Tokens Most) -> void;
@@ -167,7 +167,6 @@
   base::IEventLog &m_Log;
   ITransferLink &m_Link;
   GrantAllocator m_Allocator;
-  double m_DividedShare;
   TokenExchange m_TokenExchange;
   std::map<std::string, Tokens> m_Prepaid;
   std::optional<BudgetShards> m_Shards;
--- a/src/budget/granttypes.h
+++ b/src/budget/granttypes.h
@@ -112,8 +112,16 @@
   /// than half of the unused tokens is held.
   double m_ReserveShareAfterOutage = 0.9;
 
-  /// Part of the reserve of a shard that its owner divides among the routers that ask for it.
-  double m_DividedShare = 0.75;
+  /// Fraction of a shard's free tokens and of those held ahead that its owner divides among the
+  /// routers that ask for a reserve. A cut in which every router is alone is likelier than a kill
+  /// of all routers, which strands what they hold. While tokens of killed processes are being
+  /// written off, another kill is likelier, and less is held.
+  double m_DividedShare = 0.5;
+  double m_DividedShareAfterKill = 0.1;
+  std::chrono::milliseconds m_KillMemory{10000};
+
+  /// Part of its own reserve that the owner of a divided shard keeps.
+  double m_OwnerShare = 0.5;
 
   /// How long an outage counts, and the shortest one that does.
   std::chrono::milliseconds m_OutageMemory{600000};
--- a/src/budget/internal/grantallocator.cpp
+++ b/src/budget/internal/grantallocator.cpp
@@ -149,11 +149,16 @@
                              Sharers);
 }
 
-auto GrantAllocator::reserveLimit(const std::string &Budget, base::SteadyTime Now) const -> Tokens {
+auto GrantAllocator::dividedReserve(const std::string &Budget, Tokens HeldAhead,
+                                    base::SteadyTime Now) const -> Tokens {
   const auto Found = m_Budgets.find(Budget);
-  return Found == m_Budgets.end() || m_IsDraining || m_IsSuperseded
-             ? 0
-             : reserveLimitOf(Found->second, Now);
+  if (Found == m_Budgets.end() || m_IsDraining || m_IsSuperseded) {
+    return 0;
+  }
+  const auto IsAfterKill = m_StrandedAt && Now - *m_StrandedAt < m_Options.m_KillMemory;
+  const auto Fraction = IsAfterKill ? m_Options.m_DividedShareAfterKill : m_Options.m_DividedShare;
+  const auto Left = freeTokensOf(Found->second) + unreservedTokens(Found->second) + HeldAhead;
+  return static_cast<Tokens>(Fraction * static_cast<double>(Left));
 }
 
 auto GrantAllocator::takeReceived(const std::string &Budget, Tokens Most) -> Tokens {
@@ -183,16 +188,17 @@
   if (m_IsDraining || m_IsSuperseded || m_BudgetsWithoutReserve.contains(Name)) {
     return 0;
   }
-  auto Share = reserveLimitOf(Item, Now);
-  if (m_SharedReserves.contains(Name)) {
-    Share = static_cast<Tokens>(static_cast<double>(Share) * (1.0 - m_Options.m_DividedShare));
-  }
+  const auto Divided = m_DividedReserves.find(Name);
+  const auto IsDivided = Divided != m_DividedReserves.end();
+  const auto Share = static_cast<Tokens>(static_cast<double>(reserveLimitOf(Item, Now)) *
+                                         (IsDivided ? m_Options.m_OwnerShare : 1.0));
   const auto Horizon = m_IsSharded ? m_Options.m_ShardOwnerHorizon : m_Options.m_Horizon;
   const auto Demand = demandRate(Item, Now) * static_cast<double>(Horizon.count());
   // Arrivals vary, so one standard deviation of a Poisson process is added.
   const auto Margin = std::sqrt(Demand * Item.m_MeanRequestTokens);
   const auto Forecast = static_cast<Tokens>(Demand + Margin);
-  return std::min(Share, std::max(Forecast, m_Options.m_InitialReserve));
+  return std::min(Share, std::max(Forecast, m_Options.m_InitialReserve)) +
+         (IsDivided ? Divided->second : 0);
 }
 
 auto GrantAllocator::grantChange(const std::string &Name, const BudgetState &Item,
@@ -472,7 +478,8 @@
   return Write;
 }
 
-auto GrantAllocator::writeOffFormerGrants(const RouterGrants &Former) -> void {
+auto GrantAllocator::writeOffFormerGrants(const RouterGrants &Former, base::SteadyTime Now)
+    -> void {
   for (const auto &[Name, Granted] : Former.m_Granted) {
     const auto Found = m_Budgets.find(Name);
     if (Found == m_Budgets.end()) {
@@ -482,6 +489,9 @@
     const auto Settled = Reported == Former.m_Settled.end() ? Tokens{0} : Reported->second;
     // The former process may have used all of its grant, so the next write reports it as used.
     Found->second.m_ReportedUsed = -(Granted - Settled);
+    if (Granted > Settled) {
+      m_StrandedAt = Now;
+    }
   }
 }
 
@@ -536,7 +546,8 @@
 
 auto GrantAllocator::applyRecords(
     const Versioned<RouterGrants> &RouterRecord,
-    const std::map<std::string, Versioned<GrantTotals>> &TotalsByBudget) -> void {
+    const std::map<std::string, Versioned<GrantTotals>> &TotalsByBudget, base::SteadyTime Now)
+    -> void {
   for (const auto &[Name, Totals] : TotalsByBudget) {
     updateTotals(Name, Totals);
   }
@@ -546,7 +557,7 @@
       // The system clock may have been set back before the restart; the incarnation must still
       // grow.
       m_Options.m_Incarnation = std::max(m_Options.m_Incarnation, Record.m_Incarnation + 1);
-      writeOffFormerGrants(Record);
+      writeOffFormerGrants(Record, Now);
     } else if (Record.m_Incarnation > m_Options.m_Incarnation) {
       m_IsSuperseded = true;
     }
@@ -577,7 +588,7 @@
   if (m_LastRefresh != m_PreviousRefresh) {
     m_LastRefresh = Now - writeInterval() + std::max(MaxDelay, jitter(writeInterval() / 4));
   }
-  applyRecords(RouterRecord, TotalsByBudget);
+  applyRecords(RouterRecord, TotalsByBudget, Now);
   serveWaitingRequests();
 }
 
@@ -602,7 +613,7 @@
   m_MustRead = false;
   m_ConsecutiveFailures = 0;
   m_NextCallTime = Now;
-  applyRecords(RouterRecord, TotalsByBudget);
+  applyRecords(RouterRecord, TotalsByBudget, Now);
   m_HasReadRecords = true;
   serveWaitingRequests();
 }
--- a/src/budget/internal/grantservice.cpp
+++ b/src/budget/internal/grantservice.cpp
@@ -56,7 +56,7 @@
                            keyvalue::ITransactionStore &Store, ITransferLink &Link,
                            base::ITimers &Timers, const base::IClock &Clock, base::IEventLog &Log)
     : m_Router(std::move(Router)), m_Store(Store), m_Timers(Timers), m_Clock(Clock), m_Log(Log),
-      m_Link(Link), m_Allocator(Options), m_DividedShare(Options.m_DividedShare),
+      m_Link(Link), m_Allocator(Options),
       m_TokenExchange(m_Router, Options.m_Session, Link, Timers, Clock, Log),
       m_StartTime(Clock.steadyNow()) {
   m_Owners.setRouters({m_Router});
@@ -199,10 +199,11 @@
     return;
   }
   m_Planner.recordReport(Request.m_Budget, Request.m_From,
-                         static_cast<double>(Request.m_TokensPerSecond), Now);
-  updateSharedReserves();
-  const auto Reserve = static_cast<Tokens>(
-      static_cast<double>(m_Allocator.reserveLimit(Request.m_Budget, Now)) * m_DividedShare);
+                         static_cast<double>(Request.m_TokensPerSecond), Request.m_Held,
+                         Request.m_Tokens, Now);
+  updateDividedReserves();
+  const auto Reserve =
+      m_Allocator.dividedReserve(Request.m_Budget, m_Planner.heldAhead(Request.m_Budget, Now), Now);
   const auto Allowed =
       m_Planner.allowance(Request.m_Budget, Request.m_From, Reserve, Request.m_RequestTokens, Now);
   const auto Amount = std::min(Request.m_Tokens, Allowed - Request.m_Held);
@@ -210,17 +211,26 @@
     Done({});
     return;
   }
-  withdraw(Request.m_Budget, Amount, Deadline, std::move(Done));
+  withdraw(Request.m_Budget, Amount, Deadline,
+           [this, Request, Done = std::move(Done)](const TokenExchange::Withdrawal &Outcome) {
+             m_Planner.recordReport(Request.m_Budget, Request.m_From,
+                                    static_cast<double>(Request.m_TokensPerSecond),
+                                    Request.m_Held + Outcome.m_Tokens,
+                                    Request.m_Tokens - Outcome.m_Tokens, m_Clock.steadyNow());
+             Done(Outcome);
+           });
 }
 
-auto GrantService::updateSharedReserves() -> void {
-  auto Shared = std::set<std::string>();
-  for (const auto &Item : m_Shards->splitPrepaid(m_Prepaid)) {
-    if (ownsShard(Item.first) && m_Planner.isShared(Item.first, m_Clock.steadyNow())) {
-      Shared.insert(Item.first);
+auto GrantService::updateDividedReserves() -> void {
+  const auto Now = m_Clock.steadyNow();
+  auto Backlogs = std::map<std::string, Tokens>();
+  for (const auto &Shard : m_Planner.sharedShards(Now)) {
+    if (ownsShard(Shard)) {
+      Backlogs[Shard] = m_Planner.backlog(
+          Shard, m_Allocator.dividedReserve(Shard, m_Planner.heldAhead(Shard, Now), Now), Now);
     }
   }
-  m_Allocator.setSharedReserves(std::move(Shared));
+  m_Allocator.setDividedReserves(std::move(Backlogs));
 }
 
 auto GrantService::returnReceived(const std::string &Shard, Tokens Most) -> void {
@@ -238,7 +248,7 @@
     return;
   }
   m_NextReturn = Now + ReturnInterval;
-  updateSharedReserves();
+  updateDividedReserves();
   for (const auto &Shard : m_Allocator.budgetsWithReceived()) {
     if (m_Planner.wantedTokens(Shard, Now) == 0) {
       returnReceived(Shard, m_Allocator.spendable(Shard));
--- a/src/budget/internal/reserveplanner.cpp
+++ b/src/budget/internal/reserveplanner.cpp
@@ -58,20 +58,49 @@
 }
 
 auto ReservePlanner::recordReport(const std::string &Shard, const std::string &Router,
-                                  double TokensPerSecond, base::SteadyTime Now) -> void {
+                                  double TokensPerSecond, Tokens Held, Tokens Missing,
+                                  base::SteadyTime Now) -> void {
   auto &Reports = m_Reports[Shard];
   std::erase_if(Reports, [this, Now](const auto &Item) {
     return Now - Item.second.m_Time > m_Options.m_ReportLifetime;
   });
-  Reports[Router] = {TokensPerSecond, Now};
+  Reports[Router] = {TokensPerSecond, Held, Missing, Now};
 }
 
-auto ReservePlanner::isShared(const std::string &Shard, base::SteadyTime Now) const -> bool {
+auto ReservePlanner::heldAhead(const std::string &Shard, base::SteadyTime Now) const -> Tokens {
   const auto Found = m_Reports.find(Shard);
-  return Found != m_Reports.end() &&
-         std::any_of(Found->second.begin(), Found->second.end(), [this, Now](const auto &Item) {
-           return Now - Item.second.m_Time <= m_Options.m_ReportLifetime;
-         });
+  auto Held = Tokens{0};
+  if (Found != m_Reports.end()) {
+    for (const auto &[Name, Item] : Found->second) {
+      Held += Now - Item.m_Time <= m_Options.m_ReportLifetime ? Item.m_Held : 0;
+    }
+  }
+  return Held;
+}
+
+auto ReservePlanner::backlog(const std::string &Shard, Tokens Reserve, base::SteadyTime Now) const
+    -> Tokens {
+  const auto Found = m_Reports.find(Shard);
+  if (Found == m_Reports.end()) {
+    return 0;
+  }
+  auto Missing = Tokens{0};
+  for (const auto &[Name, Item] : Found->second) {
+    Missing += Now - Item.m_Time <= m_Options.m_ReportLifetime ? Item.m_Missing : 0;
+  }
+  return std::clamp<Tokens>(Reserve - heldAhead(Shard, Now), 0, Missing);
+}
+
+auto ReservePlanner::sharedShards(base::SteadyTime Now) const -> std::vector<std::string> {
+  auto Names = std::vector<std::string>();
+  for (const auto &[Shard, Reports] : m_Reports) {
+    if (std::any_of(Reports.begin(), Reports.end(), [this, Now](const auto &Item) {
+          return Now - Item.second.m_Time <= m_Options.m_ReportLifetime;
+        })) {
+      Names.push_back(Shard);
+    }
+  }
+  return Names;
 }
 
 auto ReservePlanner::allowance(const std::string &Shard, const std::string &Router, Tokens Reserve,
--- a/src/budget/reserveplanner.h
+++ b/src/budget/reserveplanner.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace geraniumlift::budget {
 
@@ -54,12 +55,20 @@
   /// standard deviation of a Poisson process.
   [[nodiscard]] auto wantedTokens(const std::string &Budget, base::SteadyTime Now) const -> Tokens;
 
-  /// Records the demand that a router reports to the owner of a shard.
+  /// Records the demand that a router reports to the owner of a shard, the tokens that it holds and
+  /// those that it wants besides.
   auto recordReport(const std::string &Shard, const std::string &Router, double TokensPerSecond,
-                    base::SteadyTime Now) -> void;
+                    Tokens Held, Tokens Missing, base::SteadyTime Now) -> void;
 
-  /// Whether other routers have asked for a part of the shard's reserve.
-  [[nodiscard]] auto isShared(const std::string &Shard, base::SteadyTime Now) const -> bool;
+  /// Names of the shards of whose reserve other routers have asked for a part.
+  [[nodiscard]] auto sharedShards(base::SteadyTime Now) const -> std::vector<std::string>;
+
+  /// Tokens of the shard that the routers hold ahead, as far as they have reported it.
+  [[nodiscard]] auto heldAhead(const std::string &Shard, base::SteadyTime Now) const -> Tokens;
+
+  /// Tokens that the routers still want of a reserve of Reserve tokens, and may hold.
+  [[nodiscard]] auto backlog(const std::string &Shard, Tokens Reserve, base::SteadyTime Now) const
+      -> Tokens;
 
   /// Tokens that the router may hold of the shard's reserve of Reserve tokens: its share by demand,
   /// in whole requests of RequestTokens. Where shares are smaller than a request, some of the
@@ -76,6 +85,8 @@
 
   struct Report {
     double m_TokensPerSecond = 0.0;
+    Tokens m_Held = 0;
+    Tokens m_Missing = 0;
     base::SteadyTime m_Time;
   };
 
--- a/src/budget/tests/reserveplanner_test.cpp
+++ b/src/budget/tests/reserveplanner_test.cpp
@@ -33,7 +33,8 @@
     }
     Asked.push_back(Planner.wantedTokens("b", Start + 20s));
     Owner.recordReport("b", fmt::format("vm{}", Number),
-                       Planner.demandOf("b", Start + 20s).m_TokensPerSecond, Start + 20s);
+                       Planner.demandOf("b", Start + 20s).m_TokensPerSecond, 0, Asked.back(),
+                       Start + 20s);
   }
   auto Served = 0;
   for (std::size_t Number = 0; Number < Load.m_PerSecond.size(); ++Number) {
@@ -91,8 +92,11 @@
   Planner.recordRequest("b", 5000, Start);
   cr_expect_geq(Planner.wantedTokens("b", Start), 5000);
   cr_expect_eq(Planner.wantedTokens("b", Start + 60s), 0);
-  Planner.recordReport("s", "vm", 100.0, Start);
-  cr_expect(Planner.isShared("s", Start));
-  cr_expect_not(Planner.isShared("s", Start + 11s));
+  Planner.recordReport("s", "vm", 100.0, 300, 500, Start);
+  cr_expect_eq(Planner.sharedShards(Start).size(), 1U);
+  cr_expect_eq(Planner.backlog("s", 600, Start), 300);
+  cr_expect_eq(Planner.backlog("s", 10000, Start), 500);
+  cr_expect_eq(Planner.backlog("s", 200, Start), 0);
+  cr_expect(Planner.sharedShards(Start + 11s).empty());
   cr_expect_eq(Planner.allowance("s", "vm", 100000, 1000, Start + 11s), 0);
 }
