Test leaving, pausing, cold and evacuated targets with real processes

The decisions had unit tests only. Targets of the simulated platform can say that they leave, ask for a pause and be cold; the tests play each with a router process.

--- a/testing/standins/platform/targetstandin.cpp
+++ b/testing/standins/platform/targetstandin.cpp
@@ -27,9 +27,9 @@
 
 auto TargetStandin::registerAs(const std::string &State) -> void {
   m_Store.put("servers/" + m_Id,
-              fmt::format(R"({{"service":"{}","address":"127.0.0.1:{}","zone":"a","version":"v1",)"
-                          R"("slots":4,"state":"{}","coldRemainingMs":0,"sequence":1,"born":5}})",
-                          m_Pool, m_Port, State));
+              fmt::format(R"({{"service":"{}","address":"127.0.0.1:{}","zone":"{}","version":"v1",)"
+                          R"("slots":4,"state":"{}","coldRemainingMs":{},"sequence":1,"born":5}})",
+                          m_Pool, m_Port, m_DataCentre, State, m_ColdTime.count()));
 }
 
 auto TargetStandin::runs(const std::string &RequestId) -> int {
@@ -51,9 +51,15 @@
   return m_RunTimes;
 }
 
-auto TargetStandin::limitField() const -> std::string {
+auto TargetStandin::arrivalTimes() -> std::vector<std::chrono::steady_clock::time_point> {
+  const auto Lock = std::lock_guard(m_Mutex);
+  return m_ArrivalTimes;
+}
+
+auto TargetStandin::statementFields() const -> std::string {
   const auto Limit = m_NamedLimit.load();
-  return Limit > 0 ? fmt::format("Server-Limit: {}.0\r\n", Limit) : std::string();
+  auto Fields = Limit > 0 ? fmt::format("Server-Limit: {}.0\r\n", Limit) : std::string();
+  return m_SaysLeaving ? Fields + "Server-Leaving: 1\r\n" : Fields;
 }
 
 auto TargetStandin::lastField(const std::string &Name) -> std::string {
@@ -69,7 +75,7 @@
 auto TargetStandin::streamReply(const std::string &Id, std::uint64_t After, bool Breaks) -> Reply {
   auto Text = fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nServer-Signature: s\r\n"
                           "Content-Type: text/event-stream\r\n{}Transfer-Encoding: chunked\r\n\r\n",
-                          Id, limitField());
+                          Id, statementFields());
   const auto Last = Breaks ? After + 2 : EventCount;
   for (auto Number = After + 1; Number <= Last; ++Number) {
     Text += chunk(fmt::format("id: {}\ndata: word{}\n\n", Number, Number));
@@ -87,6 +93,12 @@
   if (Fields.find("Expect-Instance").value_or("") != m_Id) {
     return Reply{fmt::format("HTTP/1.1 421 x\r\nRequest-Id: {}\r\nContent-Length: 0\r\n\r\n", Id)};
   }
+  m_ArrivalTimes.push_back(std::chrono::steady_clock::now());
+  if (const auto Pause = m_PauseMs.load(); Pause > 0) {
+    return Reply{fmt::format("HTTP/1.1 503 x\r\nRequest-Id: {}\r\nNot-Executed: 1\r\n"
+                             "Retry-After: {:.3f}\r\nContent-Length: 0\r\n\r\n",
+                             Id, Pause / 1000.0)};
+  }
   const auto Fault = m_Fault.load();
   if (Fault == TargetFault::Refuses) {
     return Reply{fmt::format(
@@ -120,8 +132,8 @@
   }
   const auto Status = Fault == TargetFault::Fails ? 500 : 200;
   return Reply{fmt::format("HTTP/1.1 {} x\r\nRequest-Id: {}\r\nServer-Signature: s\r\n"
-                           "Content-Length: 4\r\n\r\ndone",
-                           Status, Id)};
+                           "{}Content-Length: 4\r\n\r\ndone",
+                           Status, Id, statementFields())};
 }
 
 } // namespace geraniumlift::standins
--- a/testing/standins/platform/targetstandin.h
+++ b/testing/standins/platform/targetstandin.h
@@ -34,6 +34,16 @@
   /// above it all the same.
   std::atomic<int> m_NamedLimit{0};
 
+  /// Whether the target says in its answers that it leaves. Its registration stays as it is.
+  std::atomic<bool> m_SaysLeaving{false};
+
+  /// While positive, the target refuses requests and asks for a pause of this length.
+  std::atomic<int> m_PauseMs{0};
+
+  /// Data centre and cold time of the next registration.
+  std::string m_DataCentre = "a";
+  std::chrono::milliseconds m_ColdTime{0};
+
   /// The target crashes whenever it runs a request with this part in its prompt, and is back a
   /// moment later under another ID. Set before the first request.
   std::string m_DeadlyPart;
@@ -45,13 +55,16 @@
   /// When each request ran here, in order.
   [[nodiscard]] auto runTimes() -> std::vector<std::chrono::steady_clock::time_point>;
 
+  /// When each request arrived here, refused ones included, in order.
+  [[nodiscard]] auto arrivalTimes() -> std::vector<std::chrono::steady_clock::time_point>;
+
   /// A header field of the newest request.
   [[nodiscard]] auto lastField(const std::string &Name) -> std::string;
   [[nodiscard]] auto lastBody() -> std::string;
 
 private:
   auto handle(const Received &Request) -> std::optional<Reply>;
-  [[nodiscard]] auto limitField() const -> std::string;
+  [[nodiscard]] auto statementFields() const -> std::string;
   auto streamReply(const std::string &Id, std::uint64_t After, bool Breaks) -> Reply;
 
   StoreStandin &m_Store;
@@ -61,6 +74,7 @@
   std::mutex m_Mutex;
   std::map<std::string, int> m_Runs;
   std::vector<std::chrono::steady_clock::time_point> m_RunTimes;
+  std::vector<std::chrono::steady_clock::time_point> m_ArrivalTimes;
   Received m_Last;
   ByteServer m_Server;
 };
