Order evacuations by revision, read cold times once, judge silent routers for the whole fleet

- An answer of the store that was late could undo an evacuation, or its end, that a relay had told since.
- A target that registered before the configuration was read counted as warm, and each listing of an unchanged registration prolonged its cold time.
ColdTimes keeps the end by registration, and the configuration applies it again.
- Lookups for different regions each restarted the time after which a silent majority counts as gone, and nobody asking kept it from starting.
It is judged on all candidates, also between lookups.
- Cold overage and slack follow SIGHUP like the other figures.

--- a/src/fleet/addressselector.h
+++ b/src/fleet/addressselector.h
@@ -39,15 +39,17 @@
                            std::chrono::milliseconds MaxIsolation = std::chrono::milliseconds(3000))
       : m_Self(std::move(Self)), m_MaxAddresses(MaxAddresses), m_MaxIsolation(MaxIsolation) {}
 
-  /// Silent routers are left out. If more than half are silent, this router is probably isolated
-  /// itself, and they stay listed for a while.
-  [[nodiscard]] auto choose(std::vector<AddressCandidate> Candidates, bool IsStoreReachable,
-                            base::SteadyTime Now) -> std::vector<std::string>;
-
-private:
+  /// Leaves out silent routers. If more than half are silent, this router is probably isolated
+  /// itself, and they stay listed for a while. To be called with the candidates of the whole fleet,
+  /// also while nobody asks, because the while begins with the first call that finds them silent.
   auto removeSilent(std::vector<AddressCandidate> &Candidates, bool IsStoreReachable,
                     base::SteadyTime Now) -> void;
 
+  /// Chooses among the candidates that removeSilent() has left.
+  [[nodiscard]] auto choose(std::vector<AddressCandidate> Candidates) const
+      -> std::vector<std::string>;
+
+private:
   std::string m_Self;
   std::size_t m_MaxAddresses;
   std::chrono::milliseconds m_MaxIsolation;
--- a/src/fleet/internal/addressselector.cpp
+++ b/src/fleet/internal/addressselector.cpp
@@ -21,9 +21,8 @@
   }
 }
 
-auto AddressSelector::choose(std::vector<AddressCandidate> Candidates, bool IsStoreReachable,
-                             base::SteadyTime Now) -> std::vector<std::string> {
-  removeSilent(Candidates, IsStoreReachable, Now);
+auto AddressSelector::choose(std::vector<AddressCandidate> Candidates) const
+    -> std::vector<std::string> {
   auto Ranked = std::vector<std::pair<std::uint64_t, std::string *>>();
   for (auto &Item : Candidates) {
     Ranked.emplace_back(base::rendezvousRank(m_Self, Item.m_Router), &Item.m_Address);
--- a/src/fleet/tests/addressselector_test.cpp
+++ b/src/fleet/tests/addressselector_test.cpp
@@ -26,6 +26,13 @@
   return Result;
 }
 
+/// What callers are told at a time.
+auto list(AddressSelector &Selector, std::vector<AddressCandidate> Fleet, bool IsStoreReachable,
+          base::SteadyTime Now) -> std::vector<std::string> {
+  Selector.removeSilent(Fleet, IsStoreReachable, Now);
+  return Selector.choose(std::move(Fleet));
+}
+
 /// Plays callers that ask a random router and connect to a random address of its list. Returns the
 /// largest number of connections of one router over the mean of all.
 auto busiestOverMean(int Routers) -> double {
@@ -36,7 +43,7 @@
   };
   auto Lists = std::vector<std::vector<std::string>>();
   for (const auto &Router : Fleet) {
-    Lists.push_back(AddressSelector(Router.m_Router).choose(Fleet, true, Start));
+    Lists.push_back(AddressSelector(Router.m_Router).choose(Fleet));
   }
   auto Connections = std::map<std::string, int>();
   for (auto Caller = 0; Caller < Routers * ConnectionsPerRouter; ++Caller) {
@@ -61,19 +68,19 @@
 }
 
 Test(addressselector, smallFleetIsListedWhole) {
-  cr_assert_eq(AddressSelector("vm-1").choose(fleetOf(9), true, Start).size(), 9U);
+  cr_assert_eq(AddressSelector("vm-1").choose(fleetOf(9)).size(), 9U);
 }
 
 // Guards against callers that close most of their connections with each new list.
 Test(addressselector, listsChangeOnlyWhereRoutersComeAndGo) {
   auto Fleet = fleetOf(195);
   auto Selector = AddressSelector("vm-3");
-  auto Before = Selector.choose(Fleet, true, Start);
+  auto Before = list(Selector, Fleet, true, Start);
   cr_assert_eq(Before.size(), 64U, "callers read no more");
-  cr_assert(Selector.choose(Fleet, true, Start) == Before);
+  cr_assert(list(Selector, Fleet, true, Start) == Before);
   Fleet.erase(std::find_if(Fleet.begin(), Fleet.end(),
                            [&Before](const auto &Item) { return Item.m_Address == Before[5]; }));
-  auto After = Selector.choose(Fleet, true, Start);
+  auto After = list(Selector, Fleet, true, Start);
   cr_assert_eq(After.size(), 64U);
   std::sort(Before.begin(), Before.end());
   std::sort(After.begin(), After.end());
@@ -89,9 +96,9 @@
     Fleet[static_cast<std::size_t>(Number)].m_IsSilent = true;
   }
   auto Selector = AddressSelector("vm-30");
-  cr_assert_eq(Selector.choose(Fleet, true, Start).size(), 20U);
+  cr_assert_eq(list(Selector, Fleet, true, Start).size(), 20U);
   Fleet[20].m_IsSilent = true;
-  cr_assert_eq(Selector.choose(Fleet, true, Start).size(), 40U,
+  cr_assert_eq(list(Selector, Fleet, true, Start).size(), 40U,
                "a router that hears few others is isolated itself");
 }
 
@@ -103,10 +110,30 @@
     Fleet[static_cast<std::size_t>(Number)].m_IsSilent = true;
   }
   auto Selector = AddressSelector("vm-35", 64, 4000ms);
-  cr_expect_eq(Selector.choose(Fleet, true, Start).size(), 40U);
-  cr_expect_eq(Selector.choose(Fleet, true, Start + 3999ms).size(), 40U);
-  cr_expect_eq(Selector.choose(Fleet, false, Start + 4s).size(), 40U,
+  cr_expect_eq(list(Selector, Fleet, true, Start).size(), 40U);
+  cr_expect_eq(list(Selector, Fleet, true, Start + 3999ms).size(), 40U);
+  cr_expect_eq(list(Selector, Fleet, false, Start + 4s).size(), 40U,
                "a router without the store is isolated itself");
-  cr_expect_eq(Selector.choose(Fleet, true, Start + 5s).size(), 40U);
-  cr_expect_eq(Selector.choose(Fleet, true, Start + 9s).size(), 10U);
+  cr_expect_eq(list(Selector, Fleet, true, Start + 5s).size(), 40U);
+  cr_expect_eq(list(Selector, Fleet, true, Start + 9s).size(), 10U);
+}
+
+// Guards against killed routers that stay listed because callers who ask for different regions, and
+// so for different parts of the fleet, restart the time, or because nobody asked for long.
+Test(addressselector, silentMajorityIsJudgedOnceForTheWholeFleet) {
+  using namespace std::chrono_literals;
+  auto Fleet = fleetOf(40);
+  for (auto Number = 0; Number < 30; ++Number) {
+    Fleet[static_cast<std::size_t>(Number)].m_IsSilent = true;
+  }
+  auto Selector = AddressSelector("vm-35", 64, 4000ms);
+  for (auto Now = Start; Now < Start + 4s; Now += 500ms) {
+    auto Candidates = Fleet;
+    Selector.removeSilent(Candidates, true, Now);
+  }
+  auto Candidates = Fleet;
+  Selector.removeSilent(Candidates, true, Start + 4s);
+  Candidates.erase(Candidates.begin(), Candidates.begin() + 5);
+  const auto Part = Selector.choose(Candidates);
+  cr_expect_eq(Part.size(), 5U, "a region without silent routers");
 }
--- a/src/fleet/tests/peertable_test.cpp
+++ b/src/fleet/tests/peertable_test.cpp
@@ -28,7 +28,10 @@
 /// The addresses that vm0 would tell a caller.
 auto callerAddresses(const PeerTable &Peers, bool IsSelfLeaving, base::SteadyTime Now)
     -> std::vector<std::string> {
-  return AddressSelector("vm0").choose(Peers.addressCandidates(IsSelfLeaving, Now), true, Now);
+  auto Selector = AddressSelector("vm0");
+  auto Candidates = Peers.addressCandidates(IsSelfLeaving, Now);
+  Selector.removeSilent(Candidates, true, Now);
+  return Selector.choose(std::move(Candidates));
 }
 
 /// The table of vm0 in a fleet of nine routers; all others have sent a heartbeat at Start.
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -300,14 +300,16 @@
     m_HasTargetList = true;
   }
   if (m_Dependencies.m_Documents.operatorPrefix().starts_with(Prefix)) {
-    setEvacuated(std::move(Evacuated));
+    m_Evacuations.keepOnly(Evacuated, Result.m_Revision);
+    applyEvacuations();
   }
   if (!IsRegistered && fleet::RouterPrefix.starts_with(Prefix)) {
     registerSelf();
   }
 }
 
-auto Router::setEvacuated(std::set<std::string> DataCentres) -> void {
+auto Router::applyEvacuations() -> void {
+  auto DataCentres = m_Evacuations.evacuated();
   const auto &Before = m_Gate.evacuated();
   const auto LogMissing = [this](std::string_view Event, const auto &Items, const auto &Others) {
     for (const auto &Name : Items) {
@@ -357,9 +359,9 @@
     break;
   case DocumentKind::Evacuation: {
     m_Subscription.mirror().put(Item, "evacuated");
-    auto Evacuated = m_Gate.evacuated();
-    Evacuated.insert(m_Dependencies.m_Documents.evacuatedDataCentre(Item.m_Key));
-    setEvacuated(std::move(Evacuated));
+    m_Evacuations.put(m_Dependencies.m_Documents.evacuatedDataCentre(Item.m_Key),
+                      Item.m_ModRevision);
+    applyEvacuations();
     break;
   }
   case DocumentKind::Other:
@@ -382,9 +384,9 @@
   }
   if (m_Dependencies.m_Documents.kindOf(Item.m_Key) == DocumentKind::Evacuation) {
     m_Subscription.mirror().remove(Item.m_Key, Item.m_ModRevision, now());
-    auto Evacuated = m_Gate.evacuated();
-    Evacuated.erase(m_Dependencies.m_Documents.evacuatedDataCentre(Item.m_Key));
-    setEvacuated(std::move(Evacuated));
+    m_Evacuations.remove(m_Dependencies.m_Documents.evacuatedDataCentre(Item.m_Key),
+                         Item.m_ModRevision);
+    applyEvacuations();
     return;
   }
   if (Item.m_Key.starts_with(quarantine::QuarantinePrefix)) {
@@ -430,6 +432,10 @@
     }
   }
   m_Grants.setPrepaid(Prepaid);
+  // Targets may have registered before the configuration said what cold ones tolerate.
+  for (const auto &[Id, Target] : m_Targets.all()) {
+    applyColdTime(Target.record());
+  }
 }
 
 auto Router::applyTarget(const keyvalue::KeyValue &Item) -> void {
@@ -437,6 +443,7 @@
   m_Subscription.mirror().put(Item, Record.ok() ? meaningOf(*Record) : "unreadable");
   if (Record.ok()) {
     m_TargetDirectory.put(*Record, Item.m_ModRevision);
+    m_ColdTimes.put(*Record, Item.m_ModRevision, now());
     applyColdTime(*Record);
     return;
   }
@@ -448,12 +455,13 @@
 
 auto Router::applyColdTime(const forwarding::TargetRecord &Record) -> void {
   const auto *Pool = m_Context.m_Table ? m_Context.m_Table->findPool(Record.m_Pool) : nullptr;
-  if (Pool == nullptr || Pool->m_ColdPerSecond <= 0.0 || Record.m_ColdTime <= 0ms) {
+  const auto Until = m_ColdTimes.endOf(Record, now());
+  if (Pool == nullptr || Pool->m_ColdPerSecond <= 0.0 || !Until) {
     return;
   }
   m_Limits.setCold(ratelimits::targetKey(Record.m_Id, Record.m_Incarnation),
                    ratelimits::coldAllowance(Pool->m_ColdPerSecond, m_Settings.m_ColdOverage,
-                                             m_Settings.m_ColdSlack, now() + Record.m_ColdTime));
+                                             m_Settings.m_ColdSlack, *Until));
 }
 
 auto Router::applyRouter(const keyvalue::KeyValue &Item) -> void {
@@ -493,8 +501,9 @@
     return {404, "Not Found", "application/json", "{}"};
   }
   auto Candidates = m_Peers.addressCandidates(m_IsLeaving || !isReady(), now());
+  m_AddressSelector.removeSilent(Candidates, m_IsStoreReachable, now());
   keepAllowedRegions(m_Dependencies.m_Directory.decodeLookup(Head), Candidates);
-  const auto Addresses = m_AddressSelector.choose(std::move(Candidates), m_IsStoreReachable, now());
+  const auto Addresses = m_AddressSelector.choose(std::move(Candidates));
   if (Addresses.empty()) {
     return {503, "Service Unavailable", "application/json", "{}"};
   }
@@ -532,6 +541,8 @@
   advanceQuarantine();
   advanceLimits(AlivePeers);
   reportTargetAccess();
+  auto Candidates = m_Peers.addressCandidates(m_IsLeaving, now());
+  m_AddressSelector.removeSilent(Candidates, m_IsStoreReachable, now());
   m_Subscription.mirror().removeExpired(now());
   m_Dependencies.m_Metrics.gauge(
       "geraniumlift_store_knowledge_age_seconds", {},
@@ -551,6 +562,8 @@
   m_Settings.m_DirectoryTimeToLive = Settings.m_DirectoryTimeToLive;
   m_Settings.m_RetryShare = Settings.m_RetryShare;
   m_Settings.m_RetrySlack = Settings.m_RetrySlack;
+  m_Settings.m_ColdOverage = Settings.m_ColdOverage;
+  m_Settings.m_ColdSlack = Settings.m_ColdSlack;
   m_Settings.m_MemoryMb = Settings.m_MemoryMb;
   m_Context.m_Options = forwardingOptions(m_Settings);
   updateRetryBudgets();
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -6,6 +6,8 @@
 #include "forwarding/targetdirectory.h"
 #include "keyvalue/storemonitor.h"
 #include "quarantine/quarantineservice.h"
+#include "router/internal/coldtimes.h"
+#include "router/internal/evacuationrecords.h"
 #include "router/internal/peerlink.h"
 #include "router/internal/requestmetrics.h"
 #include "router/internal/storesubscription.h"
@@ -82,8 +84,8 @@
   /// Passes on that a target is cold, if its pool says what cold targets tolerate.
   auto applyColdTime(const forwarding::TargetRecord &Record) -> void;
 
-  /// Sets and logs the data centres whose targets get no requests.
-  auto setEvacuated(std::set<std::string> DataCentres) -> void;
+  /// Passes on and logs the data centres whose targets get no requests.
+  auto applyEvacuations() -> void;
   auto applyRouter(const keyvalue::KeyValue &Item) -> void;
   auto registerSelf() -> void;
   auto unregisterSelf() -> void;
@@ -126,6 +128,8 @@
   transport::ListenerCheck m_ListenerCheck;
   quarantine::QuarantineService m_Quarantine;
   ratelimits::LimitService m_Limits;
+  EvacuationRecords m_Evacuations;
+  ColdTimes m_ColdTimes;
   forwarding::TargetGate m_Gate;
   forwarding::TargetAccessLog m_TargetAccess;
   forwarding::Placement m_Placement;
