Use last resorts when all other targets are closed, and count no pause as a failure

A target that pauses, or is refused a permit, kept requests from an ejected one that might take them: the request was refused. A 503 with Retry-After but without Not-Executed ejected the target.

--- a/src/forwarding/internal/forwardsessionanswer.cpp
+++ b/src/forwarding/internal/forwardsessionanswer.cpp
@@ -58,7 +58,9 @@
   }
   if ((isSuccess(Head.m_Status) && !Metadata.m_IsSigned) || Metadata.m_IsEncoded ||
       impliesNotRun(Head.m_Status)) {
-    attemptFailed(base::Verdict::MayHaveRun, AttemptResult::Failed, "unusable_answer");
+    attemptFailed(base::Verdict::MayHaveRun,
+                  Metadata.m_Pause ? AttemptResult::Unknown : AttemptResult::Failed,
+                  "unusable_answer");
     return;
   }
   m_IsEventStream = m_Route->m_Kind == RequestKind::Streaming && isSuccess(Head.m_Status);
--- a/src/forwarding/internal/placement.cpp
+++ b/src/forwarding/internal/placement.cpp
@@ -74,7 +74,13 @@
     }
     (Checked.m_IsLastResort ? LastResorts : Preferred).push_back({Target, Checked});
   }
-  auto Candidates = std::move(Preferred.empty() ? LastResorts : Preferred);
+  auto Candidates = std::move(Preferred);
+  const auto IsClosed = [](const Candidate &Item) {
+    return Item.m_Gate.m_Access == GateAccess::Closed;
+  };
+  if (std::all_of(Candidates.begin(), Candidates.end(), IsClosed)) {
+    Candidates.insert(Candidates.end(), LastResorts.begin(), LastResorts.end());
+  }
   for (const auto &[Target, Checked] : Candidates) {
     if (Checked.m_Access == GateAccess::NeedsPermit && Decision.m_Reason == GateReason::None) {
       Decision.m_Reason = Checked.m_Reason;
--- a/src/forwarding/placement.h
+++ b/src/forwarding/placement.h
@@ -113,8 +113,8 @@
                                            const std::vector<Candidate> &Candidates)
       -> const TargetState *;
 
-  /// Returns the targets that are to be compared: last resorts only if there is no other. Fills in
-  /// why some are closed.
+  /// Returns the targets that are to be compared: last resorts only if all others are closed. Fills
+  /// in why some are closed.
   [[nodiscard]] static auto findCandidates(const TargetTable &Targets, const TargetGate &Gate,
                                            const PlacementRequest &Request, base::SteadyTime Now,
                                            PlacementDecision &Decision) -> std::vector<Candidate>;
--- a/src/forwarding/tests/forwardsession_test.cpp
+++ b/src/forwarding/tests/forwardsession_test.cpp
@@ -570,6 +570,18 @@
   cr_expect(Fixture.m_Log.has("request_refused", {"reason=targets_paused"}));
 }
 
+// Guards against the ejection of a target that asks for a pause without saying whether the request
+// ran.
+Test(forwardsession, pauseIsNoFailureOfTheTarget) {
+  auto Fixture = ForwardingFixture();
+  Fixture.request("/book/1");
+  Fixture.connect();
+  const auto Id = Fixture.attempts()[0]->m_TargetId;
+  Fixture.answerHead(503, {"pause"});
+  cr_expect_eq(Fixture.m_Targets.find(Id)->failureRate(), 0.0);
+  cr_expect_eq(Fixture.m_Caller->m_Status, 502);
+}
+
 Test(forwardsession, unreadableStatementIsLoggedAndIgnored) {
   auto Fixture = ForwardingFixture();
   for (auto Number = 0; Number < 5; ++Number) {
--- a/src/forwarding/tests/placement_test.cpp
+++ b/src/forwarding/tests/placement_test.cpp
@@ -68,6 +68,18 @@
 
 } // namespace
 
+// Guards against requests that are refused because one target pauses, although another one, which
+// is ejected, may be tried.
+Test(placement, lastResortIsUsedIfAllOthersAreClosed) {
+  auto Fixture = OpenGate();
+  auto Targets = table(2);
+  Targets.recordPause("t0", 0, 3s, Start);
+  Targets.recordResult("t1", AttemptResult::Unresponsive, Start);
+  const auto Decision = placement().decide(Targets, Fixture.m_Gate, {"p", nullptr, {}}, Start);
+  cr_assert(Decision.m_Choice.has_value());
+  cr_expect_eq(Decision.m_Choice->m_TargetId, "t1");
+}
+
 // Guards against routers that send requests with the same shared prompt to different targets, whose
 // caches then each have to read it.
 Test(placement, routersChooseTheSameTargetForASharedPrompt) {
