Give back tokens that arrive ahead while the router stops

The answer to a request for tokens ahead that arrived after the stop began was kept, and the next owner was asked.

--- a/src/budget/internal/grantservice.cpp
+++ b/src/budget/internal/grantservice.cpp
@@ -186,6 +186,10 @@
   m_TokenExchange.requestAhead(m_Owners.ownerOf(Shards[Index]), Details, Home, Now + RefillTime,
                                [this, Shards, Index](Tokens Received) {
                                  m_Allocator.receive(Shards.front(), Received);
+                                 if (m_IsDraining) {
+                                   returnReceived(Shards.front(), Received);
+                                   return;
+                                 }
                                  requestReserve(Shards, Index + 1);
                                });
 }
