--- a/src/budget/tests/grantservice_test.cpp
+++ b/src/budget/tests/grantservice_test.cpp
@@ -32,6 +32,9 @@
   std::map<std::string, GrantService *> m_Services;
   int m_MessageCount = 0;
 
+  /// Whether the network loses every ninth message and delivers every third a second time, late.
+  bool m_IsNetworkFaulty = false;
+
   auto startService(const std::string &Name, std::int64_t Routers,
                     std::set<std::string> LiveRouters = {}) -> std::unique_ptr<GrantService> {
     auto Options = GrantOptions();
@@ -67,12 +70,21 @@
 }
 
 auto FakeTransferLink::send(const std::string &Router, const TransferMessage &Message) -> void {
-  ++m_Fleet.m_MessageCount;
-  m_Fleet.m_Timers.start(m_Fleet.m_Clock.steadyNow() + 3ms, [this, Router, Message] {
-    if (const auto Found = m_Fleet.m_Services.find(Router); Found != m_Fleet.m_Services.end()) {
-      Found->second->onTransfer(*decodeTransfer(encodeTransfer(Message)));
-    }
-  });
+  const auto Number = ++m_Fleet.m_MessageCount;
+  const auto DeliverAfter = [&](std::chrono::milliseconds Delay) {
+    m_Fleet.m_Timers.start(m_Fleet.m_Clock.steadyNow() + Delay, [this, Router, Message] {
+      if (const auto Found = m_Fleet.m_Services.find(Router); Found != m_Fleet.m_Services.end()) {
+        Found->second->onTransfer(*decodeTransfer(encodeTransfer(Message)));
+      }
+    });
+  };
+  if (m_Fleet.m_IsNetworkFaulty && Number % 9 == 0) {
+    return;
+  }
+  DeliverAfter(3ms);
+  if (m_Fleet.m_IsNetworkFaulty && Number % 3 == 0) {
+    DeliverAfter(250ms);
+  }
 }
 
 } // namespace
@@ -407,6 +419,64 @@
   cr_expect(Fleet.m_Log.has("budget_transfer_returned"));
 }
 
+// Guards against tokens that arrive after a stop began, are kept, and so count as used.
+Test(grantservice, stoppingRouterReturnsTokensThatArriveAfterwards) {
+  auto Fleet = TestFleet();
+  const auto Names = std::set<std::string>{"vm-1", "vm-2"};
+  auto First = Fleet.startService("vm-1", 73, Names);
+  auto Second = Fleet.startService("vm-2", 73, Names);
+  Fleet.m_Timers.runFor(5s);
+  auto Owners = ShardOwners();
+  Owners.setRouters(Names);
+  const auto IsFirst = Owners.ownerOf(BudgetShards(3, "vm-1").homeShard("b")) != "vm-1";
+  auto &Member = IsFirst ? *First : *Second;
+  for (auto Number = 0; Number < 3; ++Number) {
+    Member.reserve("b", 2000, Fleet.m_Clock.steadyNow() + 400ms, [](const Reservation &) {});
+  }
+  cr_expect_not(Fleet.m_Log.has("budget_transfer_received"));
+  Member.drain();
+  cr_expect_not(Fleet.m_Log.has("budget_transfer_returned"));
+  Fleet.m_Timers.runFor(2s);
+  cr_expect(Fleet.m_Log.has("budget_transfer_returned"));
+}
+
+// Guards against tokens that are spent twice because a message that passes them on or returns them
+// is delivered twice, and against a budget that lost messages use up for the most part.
+Test(grantservice, doubledAndLostMessagesDoNotMultiplyTokens) {
+  auto Fleet = TestFleet();
+  auto Names = std::set<std::string>();
+  for (auto Number = 0; Number < 6; ++Number) {
+    Names.insert("vm-" + std::to_string(Number));
+  }
+  auto Services = std::vector<std::unique_ptr<GrantService>>();
+  for (const auto &Name : Names) {
+    Services.push_back(Fleet.startService(Name, 73, Names));
+  }
+  Fleet.m_Timers.runFor(5s);
+  Fleet.m_IsNetworkFaulty = true;
+  auto Used = Tokens{0};
+  for (auto Round = 0; Round < 60; ++Round) {
+    // Demand moves from router to router, so that each gets tokens ahead and returns them.
+    auto &Service = *Services[static_cast<std::size_t>(Round / 5) % Services.size()];
+    for (auto Number = 0; Number < 10; ++Number) {
+      Service.reserve("b", 2000, Fleet.m_Clock.steadyNow() + 400ms,
+                      [&Used, &Service](const Reservation &Answer) {
+                        if (Answer.m_Outcome == ReservationOutcome::Granted) {
+                          Used += 1800;
+                          Service.settle(Answer.m_Source, 2000, 1800);
+                        }
+                      });
+      Fleet.m_Timers.runFor(100ms);
+    }
+    for (auto &Item : Services) {
+      Item->setFleet(73, Names);
+    }
+  }
+  cr_expect(Fleet.m_Log.has("budget_transfer_returned"));
+  cr_expect_leq(Used, 900000, "%ld", static_cast<long>(Used));
+  cr_expect_geq(Used, 450000, "%ld", static_cast<long>(Used));
+}
+
 Test(grantservice, transferMessagesRoundTripAndInvalidBytesAreRejected) {
   const auto Request = TransferMessage(TransferRequest{"vm", 1, 2, "b/1", 300});
   const auto Answer = TransferMessage(TransferAnswer{"vm", 1, 2, 300, true, 70});
