--- a/src/fleet/addressselector.h
+++ b/src/fleet/addressselector.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/iclock.h"
+#include "fleet/listingshares.h"
 
 #include <cstddef>
 #include <optional>
@@ -20,6 +21,10 @@
 
   /// Whether the router has been silent for longer than the heartbeat timeout.
   bool m_IsSilent = false;
+
+  /// Whether the router is past its capacity, and that capacity; 0 if unknown. See carriedMbps().
+  bool m_IsOverloaded = false;
+  double m_Capacity = 0.0;
 };
 
 /// Chooses the routers that callers are told to use. Callers pick one of them at random for each
@@ -27,7 +32,8 @@
 /// spread unevenly over the data centres: every list is a sample of the whole fleet, and the lists
 /// of different routers are different samples, so that all routers are used evenly. A router's list
 /// changes only where routers come and go, since callers close connections to routers that are no
-/// longer listed.
+/// longer listed. Where capacities differ, a router is in as many of the lists as it can carry
+/// callers.
 class AddressSelector {
 public:
   /// Callers read no more addresses than this.
@@ -40,13 +46,29 @@
       : m_Self(std::move(Self)), m_MaxAddresses(MaxAddresses), m_MaxIsolation(MaxIsolation) {}
 
   /// Silent routers are left out. If more than half are silent, this router is probably isolated
-  /// itself, and they stay listed for a while.
+  /// itself, and they stay listed for a while. Routers past their capacity are left out, at most a
+  /// quarter of all, and none if half of them are: then there is no room elsewhere.
   [[nodiscard]] auto choose(std::vector<AddressCandidate> Candidates, bool IsStoreReachable,
                             base::SteadyTime Now) -> std::vector<std::string>;
 
 private:
   auto removeSilent(std::vector<AddressCandidate> &Candidates, bool IsStoreReachable,
                     base::SteadyTime Now) -> void;
+  static auto removeOverloaded(std::vector<AddressCandidate> &Candidates) -> void;
+
+  /// The rule for even capacities: the routers that rank first for this one.
+  [[nodiscard]] auto chooseByRank(const std::vector<AddressCandidate> &Candidates) const
+      -> std::vector<std::string>;
+
+  /// The rule for uneven capacities. Each router has a random place on a circle, on which this
+  /// router's list begins at its own position in the fleet, so that the lists of all routers
+  /// together hold each router as often as its share says.
+  [[nodiscard]] auto chooseByShare(const std::vector<AddressCandidate> &Candidates,
+                                   const ListingShares &Shares, double Position) const
+      -> std::vector<std::string>;
+
+  /// This router's position among the candidates in a random order on which all agree, from 0 to 1.
+  [[nodiscard]] auto positionIn(const std::vector<AddressCandidate> &Candidates) const -> double;
 
   std::string m_Self;
   std::size_t m_MaxAddresses;
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -26,6 +26,9 @@
   /// Processor cores that the VM may use; 0 if unknown. VMs with more of them relay first.
   double m_Cores = 0.0;
 
+  /// Data rate of the VM's link in Mbit/s; 0 if unknown.
+  double m_LinkMbps = 0.0;
+
   auto operator==(const RouterRecord &) const -> bool = default;
 };
 
@@ -70,6 +73,9 @@
   /// Milliseconds since the store last answered this router. For a relay, since it last confirmed
   /// all records that the relay passes on.
   std::uint32_t m_StoreAgeMs = 0;
+
+  /// Whether the router is past its capacity. See OverloadDetector.
+  bool m_IsOverloaded = false;
 };
 
 /// A heartbeat that another router passes on.
@@ -113,6 +119,9 @@
 
   /// Load of all routers but the receiver, summed up by target.
   std::vector<ReportedLoad> m_Loads;
+
+  /// hashName() of the routers that are past their capacity.
+  std::vector<std::uint32_t> m_Overloaded;
 };
 
 using FleetMessage = std::variant<Heartbeat, HeartbeatBatch, FleetDigest>;
--- a/src/fleet/internal/fleetcodec.cpp
+++ b/src/fleet/internal/fleetcodec.cpp
@@ -18,7 +18,18 @@
        cereal::make_nvp("data_centre", Record.m_DataCentre),
        cereal::make_nvp("caller_address", Record.m_CallerAddress),
        cereal::make_nvp("peer_address", Record.m_PeerAddress),
-       cereal::make_nvp("peer_port", Record.m_PeerPort), cereal::make_nvp("cores", Record.m_Cores));
+       cereal::make_nvp("peer_port", Record.m_PeerPort), cereal::make_nvp("cores", Record.m_Cores),
+       cereal::make_nvp("link_mbps", Record.m_LinkMbps));
+}
+
+/// Reads a field that records of earlier versions lack.
+template <typename Archive>
+auto loadOptional(Archive &Data, const char *Name, double &Out) -> void {
+  try {
+    Data(cereal::make_nvp(Name, Out));
+  } catch (const cereal::Exception &) {
+    Out = 0.0;
+  }
 }
 
 template <typename Archive>
@@ -28,12 +39,8 @@
        cereal::make_nvp("caller_address", Record.m_CallerAddress),
        cereal::make_nvp("peer_address", Record.m_PeerAddress),
        cereal::make_nvp("peer_port", Record.m_PeerPort));
-  try {
-    Data(cereal::make_nvp("cores", Record.m_Cores));
-  } catch (const cereal::Exception &) {
-    // Records of earlier versions lack the field.
-    Record.m_Cores = 0.0;
-  }
+  loadOptional(Data, "cores", Record.m_Cores);
+  loadOptional(Data, "link_mbps", Record.m_LinkMbps);
 }
 
 template <typename Archive>
@@ -60,7 +67,8 @@
 
 auto write(OutputArchive &Data, const Heartbeat &Message) -> void {
   Data(Message.m_Router, Message.m_Incarnation, Message.m_Sequence, Message.m_IsLeaving,
-       Message.m_WantsDigest, Message.m_StoreAgeMs, Message.m_Loads, Message.m_Budgets);
+       Message.m_WantsDigest, Message.m_StoreAgeMs, Message.m_IsOverloaded, Message.m_Loads,
+       Message.m_Budgets);
 }
 
 auto write(OutputArchive &Data, const HeartbeatBatch &Message) -> void {
@@ -74,13 +82,14 @@
 
 auto write(OutputArchive &Data, const FleetDigest &Message) -> void {
   Data(Message.m_Relay, Message.m_Incarnation, Message.m_Sequence, Message.m_IsResigning,
-       Message.m_StoreAgeMs, Message.m_Silent, Message.m_Leaving, Message.m_Loads);
+       Message.m_StoreAgeMs, Message.m_Silent, Message.m_Leaving, Message.m_Loads,
+       Message.m_Overloaded);
 }
 
 auto read(InputArchive &Data, Heartbeat &Message, std::size_t Size) -> void {
   base::readText(Data, Message.m_Router, Size);
   Data(Message.m_Incarnation, Message.m_Sequence, Message.m_IsLeaving, Message.m_WantsDigest,
-       Message.m_StoreAgeMs);
+       Message.m_StoreAgeMs, Message.m_IsOverloaded);
   base::readEntries(Data, Message.m_Loads, MaxEntries);
   base::readEntries(Data, Message.m_Budgets, MaxEntries);
 }
@@ -101,6 +110,7 @@
   base::readEntries(Data, Message.m_Silent, MaxEntries);
   base::readEntries(Data, Message.m_Leaving, MaxEntries);
   base::readEntries(Data, Message.m_Loads, MaxEntries);
+  base::readEntries(Data, Message.m_Overloaded, MaxEntries);
 }
 
 /// Reads the alternative of FleetMessage with the index of KindBytes.
--- a/src/fleet/internal/peertable.cpp
+++ b/src/fleet/internal/peertable.cpp
@@ -58,6 +58,7 @@
   if (Role == FleetRole::Member) {
     m_SilentHashes.clear();
     m_LeavingHashes.clear();
+    m_OverloadedHashes.clear();
     for (const auto &[Name, Item] : m_Peers) {
       if (Name == m_Options.m_Self) {
         continue;
@@ -159,6 +160,7 @@
   m_DigestAt = Now;
   m_SilentHashes = {Message.m_Silent.begin(), Message.m_Silent.end()};
   m_LeavingHashes = {Message.m_Leaving.begin(), Message.m_Leaving.end()};
+  m_OverloadedHashes = {Message.m_Overloaded.begin(), Message.m_Overloaded.end()};
   m_DigestLoads.clear();
   for (const auto &Load : Message.m_Loads) {
     m_DigestLoads[Load.m_TargetHash] += toTargetLoad(Load);
@@ -188,6 +190,9 @@
   if (Own.m_IsLeaving) {
     Into.m_Leaving.push_back(hashName(m_Options.m_Self));
   }
+  if (Own.m_IsOverloaded) {
+    Into.m_Overloaded.push_back(hashName(m_Options.m_Self));
+  }
   for (const auto &[Name, Item] : m_Peers) {
     if (!Item.m_HasRecord || Name == m_Options.m_Self) {
       continue;
@@ -196,6 +201,8 @@
       Into.m_Silent.push_back(Item.m_NameHash);
     } else if (isLeaving(Item)) {
       Into.m_Leaving.push_back(Item.m_NameHash);
+    } else if (isOverloaded(Item, Now)) {
+      Into.m_Overloaded.push_back(Item.m_NameHash);
     }
   }
 }
@@ -233,6 +240,16 @@
                                      : Item.m_Heartbeat.m_IsLeaving;
 }
 
+auto PeerTable::isOverloaded(const Peer &Item, base::SteadyTime Now) const -> bool {
+  // What a lost relay last said of loads is soon worth nothing.
+  if (m_Role == FleetRole::Member) {
+    return Now - m_DigestAt <= m_Options.m_HeartbeatTimeout &&
+           m_OverloadedHashes.contains(Item.m_NameHash);
+  }
+  return Item.m_Heartbeat.m_IsOverloaded &&
+         Now - Item.m_HeartbeatAt <= m_Options.m_HeartbeatTimeout;
+}
+
 auto PeerTable::peerLoad(std::string_view TargetId, base::SteadyTime Now)
     -> forwarding::TargetLoad {
   const auto Hash = hashName(TargetId);
@@ -364,7 +381,9 @@
     const auto IsSilent = !IsSelf && !isAlive(Item, Now);
     const auto IsLeavingNow = IsSelf ? IsSelfLeaving : isLeaving(Item) && !IsSilent;
     if (Item.m_HasRecord && !IsLeavingNow) {
-      Result.push_back({Name, Item.m_Record.m_CallerAddress, Item.m_Record.m_DataCentre, IsSilent});
+      Result.push_back({Name, Item.m_Record.m_CallerAddress, Item.m_Record.m_DataCentre, IsSilent,
+                        IsSelf ? m_IsSelfOverloaded : isOverloaded(Item, Now),
+                        carriedMbps(Item.m_Record.m_LinkMbps, Item.m_Record.m_Cores)});
     }
   }
   return Result;
--- a/src/fleet/peertable.h
+++ b/src/fleet/peertable.h
@@ -44,6 +44,9 @@
   /// Adds a router or replaces its record.
   auto put(const RouterRecord &Record, base::SteadyTime Now) -> void;
 
+  /// Records whether this router is past its capacity.
+  auto setSelfOverloaded(bool IsOverloaded) -> void { m_IsSelfOverloaded = IsOverloaded; }
+
   /// Removes a router whose record was deleted.
   auto remove(const std::string &Name) -> void;
 
@@ -129,6 +132,9 @@
   [[nodiscard]] auto isAlive(const Peer &Item, base::SteadyTime Now) const -> bool;
   [[nodiscard]] auto isLeaving(const Peer &Item) const -> bool;
 
+  /// Whether another router has lately said that it is past its capacity.
+  [[nodiscard]] auto isOverloaded(const Peer &Item, base::SteadyTime Now) const -> bool;
+
   /// Whether the router is not this one, has a record, is alive and is not leaving.
   [[nodiscard]] auto isAlivePeer(const std::string &Name, const Peer &Item,
                                  base::SteadyTime Now) const -> bool;
@@ -142,6 +148,7 @@
 
   PeerOptions m_Options;
   FleetRole m_Role = FleetRole::Direct;
+  bool m_IsSelfOverloaded = false;
   std::map<std::string, Peer> m_Peers;
   std::uint64_t m_RecordVersion = 0;
 
@@ -154,6 +161,7 @@
   /// What the last digest said; hashes of the routers' names and of the targets' IDs.
   absl::flat_hash_set<std::uint32_t> m_SilentHashes;
   absl::flat_hash_set<std::uint32_t> m_LeavingHashes;
+  absl::flat_hash_set<std::uint32_t> m_OverloadedHashes;
   absl::flat_hash_map<std::uint32_t, forwarding::TargetLoad> m_DigestLoads;
   base::SteadyTime m_DigestAt;
   std::string m_DigestRelay;
--- a/src/fleet/tests/fleetexchange_test.cpp
+++ b/src/fleet/tests/fleetexchange_test.cpp
@@ -35,6 +35,7 @@
     std::uint32_t m_Sequence = 0;
     bool m_IsRunning = true;
     bool m_IsLeaving = false;
+    bool m_IsOverloaded = false;
 
     /// When the store last answered; now while not set.
     std::optional<base::SteadyTime> m_StoreLostAt;
@@ -85,6 +86,14 @@
     return Item.m_Peers.alivePeers(m_Now).contains(Other.m_Name);
   }
 
+  /// Whether the node's lists of addresses take the other one for overloaded.
+  auto takesForOverloaded(Node &Item, const Node &Other) -> bool {
+    const auto All = Item.m_Peers.addressCandidates(false, m_Now);
+    return std::any_of(All.begin(), All.end(), [&Other](const AddressCandidate &Found) {
+      return Found.m_Router == Other.m_Name && Found.m_IsOverloaded;
+    });
+  }
+
   auto requestsSeenBy(Node &Item) -> std::int64_t {
     return Item.m_Peers.peerLoad("t", m_Now).m_ActiveRequests;
   }
@@ -130,6 +139,7 @@
       Own.m_Incarnation = Item.m_Incarnation;
       Own.m_Sequence = ++Item.m_Sequence;
       Own.m_IsLeaving = Item.m_IsLeaving;
+      Own.m_IsOverloaded = Item.m_IsOverloaded;
       Own.m_Loads = {{hashName("t"), 100, 1}};
       if (Item.m_StoreLostAt) {
         Own.m_StoreAgeMs = static_cast<std::uint32_t>(
@@ -379,3 +389,31 @@
     }
   }
 }
+
+// Guards against callers that are sent to a VM whose link is full, and against a VM that stays
+// unlisted on the word of a relay that is gone.
+Test(fleetexchange, overloadIsKnownToAllAndForgottenWithTheRelays) {
+  for (const auto Routers : {9, 82}) {
+    auto Fleet = PlayedFleet(Routers);
+    Fleet.run(2s);
+    auto &Full = Fleet.node(7);
+    Full.m_IsOverloaded = true;
+    Fleet.run(2s);
+    for (const auto &Item : Fleet.nodes()) {
+      cr_expect_eq(Fleet.takesForOverloaded(*Item, Full), Item.get() != &Full, "%s of %d",
+                   Item->m_Name.c_str(), Routers);
+    }
+    Full.m_IsOverloaded = false;
+    Fleet.run(2s);
+    for (const auto &Item : Fleet.nodes()) {
+      cr_expect_not(Fleet.takesForOverloaded(*Item, Full), "%s", Item->m_Name.c_str());
+    }
+    Full.m_IsOverloaded = true;
+    Fleet.run(2s);
+    for (const auto &Item : Fleet.nodes()) {
+      Item->m_IsRunning = Item.get() == &Fleet.node(0);
+    }
+    Fleet.run(3s);
+    cr_expect_not(Fleet.takesForOverloaded(Fleet.node(0), Full), "%d routers", Routers);
+  }
+}
--- a/src/forwarding/uplinkguard.h
+++ b/src/forwarding/uplinkguard.h
@@ -19,6 +19,9 @@
 
   /// Connects that are in flight at a time while hardly any succeeds. They tell when that changes.
   std::size_t m_MaxTrials = 4;
+
+  /// Average time of connecting at which the link counts as full.
+  std::chrono::milliseconds m_FullConnectTime{200};
 };
 
 /// Tells when this router reaches hardly any target, because its own link is full or cut. Answers a
@@ -33,6 +36,10 @@
   /// Whether a further request may be sent to a target.
   [[nodiscard]] auto mayConnect(base::SteadyTime Now) -> bool;
 
+  /// How full the link is, judged by connecting alone: 1 if connects take half of the timeout on
+  /// average, or half of them time out at several targets.
+  [[nodiscard]] auto strain(base::SteadyTime Now) -> double;
+
   auto onConnecting() -> void { ++m_Connecting; }
 
   /// Records the result of connecting to a target. A refused connection is a success: the target's
@@ -49,6 +56,11 @@
     bool m_HasTimedOut = false;
   };
 
+  /// Forgets results that are older than the window.
+  auto removeOld(base::SteadyTime Now) -> void;
+
+  /// Whether connects have timed out at enough targets.
+  [[nodiscard]] auto haveManyTimedOut() const -> bool;
   [[nodiscard]] auto isCongested(base::SteadyTime Now) -> bool;
 
   UplinkGuardOptions m_Options;
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -230,7 +230,8 @@
 
 auto Router::ownRecord() const -> fleet::RouterRecord {
   return {m_Settings.m_Vm,         m_Settings.m_DataCentre,   formatAddress(m_Settings.m_Callers),
-          m_Settings.m_Peers.m_Ip, m_Settings.m_Peers.m_Port, m_Settings.m_Cores};
+          m_Settings.m_Peers.m_Ip, m_Settings.m_Peers.m_Port, m_Settings.m_Cores,
+          m_Settings.m_LinkMbps};
 }
 
 auto Router::ownKey() const -> std::string {
@@ -528,6 +529,7 @@
   if (m_Subscription.followsBudgets() && m_Grants.shardCount() > 1) {
     m_Subscription.stopFollowingBudgets();
   }
+  observeLoad();
   sendHeartbeats();
   advanceQuarantine();
   advanceLimits(AlivePeers);
@@ -536,7 +538,33 @@
   m_Dependencies.m_Metrics.gauge(
       "geraniumlift_store_knowledge_age_seconds", {},
       std::chrono::duration<double>(m_Subscription.knowledgeAge()).count());
-  m_Dependencies.m_Timers.start(now() + m_FleetExchange.period(), [this] { runPeriodicTasks(); });
+  m_TasksDueAt = now() + m_FleetExchange.period();
+  m_Dependencies.m_Timers.start(*m_TasksDueAt, [this] { runPeriodicTasks(); });
+}
+
+auto Router::observeLoad() -> void {
+  if (m_Settings.m_LinkMbps <= 0.0) {
+    return;
+  }
+  auto Load = fleet::LoadObservation();
+  Load.m_UplinkStrain = m_Gate.uplink().strain(now());
+  Load.m_LoopDelay = duration_cast<milliseconds>(
+      std::max(base::SteadyTime::duration::zero(), now() - m_TasksDueAt.value_or(now())));
+  Load.m_SessionShare = static_cast<double>(m_Context.m_SessionCount) /
+                        static_cast<double>(serverOptions(m_Settings).m_MaxConnections);
+  if (m_Overload.observe(Load, now())) {
+    m_Dependencies.m_Log.record(base::LogLevel::Warning,
+                                m_Overload.isOverloaded() ? "router_overloaded" : "router_has_room",
+                                {{"strain", m_Overload.strain()},
+                                 {"uplink_strain", Load.m_UplinkStrain},
+                                 {"loop_delay_ms", Load.m_LoopDelay.count()},
+                                 {"sessions", m_Context.m_SessionCount},
+                                 {"link_mbps", m_Settings.m_LinkMbps}});
+  }
+  m_Peers.setSelfOverloaded(m_Overload.isOverloaded());
+  m_Dependencies.m_Metrics.gauge("geraniumlift_router_strain", {}, m_Overload.strain());
+  m_Dependencies.m_Metrics.gauge("geraniumlift_router_overloaded", {},
+                                 m_Overload.isOverloaded() ? 1.0 : 0.0);
 }
 
 auto Router::updateRetryBudgets() -> void {
--- a/src/router/internal/routermessages.cpp
+++ b/src/router/internal/routermessages.cpp
@@ -17,6 +17,7 @@
   Message.m_Incarnation = m_Incarnation;
   Message.m_Sequence = ++m_HeartbeatSequence;
   Message.m_IsLeaving = m_IsLeaving;
+  Message.m_IsOverloaded = m_Overload.isOverloaded();
   for (const auto &[Id, State] : m_Targets.all()) {
     const auto &Load = State.ownLoad();
     if (Load.m_ActiveRequests > 0) {
--- a/src/router/internal/routersettings.cpp
+++ b/src/router/internal/routersettings.cpp
@@ -159,6 +159,7 @@
         readAddress(Table, "store.address", Result.m_Store),
         readPeers(Table, Result),
         readCores(Table, Result.m_Cores),
+        readNumber(Table, "limits.link_mbps", Result.m_LinkMbps),
         readCount(Table, "limits.memory_mb", Result.m_MemoryMb),
         readCount(Table, "limits.descriptors", Result.m_MaxDescriptors),
         readSeconds(Table, "stop.time_s", Result.m_StopTime),
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "budget/grantservice.h"
+#include "fleet/overloaddetector.h"
 #include "fleet/peertable.h"
 #include "forwarding/targetaccesslog.h"
 #include "forwarding/targetdirectory.h"
@@ -94,6 +95,9 @@
   /// schedules its next run.
   auto runPeriodicTasks() -> void;
   auto sendHeartbeats() -> void;
+
+  /// Finds out whether this router is past its capacity, and logs when that changes.
+  auto observeLoad() -> void;
   auto onDatagram(std::string_view Bytes) -> void;
   auto logUnreadableDatagram(const std::string &Reason, std::size_t Size) -> void;
   auto onFleetMessage(std::string_view Bytes) -> void;
@@ -116,6 +120,10 @@
   std::uint64_t m_Incarnation;
   fleet::PeerTable m_Peers;
   fleet::AddressSelector m_AddressSelector;
+  fleet::OverloadDetector m_Overload;
+
+  /// When the periodic tasks were due, if they have run before.
+  std::optional<base::SteadyTime> m_TasksDueAt;
   fleet::FleetExchange m_FleetExchange;
   transport::DatagramSocket m_PeerSocket;
   PeerLink m_PeerLink;
--- a/src/router/routersettings.h
+++ b/src/router/routersettings.h
@@ -40,6 +40,10 @@
   /// Processor cores that the process may use; 0 if unknown.
   double m_Cores = 0.0;
 
+  /// Data rate of the VM's link in Mbit/s; 0 if unknown. Without it this router never declares
+  /// itself past its capacity.
+  double m_LinkMbps = 0.0;
+
   /// Memory that the process may use, in megabytes.
   std::int64_t m_MemoryMb = 110;
 
--- a/src/router/tests/routersettings_test.cpp
+++ b/src/router/tests/routersettings_test.cpp
@@ -32,6 +32,7 @@
 [limits]
 cores = "2"
 processor_share = 0.12
+link_mbps = "12.5"
 memory_mb = 260
 descriptors = ""
 [stop]
@@ -55,6 +56,7 @@
   cr_expect_eq(Settings->m_ConfigurationTime.count(), 2500);
   cr_expect_eq(Settings->m_MemoryMb, 260);
   cr_expect_float_eq(Settings->m_Cores, 0.24, 1e-9);
+  cr_expect_float_eq(Settings->m_LinkMbps, 12.5, 1e-9);
   cr_expect_eq(Settings->m_MaxDescriptors, RouterSettings().m_MaxDescriptors);
   cr_expect_eq(Settings->m_ContactTime.count(), 4000);
   cr_expect_float_eq(Settings->m_ColdOverage, 1.5, 1e-9);
