--- a/src/fleet/internal/overloaddetector.cpp
+++ b/src/fleet/internal/overloaddetector.cpp
@@ -15,8 +15,9 @@
                            Observation.m_SessionShare / m_Options.m_FullSessionShare}));
   const auto Passed = m_ObservedAt ? Milliseconds(Now - *m_ObservedAt) : Milliseconds(0);
   m_ObservedAt = Now;
-  // A stall must not make its own observation count as one that lasted as long.
-  const auto Weight = 1.0 - std::exp(-std::min(1.0, Passed / m_Options.m_SmoothingTime));
+  // A stall of the loop must not make its one observation count as many.
+  constexpr auto MaxExponent = 0.5;
+  const auto Weight = 1.0 - std::exp(-std::min(MaxExponent, Passed / m_Options.m_SmoothingTime));
   m_Strain += (Strain - m_Strain) * Weight;
   if (m_Strain >= m_Options.m_CalmStrain) {
     m_StrainedAt = Now;
--- a/src/fleet/tests/peertable_test.cpp
+++ b/src/fleet/tests/peertable_test.cpp
@@ -120,6 +120,12 @@
                    R"("peer_address":"10.0.0.3","peer_port":7000}})");
   cr_assert(Record.ok());
   cr_assert(*Record == record(3));
+  const auto WithCores =
+      decodeRouter(R"({"router":{"name":"vm3","data_centre":"a","caller_address":"10.0.0.3:80",)"
+                   R"("peer_address":"10.0.0.3","peer_port":7000,"cores":0.25}})");
+  cr_assert(WithCores.ok());
+  cr_expect_float_eq(WithCores->m_Cores, 0.25, 1e-9);
+  cr_expect_float_eq(WithCores->m_LinkMbps, 0.0, 1e-9);
 }
 
 Test(fleetcodec, messagesRoundTripAndMalformedInputIsRejected) {
@@ -129,6 +135,7 @@
   Digest.m_Silent = {1, 2};
   Digest.m_Leaving = {3};
   Digest.m_Loads = {{4, 5, 6}};
+  Digest.m_Overloaded = {7};
   for (const auto &Original :
        {FleetMessage(heartbeat(4, 7, true)),
         FleetMessage(HeartbeatBatch{"vm2", true, {{heartbeat(4, 7), 250}, {heartbeat(5, 8), 0}}}),
--- a/src/forwarding/tests/uplinkguard_test.cpp
+++ b/src/forwarding/tests/uplinkguard_test.cpp
@@ -111,3 +111,34 @@
   Guard.onConnectAbandoned();
   cr_expect(Guard.mayConnect(Start));
 }
+
+// Guards against callers that are told of a full link only when their requests are lost, and
+// against a link that counts as full because one target is silent.
+Test(uplinkstrain, slowConnectsTellOfAFullLinkBeforeAnyTimesOut) {
+  auto Guard = UplinkGuard(UplinkGuardOptions());
+  auto Now = Start;
+  for (auto Number = 0; Number < 200; ++Number, Now += 10ms) {
+    Guard.onConnecting();
+    Guard.onConnectEnded(fmt::format("t{}", Number % 20), false, Now);
+  }
+  cr_expect_lt(Guard.strain(Now), 0.1);
+  for (auto Number = 0; Number < 3; ++Number) {
+    Guard.onConnecting();
+  }
+  cr_expect_lt(Guard.strain(Now), 0.1, "a silent target");
+  for (auto Number = 0; Number < 25; ++Number) {
+    Guard.onConnecting();
+  }
+  cr_expect_geq(Guard.strain(Now), 1.0, "connecting takes 280 ms on average");
+  cr_expect(Guard.mayConnect(Now));
+}
+
+Test(uplinkstrain, timeoutsAtSeveralTargetsCount) {
+  auto Guard = UplinkGuard(UplinkGuardOptions());
+  for (auto Number = 0; Number < 20; ++Number) {
+    Guard.onConnecting();
+    Guard.onConnectEnded(fmt::format("t{}", Number), Number % 2 == 0, Start);
+  }
+  cr_expect_geq(Guard.strain(Start), 1.0);
+  cr_expect_lt(Guard.strain(Start + 1100ms), 0.1);
+}
