Placement forecasts from the speed that targets have shown

One constant for all targets forecast 63 ms for first events that take 170 ms and more, and preferred slow targets that look empty. TargetSpeed fits base delay, ms per prompt token and ms per active request by target, with the pool's fit as the prior; figures age towards it. A target without memory or a place for the request is chosen last; targets that are equally good share the requests by a salt.

--- a/src/forwarding/forwardsession.h
+++ b/src/forwarding/forwardsession.h
@@ -83,6 +83,14 @@
   auto endAttempt(AttemptResult Result) -> void;
   auto recordFirstByte() -> void;
 
+  /// Tells the table of targets how long a successful response took after its beginning.
+  auto recordResponseTime() -> void;
+
+  /// Tokens that the request takes up in a target's memory at most.
+  [[nodiscard]] auto heldTokens() const -> Tokens {
+    return m_Fields.m_Prompt ? m_Fields.m_Prompt->worstCase() : 0;
+  }
+
   auto refuse(RefusalReason Reason) -> void;
   [[nodiscard]] auto retryAfter(RefusalReason Reason) -> std::chrono::milliseconds;
   auto finish(std::string_view Result) -> void;
@@ -107,6 +115,9 @@
   std::string m_Pool;
   Tokens m_TokensPerEvent = 1;
 
+  /// Parameters of the pool's engines; nullptr if it has none.
+  const EngineParameters *m_Engine = nullptr;
+
   /// Shared parts of the prompt, as the quarantine knows them.
   std::vector<quarantine::PartHash> m_SharedParts;
 
@@ -131,6 +142,13 @@
 
   /// Prompt tokens that the target is not expected to have in its cache.
   Tokens m_UncachedTokens = 0;
+
+  /// When the current attempt began, and what it met at its target.
+  base::SteadyTime m_SentAt;
+  AttemptWork m_Work;
+
+  /// When the response to the current attempt began.
+  std::optional<base::SteadyTime> m_AnsweredAt;
   bool m_IsAwaitingResponse = false;
   bool m_IsConnecting = false;
 
--- a/src/forwarding/internal/forwardsession.cpp
+++ b/src/forwarding/internal/forwardsession.cpp
@@ -137,7 +137,8 @@
   m_Pool = Pools[Index].m_Pool;
   const auto *Pool = m_Table->findPool(m_Pool);
   if (Pool != nullptr && Pool->m_Engine) {
-    m_TokensPerEvent = Pool->m_Engine->m_TokensPerEvent;
+    m_Engine = &*Pool->m_Engine;
+    m_TokensPerEvent = m_Engine->m_TokensPerEvent;
   } else if (Pool != nullptr) {
     m_Fields.m_Prompt.reset();
   }
@@ -250,7 +251,8 @@
       RequestRegions{&m_Route->m_AllowedRegions,
                      m_Workspace == nullptr ? nullptr : &m_Workspace->m_AllowedRegions};
   const auto Decision = m_Context.m_Placement.decide(
-      m_Context.m_Targets, m_Context.m_Gate, {m_Pool, Prompt, m_TriedTargets, Regions}, now());
+      m_Context.m_Targets, m_Context.m_Gate,
+      {m_Pool, Prompt, m_TriedTargets, Regions, m_Engine, m_Context.m_Random()}, now());
   const auto &Choice = Decision.m_Choice;
   if (Decision.m_Wanted && m_PermitRequests < m_Context.m_Options.m_MaxPermitRequests) {
     waitForPermit(Decision.m_Wanted->m_Key);
@@ -270,6 +272,9 @@
   m_BufferedBody.clear();
   m_IsAwaitingResponse = true;
   m_EventsBeforeAttempt = m_EventsSent;
+  m_SentAt = now();
+  m_AnsweredAt.reset();
+  m_Work = Choice->m_Work;
   m_UncachedTokens = Prompt == nullptr ? 0 : Prompt->m_PromptTokens - Choice->m_CachedTokens;
   m_Context.m_Limits.onSend(m_Context.m_Targets.find(m_TargetId)->limitKey());
   m_Context.m_Targets.recordSent(m_TargetId, Prompt, m_UncachedTokens, now());
@@ -281,7 +286,7 @@
                           {"pool", m_Pool},
                           {"target", m_TargetId},
                           {"send", m_SendCount + 1},
-                          {"expected_ms", static_cast<std::int64_t>(m_ExpectedMs)},
+                          {"expected_ms", static_cast<std::int64_t>(Choice->m_FirstEventMs)},
                           {"kept_tokens", Choice->m_CachedTokens},
                           {"shared_parts", formatSharedParts(m_Fields.m_Prompt)},
                           {"left_ms", timeLeft().count()}});
@@ -398,12 +403,24 @@
   if (std::exchange(m_IsConnecting, false)) {
     m_Context.m_Gate.uplink().onConnectAbandoned();
   }
-  m_Context.m_Targets.recordEnd(m_TargetId);
+  if (Result == AttemptResult::Success) {
+    recordResponseTime();
+  }
+  m_Context.m_Targets.recordEnd(m_TargetId, heldTokens());
   m_Context.m_Targets.recordResult(m_TargetId, Result, now());
   m_Attempt.reset();
   m_IsPaused = false;
 }
 
+auto ForwardSession::recordResponseTime() -> void {
+  if (!m_AnsweredAt) {
+    return;
+  }
+  m_Context.m_Targets.recordResponse(m_TargetId, m_TargetIncarnation,
+                                     duration_cast<milliseconds>(now() - *m_AnsweredAt),
+                                     m_EventsSent - m_EventsBeforeAttempt);
+}
+
 auto ForwardSession::attemptFailed(base::Verdict Outcome, AttemptResult Result,
                                    std::string_view Reason) -> void {
   endAttempt(Result);
--- a/src/forwarding/internal/forwardsessionanswer.cpp
+++ b/src/forwarding/internal/forwardsessionanswer.cpp
@@ -34,6 +34,12 @@
   if (std::exchange(m_IsAwaitingResponse, false) && m_Fields.m_Prompt) {
     m_Context.m_Targets.recordResponseStart(m_TargetId, m_UncachedTokens);
   }
+  if (!m_AnsweredAt && m_Attempt && m_ResponseHead && m_ResponseHead->m_Status < 500) {
+    m_AnsweredAt = now();
+    m_Context.m_Targets.recordFirstEvent(
+        m_TargetId, m_TargetIncarnation, m_Work,
+        std::chrono::duration_cast<std::chrono::milliseconds>(*m_AnsweredAt - m_SentAt), now());
+  }
   if (!m_FirstByteAt) {
     m_FirstByteAt = now();
   }
@@ -49,6 +55,10 @@
   if (!Metadata.m_IsWrongTarget) {
     recordStatements(Metadata);
   }
+  if (Metadata.m_DidNotRun && !Metadata.m_IsWrongTarget && !Metadata.m_Pause) {
+    m_Context.m_Targets.recordTurnedAway(m_TargetId, m_TargetIncarnation,
+                                         m_Work.m_Ahead.m_ActiveRequests, now());
+  }
   if (Metadata.m_DidNotRun || Metadata.m_IsWrongTarget) {
     // A target that asks for a pause has not failed.
     attemptFailed(base::Verdict::DidNotRun,
--- a/src/forwarding/internal/placement.cpp
+++ b/src/forwarding/internal/placement.cpp
@@ -41,22 +41,68 @@
       ->m_Target;
 }
 
-auto Placement::expectedMs(const TargetState &Target, const PlacementRequest &Request,
-                           Tokens CachedTokens) const -> double {
+auto Placement::forecast(const TargetState &Target, const PlacementRequest &Request,
+                         Tokens CachedTokens, const PoolView &Pool, base::SteadyTime Now) const
+    -> Forecast {
+  const auto PeerLoad = m_PeerLoad(Target.record());
   auto Load = Target.ownLoad();
-  Load += m_PeerLoad(Target.record());
-  auto Ms = Target.failureRate() * m_Options.m_FailurePenaltyMs;
+  Load += PeerLoad;
+  auto Result = Forecast();
+  Result.m_Work.m_HasPrompt = Request.m_Prompt != nullptr;
+  Result.m_Work.m_Slots = Request.m_Engine == nullptr ? 0 : Request.m_Engine->m_Slots;
+  Result.m_Work.m_Ahead.m_ActiveRequests = Load.m_ActiveRequests;
+  if (Request.m_Prompt != nullptr) {
+    Result.m_Work.m_Ahead.m_PromptTokens =
+        Load.m_PendingPromptTokens + Request.m_Prompt->m_PromptTokens - CachedTokens;
+  }
+  const auto Figures = Target.speed().figures(Pool.m_Figures, Now);
+  Result.m_FirstEventMs = Figures.firstEventMs(Result.m_Work.m_Ahead, Result.m_Work.m_Slots);
+  Result.m_ExpectedMs = Result.m_FirstEventMs + Target.failureRate() * m_Options.m_FailurePenaltyMs;
   if (Target.record().m_DataCentre != m_Options.m_DataCentre) {
-    Ms += m_Options.m_OtherDataCentrePenaltyMs;
+    Result.m_ExpectedMs += m_Options.m_OtherDataCentrePenaltyMs;
   }
-  const auto Active = static_cast<double>(Load.m_ActiveRequests);
-  if (Request.m_Prompt == nullptr) {
-    return Ms + Active * m_Options.m_MsPerActiveCall;
+  const auto FullAt = Target.speed().fullAt(Now);
+  Result.m_HasRoom = !FullAt || Load.m_ActiveRequests < *FullAt;
+  if (Request.m_Engine != nullptr && Request.m_Engine->m_MemoryTokens > 0 &&
+      Request.m_Prompt != nullptr) {
+    const auto Held = static_cast<double>(Target.heldTokens() + Request.m_Prompt->worstCase()) +
+                      static_cast<double>(PeerLoad.m_ActiveRequests) * Pool.m_MeanHeldTokens;
+    Result.m_HasRoom &= Held <= static_cast<double>(Request.m_Engine->m_MemoryTokens);
   }
-  const auto UncachedTokens =
-      Load.m_PendingPromptTokens + Request.m_Prompt->m_PromptTokens - CachedTokens;
-  return Ms + static_cast<double>(UncachedTokens) / m_Options.m_PromptTokensPerMs +
-         Active * m_Options.m_MsPerActiveStream;
+  return Result;
+}
+
+auto Placement::pick(const std::vector<RankedTarget> &Open, const PlacementRequest &Request) const
+    -> const RankedTarget * {
+  const auto IsBetter = [](const RankedTarget &Left, const RankedTarget &Right) {
+    const auto &LeftItem = Left.m_Forecast;
+    const auto &RightItem = Right.m_Forecast;
+    return LeftItem.m_HasRoom != RightItem.m_HasRoom
+               ? LeftItem.m_HasRoom
+               : LeftItem.m_ExpectedMs < RightItem.m_ExpectedMs;
+  };
+  const auto Best = std::min_element(Open.begin(), Open.end(), IsBetter);
+  if (Best == Open.end() || Request.m_Salt == 0) {
+    return Best == Open.end() ? nullptr : &*Best;
+  }
+  const auto Limit =
+      Best->m_Forecast.m_ExpectedMs +
+      std::max(m_Options.m_EqualMs, m_Options.m_EqualShare * Best->m_Forecast.m_ExpectedMs);
+  // Equally good targets cost the same where they are in the same data centre and keep as much of
+  // the prompt.
+  const auto IsEqual = [&Best, Limit](const RankedTarget &Item) {
+    return Item.m_Forecast.m_HasRoom == Best->m_Forecast.m_HasRoom &&
+           Item.m_CachedTokens >= Best->m_CachedTokens && Item.m_Forecast.m_ExpectedMs <= Limit &&
+           Item.m_Target->record().m_DataCentre == Best->m_Target->record().m_DataCentre;
+  };
+  const auto Count = static_cast<std::uint64_t>(std::count_if(Open.begin(), Open.end(), IsEqual));
+  auto Skipped = Request.m_Salt % Count;
+  for (const auto &Item : Open) {
+    if (IsEqual(Item) && Skipped-- == 0) {
+      return &Item;
+    }
+  }
+  return &*Best;
 }
 
 auto Placement::findCandidates(const TargetTable &Targets, const TargetGate &Gate,
@@ -96,6 +142,10 @@
   const auto *Shared = lastSharedPart(Request.m_Prompt);
   const auto *AffinityTarget =
       Shared == nullptr || Candidates.empty() ? nullptr : affinityTarget(*Shared, Candidates);
+  const auto Pool = PoolView{Targets.poolFigures(Request.m_Pool, Request.m_Prompt != nullptr, Now),
+                             Targets.meanHeldTokens(Request.m_Pool)};
+  auto Open = std::vector<RankedTarget>();
+  Open.reserve(Candidates.size());
   for (const auto &[Target, Checked] : Candidates) {
     if (Checked.m_Access == GateAccess::Closed) {
       continue;
@@ -105,15 +155,20 @@
     if (Target == AffinityTarget) {
       CachedTokens = std::max(CachedTokens, sharedTokens(*Request.m_Prompt));
     }
-    const auto Ms = expectedMs(*Target, Request, CachedTokens);
+    const auto Item = forecast(*Target, Request, CachedTokens, Pool, Now);
     if (Checked.m_Access == GateAccess::NeedsPermit) {
-      if (!Decision.m_Wanted || Ms < Decision.m_Wanted->m_ExpectedMs) {
-        Decision.m_Wanted = WantedTarget{Target->limitKey(), Ms};
+      if (!Decision.m_Wanted || Item.m_ExpectedMs < Decision.m_Wanted->m_ExpectedMs) {
+        Decision.m_Wanted = WantedTarget{Target->limitKey(), Item.m_ExpectedMs};
       }
-    } else if (!Decision.m_Choice || Ms < Decision.m_Choice->m_ExpectedMs) {
-      Decision.m_Choice = PlacementChoice{Target->record().m_Id, Ms, CachedTokens};
+    } else {
+      Open.push_back({Target, CachedTokens, Item});
     }
   }
+  if (const auto *Picked = pick(Open, Request)) {
+    const auto &Item = Picked->m_Forecast;
+    Decision.m_Choice = PlacementChoice{Picked->m_Target->record().m_Id, Item.m_ExpectedMs,
+                                        Item.m_FirstEventMs, Item.m_Work, Picked->m_CachedTokens};
+  }
   if (Decision.m_Choice && Decision.m_Wanted &&
       Decision.m_Wanted->m_ExpectedMs + m_Options.m_MinPermitGainMs >=
           Decision.m_Choice->m_ExpectedMs) {
--- a/src/forwarding/internal/targettable.cpp
+++ b/src/forwarding/internal/targettable.cpp
@@ -15,6 +15,9 @@
 /// CachedPartLifetime are dropped.
 constexpr auto MaxCachedParts = std::size_t{2048};
 
+/// Weight of the newest request in the mean of a pool.
+constexpr auto MeanSmoothing = 0.02;
+
 auto isSameRecord(const TargetRecord &Left, const TargetRecord &Right) -> bool {
   return Left.m_Pool == Right.m_Pool && Left.m_Address == Right.m_Address &&
          Left.m_Port == Right.m_Port && Left.m_IsLeaving == Right.m_IsLeaving &&
@@ -45,8 +48,10 @@
   if (Record.m_Incarnation != State.m_Record.m_Incarnation) {
     // Requests sent to the previous process are still to end; their load counts until then.
     const auto OwnLoad = State.m_OwnLoad;
+    const auto HeldTokens = State.m_HeldTokens;
     State = TargetState(Record);
     State.m_OwnLoad = OwnLoad;
+    State.m_HeldTokens = HeldTokens;
     return true;
   }
   const auto Changed = !isSameRecord(State.m_Record, Record);
@@ -54,7 +59,18 @@
   return Changed;
 }
 
-auto TargetTable::remove(const std::string &Id) -> bool { return m_Targets.erase(Id) > 0; }
+auto TargetTable::remove(const std::string &Id) -> bool {
+  const auto Found = m_Targets.find(Id);
+  if (Found == m_Targets.end()) {
+    return false;
+  }
+  const auto Pool = Found->second.m_Record.m_Pool;
+  m_Targets.erase(Found);
+  if (targetsOf(Pool).empty()) {
+    m_Pools.erase(Pool);
+  }
+  return true;
+}
 
 auto TargetTable::find(const std::string &Id) const -> const TargetState * {
   const auto Found = m_Targets.find(Id);
@@ -86,6 +102,10 @@
     return;
   }
   State.m_OwnLoad.m_PendingPromptTokens += UncachedTokens;
+  State.m_HeldTokens += Prompt->worstCase();
+  auto &Mean = m_Pools[State.m_Record.m_Pool].m_HeldTokens;
+  const auto Held = static_cast<double>(Prompt->worstCase());
+  Mean = Mean == 0.0 ? Held : Mean + (Held - Mean) * MeanSmoothing;
   if (State.m_CachedParts.size() > MaxCachedParts) {
     absl::erase_if(State.m_CachedParts,
                    [Now](const auto &Part) { return Now - Part.second > CachedPartLifetime / 4; });
@@ -104,16 +124,57 @@
   }
 }
 
-auto TargetTable::recordEnd(const std::string &Id) -> void {
+auto TargetTable::recordEnd(const std::string &Id, Tokens HeldTokens) -> void {
   const auto Found = m_Targets.find(Id);
   if (Found != m_Targets.end()) {
     auto &State = Found->second;
     State.m_OwnLoad.m_ActiveRequests =
         std::max<std::int64_t>(0, State.m_OwnLoad.m_ActiveRequests - 1);
+    State.m_HeldTokens = std::max<Tokens>(0, State.m_HeldTokens - HeldTokens);
     State.m_Statements.m_Probes = std::max<std::int64_t>(0, State.m_Statements.m_Probes - 1);
   }
 }
 
+auto TargetTable::recordFirstEvent(const std::string &Id, std::int64_t Incarnation,
+                                   const AttemptWork &Work, std::chrono::milliseconds Time,
+                                   base::SteadyTime Now) -> void {
+  if (auto *State = findProcess(Id, Incarnation)) {
+    const auto Ms = static_cast<double>(Time.count());
+    const auto Prior = poolFigures(State->m_Record.m_Pool, Work.m_HasPrompt, Now);
+    State->m_Speed.recordFirstEvent(Work.m_Ahead, Work.m_Slots, Ms, Prior, Now);
+    m_Pools[State->m_Record.m_Pool].m_Speed.recordFirstEvent(
+        Work.m_Ahead, Work.m_Slots, Ms, SpeedFigures::assumed(Work.m_HasPrompt), Now);
+  }
+}
+
+auto TargetTable::recordResponse(const std::string &Id, std::int64_t Incarnation,
+                                 std::chrono::milliseconds Time, std::int64_t Events) -> void {
+  if (auto *State = findProcess(Id, Incarnation)) {
+    const auto Ms = static_cast<double>(Time.count());
+    State->m_Speed.recordEnd(Ms, Events);
+    m_Pools[State->m_Record.m_Pool].m_Speed.recordEnd(Ms, Events);
+  }
+}
+
+auto TargetTable::recordTurnedAway(const std::string &Id, std::int64_t Incarnation,
+                                   std::int64_t ActiveRequests, base::SteadyTime Now) -> void {
+  if (auto *State = findProcess(Id, Incarnation)) {
+    State->m_Speed.recordTurnedAway(ActiveRequests, Now);
+  }
+}
+
+auto TargetTable::poolFigures(const std::string &Pool, bool HasPrompt, base::SteadyTime Now) const
+    -> SpeedFigures {
+  const auto Assumed = SpeedFigures::assumed(HasPrompt);
+  const auto Found = m_Pools.find(Pool);
+  return Found == m_Pools.end() ? Assumed : Found->second.m_Speed.figures(Assumed, Now);
+}
+
+auto TargetTable::meanHeldTokens(const std::string &Pool) const -> double {
+  const auto Found = m_Pools.find(Pool);
+  return Found == m_Pools.end() ? 0.0 : Found->second.m_HeldTokens;
+}
+
 auto TargetTable::recordResult(const std::string &Id, AttemptResult Result, base::SteadyTime Now)
     -> void {
   const auto Found = m_Targets.find(Id);
--- a/src/forwarding/placement.h
+++ b/src/forwarding/placement.h
@@ -11,16 +11,6 @@
   /// Data centre of this router.
   std::string m_DataCentre;
 
-  /// Prompt tokens that an engine processes per millisecond, used to forecast the wait. The
-  /// documentation of both deployments' engines gives about 40.
-  double m_PromptTokensPerMs = 40.0;
-
-  /// Forecast delay in milliseconds that each active request at an engine adds to a new one.
-  double m_MsPerActiveStream = 1.5;
-
-  /// Forecast delay in milliseconds that each active request at a plain service adds to a new one.
-  double m_MsPerActiveCall = 15.0;
-
   /// Added to the forecast of targets in another data centre, in milliseconds.
   double m_OtherDataCentrePenaltyMs = 4.0;
 
@@ -31,6 +21,11 @@
   /// A permit is requested for a target with a limit only if its forecast is shorter by more than
   /// this, in milliseconds: the request waits for the answer.
   double m_MinPermitGainMs = 8.0;
+
+  /// Targets whose forecasts are not longer than the shortest by more than this, or by more than
+  /// this share of it, are equally good: reported loads are older than the difference.
+  double m_EqualMs = 3.0;
+  double m_EqualShare = 0.1;
 };
 
 /// Properties of a request that decide its target.
@@ -44,6 +39,14 @@
 
   /// Where the request may be served.
   RequestRegions m_Regions = {};
+
+  /// Parameters of the pool's engines; nullptr if it has none.
+  const EngineParameters *m_Engine = nullptr;
+
+  /// Decides among targets that are equally good. Requests differ in it, so that routers with the
+  /// same loads in hand do not all choose the same target. If it is 0, the shortest forecast
+  /// counts.
+  std::uint64_t m_Salt = 0;
 };
 
 /// The chosen target and its forecast.
@@ -53,6 +56,12 @@
   /// Forecast wait for the response, in milliseconds, with the penalties of PlacementOptions.
   double m_ExpectedMs = 0.0;
 
+  /// Forecast time to the first event, in milliseconds, without penalties.
+  double m_FirstEventMs = 0.0;
+
+  /// What the forecasts are made from.
+  AttemptWork m_Work;
+
   /// Prompt tokens that the target is expected to have in its cache.
   Tokens m_CachedTokens = 0;
 };
@@ -78,7 +87,10 @@
 };
 
 /// Chooses the target with the shortest forecast wait. The forecast covers the load that this and
-/// the other routers have put on the target and the prompt tokens that its cache does not hold.
+/// the other routers have put on the target, the prompt tokens that its cache does not hold, and
+/// the speed that the target has shown. A target whose memory would not hold the request is chosen
+/// only if no other has room.
+///
 /// Rendezvous hashing assigns each shared prompt part to one target that is assumed to cache it;
 /// all routers compute the same target, so requests with the same prompt go there without
 /// coordination.
@@ -118,8 +130,37 @@
   [[nodiscard]] static auto findCandidates(const TargetTable &Targets, const TargetGate &Gate,
                                            const PlacementRequest &Request, base::SteadyTime Now,
                                            PlacementDecision &Decision) -> std::vector<Candidate>;
-  [[nodiscard]] auto expectedMs(const TargetState &Target, const PlacementRequest &Request,
-                                Tokens CachedTokens) const -> double;
+
+  /// A candidate's forecast.
+  struct Forecast {
+    double m_FirstEventMs = 0.0;
+    double m_ExpectedMs = 0.0;
+    AttemptWork m_Work;
+
+    /// Whether the target has memory and a place for the request.
+    bool m_HasRoom = true;
+  };
+
+  /// A target that may get the request.
+  struct RankedTarget {
+    const TargetState *m_Target = nullptr;
+    Tokens m_CachedTokens = 0;
+    Forecast m_Forecast;
+  };
+
+  /// What is the same for all candidates of a request.
+  struct PoolView {
+    SpeedFigures m_Figures;
+    double m_MeanHeldTokens = 0.0;
+  };
+
+  [[nodiscard]] auto forecast(const TargetState &Target, const PlacementRequest &Request,
+                              Tokens CachedTokens, const PoolView &Pool, base::SteadyTime Now) const
+      -> Forecast;
+
+  /// Returns the best target, or one that is as good.
+  [[nodiscard]] auto pick(const std::vector<RankedTarget> &Open,
+                          const PlacementRequest &Request) const -> const RankedTarget *;
 
   PlacementOptions m_Options;
   PeerLoadSource m_PeerLoad;
--- a/src/forwarding/targettable.h
+++ b/src/forwarding/targettable.h
@@ -2,6 +2,7 @@
 
 #include "base/iclock.h"
 #include "forwarding/requesttypes.h"
+#include "forwarding/targetspeed.h"
 #include "ratelimits/limittypes.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -105,6 +106,12 @@
 
   [[nodiscard]] auto statements() const -> const TargetStatements & { return m_Statements; }
 
+  /// How fast the target's process answers.
+  [[nodiscard]] auto speed() const -> const TargetSpeed & { return m_Speed; }
+
+  /// Prompt and output tokens of this router's requests that have not ended.
+  [[nodiscard]] auto heldTokens() const -> Tokens { return m_HeldTokens; }
+
   /// Moving average of the share of attempts that failed, 0 to 1.
   [[nodiscard]] auto failureRate() const -> double { return m_FailureRate; }
 
@@ -118,11 +125,31 @@
   /// Time of the last request by ID of a prompt part.
   absl::flat_hash_map<std::string, base::SteadyTime> m_CachedParts;
   TargetStatements m_Statements;
+  TargetSpeed m_Speed;
+  Tokens m_HeldTokens = 0;
   base::SteadyTime m_EjectedUntil;
   double m_FailureRate = 0.0;
   int m_ConsecutiveFailures = 0;
 };
 
+/// What this router has learned from all targets of a pool.
+struct PoolSpeed {
+  /// Drawn but weakly towards what is assumed of all pools alike.
+  TargetSpeed m_Speed{0.5};
+
+  /// Moving average of the prompt and output tokens of a request.
+  double m_HeldTokens = 0.0;
+};
+
+/// The work that an attempt meets at its target.
+struct AttemptWork {
+  WorkAhead m_Ahead;
+
+  /// Requests that the target runs at a time; 0 if that is not known.
+  std::int64_t m_Slots = 0;
+  bool m_HasPrompt = false;
+};
+
 /// Targets of all pools by ID.
 class TargetTable {
 public:
@@ -153,8 +180,29 @@
   /// attempt has ended.
   auto recordResponseStart(const std::string &Id, Tokens UncachedTokens) -> void;
 
-  /// Removes an ended request from the target's load.
-  auto recordEnd(const std::string &Id) -> void;
+  /// Removes an ended request from the target's load; HeldTokens are those of its prompt and output
+  /// limit.
+  auto recordEnd(const std::string &Id, Tokens HeldTokens = 0) -> void;
+
+  /// Learns from the time between the sending of a request to a process and the first event of its
+  /// successful response. Ignored if another process runs under the ID by now.
+  auto recordFirstEvent(const std::string &Id, std::int64_t Incarnation, const AttemptWork &Work,
+                        std::chrono::milliseconds Time, base::SteadyTime Now) -> void;
+
+  /// Learns from the time between the first event and the end of a successful response.
+  auto recordResponse(const std::string &Id, std::int64_t Incarnation,
+                      std::chrono::milliseconds Time, std::int64_t Events) -> void;
+
+  /// Learns that a process turned a request away while it held this many.
+  auto recordTurnedAway(const std::string &Id, std::int64_t Incarnation,
+                        std::int64_t ActiveRequests, base::SteadyTime Now) -> void;
+
+  /// What is known of a pool's targets, or assumed where nothing is known.
+  [[nodiscard]] auto poolFigures(const std::string &Pool, bool HasPrompt,
+                                 base::SteadyTime Now) const -> SpeedFigures;
+
+  /// Prompt and output tokens of an average request to the pool.
+  [[nodiscard]] auto meanHeldTokens(const std::string &Pool) const -> double;
 
   /// Updates the failure rate with the result of an attempt and ejects the target if it is
   /// unhealthy. Unknown results are ignored.
@@ -175,6 +223,9 @@
 
   HealthOptions m_Options;
   std::map<std::string, TargetState> m_Targets;
+
+  /// By name; a pool is dropped with its last target.
+  std::map<std::string, PoolSpeed> m_Pools;
 };
 
 } // namespace geraniumlift::forwarding
