Requests that no target would answer in time are refused before sending

Under more load than a pool takes, queues grow to the callers' deadline and hardly anyone is served in time. RoomPolicy refuses once all slots are taken what is forecast to come too late, the less urgent earlier, near the limit only a share; and what all targets have just turned away. New code no_room, log event room_refused; Retry-After follows from the forecast.

--- a/src/forwarding/forwardsession.h
+++ b/src/forwarding/forwardsession.h
@@ -40,6 +40,12 @@
   auto onReserved(const budget::Reservation &Outcome) -> void;
   auto sendToTarget() -> void;
 
+  /// Refuses the request if no target would answer in time. Returns whether it did.
+  auto refuseWithoutRoom(const PlacementDecision &Decision) -> bool;
+
+  /// Priority within the pool: that of the workspace, or else that of the route.
+  [[nodiscard]] auto priority() const -> std::int64_t;
+
   /// Requests a permit for a target with a limit and then decides anew.
   auto waitForPermit(ratelimits::TargetKey Target) -> void;
 
--- a/src/forwarding/internal/forwardsession.cpp
+++ b/src/forwarding/internal/forwardsession.cpp
@@ -191,8 +191,7 @@
     Fields.m_Workspace = m_Workspace->m_Name;
   }
   if (m_Fields.m_Prompt) {
-    const auto WorkspacePriority = m_Workspace == nullptr ? std::nullopt : m_Workspace->m_Priority;
-    Fields.m_Urgency = urgencyFor(WorkspacePriority.value_or(m_Route->m_Priority));
+    Fields.m_Urgency = urgencyFor(priority());
   }
   Fields.m_ResumeAfter = m_HasResponseBegun ? m_Events.lastEventId() : m_Fields.m_LastEventId;
   auto Head = m_Head;
@@ -263,6 +262,9 @@
     refuseUnplaced(refusalReason(Decision.m_Reason));
     return;
   }
+  if (refuseWithoutRoom(Decision)) {
+    return;
+  }
   const auto Target = m_Context.m_Targets.find(Choice->m_TargetId)->record();
   m_TargetId = Target.m_Id;
   m_TargetIncarnation = Target.m_Incarnation;
@@ -296,6 +298,35 @@
                                          m_Head.m_Method == "HEAD", *this);
 }
 
+auto ForwardSession::priority() const -> std::int64_t {
+  const auto OfWorkspace = m_Workspace == nullptr ? std::nullopt : m_Workspace->m_Priority;
+  return OfWorkspace.value_or(m_Route->m_Priority);
+}
+
+auto ForwardSession::refuseWithoutRoom(const PlacementDecision &Decision) -> bool {
+  // A request that a target may have run gets its further attempts.
+  if (m_MayHaveRun || m_HasResponseBegun) {
+    return false;
+  }
+  const auto Room = RoomPolicy::decide(
+      {Decision.m_Choice->m_FirstEventMs, timeLeft(), priority(), m_Context.m_Random()},
+      Decision.m_Room);
+  if (Room.m_Refusal == RoomRefusal::None) {
+    return false;
+  }
+  m_Context.m_Log.record(
+      base::LogLevel::Info, "room_refused",
+      {{"request", m_Fields.m_RequestId},
+       {"pool", m_Pool},
+       {"why", nameOf(RoomRefusalNames, Room.m_Refusal)},
+       {"expected_ms", static_cast<std::int64_t>(Decision.m_Choice->m_FirstEventMs)},
+       {"left_ms", timeLeft().count()},
+       {"taken_percent", static_cast<std::int64_t>(Decision.m_Room.m_TakenShare * 100.0)}});
+  m_GateWait = Room.m_RetryAfter;
+  refuse(RefusalReason::NoRoom);
+  return true;
+}
+
 auto ForwardSession::waitForPermit(ratelimits::TargetKey Target) -> void {
   ++m_PermitRequests;
   m_Context.m_Limits.requestPermit(Target,
@@ -468,7 +499,9 @@
   const auto &Options = m_Context.m_Options;
   auto Base = Reason == RefusalReason::BudgetUnavailable ? Options.m_BudgetRetryAfterBase
                                                          : Options.m_RetryAfterBase;
-  if (Reason == RefusalReason::TargetsLimited && m_GateWait) {
+  const auto IsForecast =
+      Reason == RefusalReason::TargetsLimited || Reason == RefusalReason::NoRoom;
+  if (IsForecast && m_GateWait) {
     Base = std::max(Base, *m_GateWait);
   }
   if (Reason == RefusalReason::TargetsUnreachable) {
--- a/src/forwarding/internal/placement.cpp
+++ b/src/forwarding/internal/placement.cpp
@@ -62,7 +62,8 @@
     Result.m_ExpectedMs += m_Options.m_OtherDataCentrePenaltyMs;
   }
   const auto FullAt = Target.speed().fullAt(Now);
-  Result.m_HasRoom = !FullAt || Load.m_ActiveRequests < *FullAt;
+  Result.m_IsFull = FullAt && Load.m_ActiveRequests >= *FullAt;
+  Result.m_HasRoom = !Result.m_IsFull;
   if (Request.m_Engine != nullptr && Request.m_Engine->m_MemoryTokens > 0 &&
       Request.m_Prompt != nullptr) {
     const auto Held = static_cast<double>(Target.heldTokens() + Request.m_Prompt->worstCase()) +
@@ -72,6 +73,24 @@
   return Result;
 }
 
+auto Placement::poolRoom(const std::vector<RankedTarget> &Open, const TargetTable &Targets,
+                         const PlacementRequest &Request, base::SteadyTime Now) -> PoolRoom {
+  auto Room = PoolRoom();
+  const auto &Speed = Targets.poolSpeed(Request.m_Pool);
+  Room.m_Answers = Speed.samples();
+  Room.m_Age = Speed.age(Now);
+  Room.m_IsFull = !Open.empty();
+  auto Active = std::int64_t{0};
+  auto Slots = std::int64_t{0};
+  for (const auto &Item : Open) {
+    Room.m_IsFull &= Item.m_Forecast.m_IsFull;
+    Active += Item.m_Forecast.m_Work.m_Ahead.m_ActiveRequests;
+    Slots += Item.m_Forecast.m_Work.m_Slots;
+  }
+  Room.m_TakenShare = Slots == 0 ? 0.0 : static_cast<double>(Active) / static_cast<double>(Slots);
+  return Room;
+}
+
 auto Placement::pick(const std::vector<RankedTarget> &Open, const PlacementRequest &Request) const
     -> const RankedTarget * {
   const auto IsBetter = [](const RankedTarget &Left, const RankedTarget &Right) {
@@ -164,6 +183,7 @@
       Open.push_back({Target, CachedTokens, Item});
     }
   }
+  Decision.m_Room = poolRoom(Open, Targets, Request, Now);
   if (const auto *Picked = pick(Open, Request)) {
     const auto &Item = Picked->m_Forecast;
     Decision.m_Choice = PlacementChoice{Picked->m_Target->record().m_Id, Item.m_ExpectedMs,
--- a/src/forwarding/internal/targettable.cpp
+++ b/src/forwarding/internal/targettable.cpp
@@ -170,6 +170,12 @@
   return Found == m_Pools.end() ? Assumed : Found->second.m_Speed.figures(Assumed, Now);
 }
 
+auto TargetTable::poolSpeed(const std::string &Pool) const -> const TargetSpeed & {
+  static const auto Unknown = TargetSpeed();
+  const auto Found = m_Pools.find(Pool);
+  return Found == m_Pools.end() ? Unknown : Found->second.m_Speed;
+}
+
 auto TargetTable::meanHeldTokens(const std::string &Pool) const -> double {
   const auto Found = m_Pools.find(Pool);
   return Found == m_Pools.end() ? 0.0 : Found->second.m_HeldTokens;
--- a/src/forwarding/placement.h
+++ b/src/forwarding/placement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "forwarding/roompolicy.h"
 #include "forwarding/targetgate.h"
 
 #include <functional>
@@ -84,6 +85,9 @@
   /// time, the reason why targets need permits.
   std::optional<std::chrono::milliseconds> m_RetryAfter;
   GateReason m_Reason = GateReason::None;
+
+  /// Room at the targets that may get the request now.
+  PoolRoom m_Room;
 };
 
 /// Chooses the target with the shortest forecast wait. The forecast covers the load that this and
@@ -139,6 +143,9 @@
 
     /// Whether the target has memory and a place for the request.
     bool m_HasRoom = true;
+
+    /// Whether the target has turned requests away and holds no fewer now.
+    bool m_IsFull = false;
   };
 
   /// A target that may get the request.
@@ -158,6 +165,11 @@
                               Tokens CachedTokens, const PoolView &Pool, base::SteadyTime Now) const
       -> Forecast;
 
+  /// Sums up the room of the targets.
+  [[nodiscard]] static auto poolRoom(const std::vector<RankedTarget> &Open,
+                                     const TargetTable &Targets, const PlacementRequest &Request,
+                                     base::SteadyTime Now) -> PoolRoom;
+
   /// Returns the best target, or one that is as good.
   [[nodiscard]] auto pick(const std::vector<RankedTarget> &Open,
                           const PlacementRequest &Request) const -> const RankedTarget *;
--- a/src/forwarding/targettable.h
+++ b/src/forwarding/targettable.h
@@ -201,6 +201,9 @@
   [[nodiscard]] auto poolFigures(const std::string &Pool, bool HasPrompt,
                                  base::SteadyTime Now) const -> SpeedFigures;
 
+  /// What all targets of the pool have shown.
+  [[nodiscard]] auto poolSpeed(const std::string &Pool) const -> const TargetSpeed &;
+
   /// Prompt and output tokens of an average request to the pool.
   [[nodiscard]] auto meanHeldTokens(const std::string &Pool) const -> double;
 
--- a/src/forwarding/tests/forwardsession_test.cpp
+++ b/src/forwarding/tests/forwardsession_test.cpp
@@ -582,3 +582,21 @@
   cr_expect(Fixture.m_Log.has("target_statement_unreadable", {"count=1"}));
   cr_expect_not(Fixture.m_Log.has("target_statement_unreadable", {"count=3"}));
 }
+
+// Guards against requests that leave the router although all targets have just turned others away.
+Test(forwardsession, requestIsRefusedWhileAllTargetsAreFull) {
+  auto Fixture = ForwardingFixture();
+  for (const auto *Id : {"s1", "s2"}) {
+    for (auto Number = 0; Number < 30; ++Number) {
+      Fixture.m_Targets.recordSent(Id, nullptr, 0, Fixture.m_Clock.steadyNow());
+    }
+    Fixture.m_Targets.recordTurnedAway(Id, 0, 30, Fixture.m_Clock.steadyNow());
+  }
+  Fixture.request("/book/");
+  cr_expect_eq(Fixture.attempts().size(), 0U);
+  cr_expect(Fixture.m_Log.has("request_refused", {"reason=no_room", "verdict=did_not_run"}));
+  cr_expect(Fixture.m_Log.has("room_refused", {"why=full"}));
+  Fixture.m_Targets.recordEnd("s2");
+  Fixture.request("/book/");
+  cr_expect_eq(Fixture.attempts().size(), 1U, "a place has become free");
+}
