Routers with the same old loads do not all choose the same target

Reported loads are about half a second old, longer than many requests last; routers that each compare all targets by them all send to the same one. Each router of a fleet now compares a random few targets of its own data centre and of the others, and all that keep a part of the prompt; a reported load counts as far as it lasts until now, the rest is the mean of the pool.

--- a/src/forwarding/internal/placement.cpp
+++ b/src/forwarding/internal/placement.cpp
@@ -1,8 +1,10 @@
 #include "forwarding/placement.h"
 
+#include "base/random.h"
 #include "base/rendezvous.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace geraniumlift::forwarding {
 
@@ -41,12 +43,42 @@
       ->m_Target;
 }
 
-auto Placement::forecast(const TargetState &Target, const PlacementRequest &Request,
+auto Placement::PoolView::expectedLoad(const TargetLoad &Reported) const -> TargetLoad {
+  const auto Expect = [](std::int64_t Value, double Mean, double Last) {
+    return std::llround(Mean + (static_cast<double>(Value) - Mean) * Last);
+  };
+  return {Expect(Reported.m_PendingPromptTokens, m_MeanPeerTokens, m_TokensLast),
+          Expect(Reported.m_ActiveRequests, m_MeanPeerRequests, m_RequestsLast)};
+}
+
+auto Placement::viewPool(const std::vector<Candidate> &Candidates, const TargetTable &Targets,
+                         const PlacementRequest &Request, base::SteadyTime Now) const -> PoolView {
+  auto View = PoolView();
+  View.m_Figures = Targets.poolFigures(Request.m_Pool, Request.m_Prompt != nullptr, Now);
+  View.m_MeanHeldTokens = Targets.meanHeldTokens(Request.m_Pool);
+  auto Sum = TargetLoad();
+  for (const auto &Item : Candidates) {
+    Sum += Item.m_PeerLoad;
+  }
+  const auto Count = static_cast<double>(std::max<std::size_t>(1, Candidates.size()));
+  View.m_MeanPeerTokens = static_cast<double>(Sum.m_PendingPromptTokens) / Count;
+  View.m_MeanPeerRequests = static_cast<double>(Sum.m_ActiveRequests) / Count;
+  // A load that ends after Ms on average is left with this share when its report is in use.
+  const auto Last = [this](double Ms) { return Ms / (Ms + m_Options.m_PeerLoadAgeMs); };
+  const auto &Figures = View.m_Figures;
+  if (Figures.m_MeanFirstEventMs > 0.0) {
+    View.m_TokensLast = Last(Figures.m_MeanFirstEventMs);
+    View.m_RequestsLast = Last(Figures.m_MeanFirstEventMs + Figures.m_ResponseMs);
+  }
+  return View;
+}
+
+auto Placement::forecast(const Candidate &Item, const PlacementRequest &Request,
                          Tokens CachedTokens, const PoolView &Pool, base::SteadyTime Now) const
     -> Forecast {
-  const auto PeerLoad = m_PeerLoad(Target.record());
+  const auto &Target = *Item.m_Target;
   auto Load = Target.ownLoad();
-  Load += PeerLoad;
+  Load += Pool.expectedLoad(Item.m_PeerLoad);
   auto Result = Forecast();
   Result.m_Work.m_HasPrompt = Request.m_Prompt != nullptr;
   Result.m_Work.m_Slots = Request.m_Engine == nullptr ? 0 : Request.m_Engine->m_Slots;
@@ -67,7 +99,7 @@
   if (Request.m_Engine != nullptr && Request.m_Engine->m_MemoryTokens > 0 &&
       Request.m_Prompt != nullptr) {
     const auto Held = static_cast<double>(Target.heldTokens() + Request.m_Prompt->worstCase()) +
-                      static_cast<double>(PeerLoad.m_ActiveRequests) * Pool.m_MeanHeldTokens;
+                      static_cast<double>(Item.m_PeerLoad.m_ActiveRequests) * Pool.m_MeanHeldTokens;
     Result.m_HasRoom &= Held <= static_cast<double>(Request.m_Engine->m_MemoryTokens);
   }
   return Result;
@@ -91,6 +123,37 @@
   return Room;
 }
 
+auto Placement::compared(std::vector<RankedTarget> Open, const PlacementRequest &Request) const
+    -> std::vector<RankedTarget> {
+  if (m_RouterCount == 1 || Request.m_Salt == 0) {
+    return Open;
+  }
+  auto Random = base::RandomEngine(Request.m_Salt);
+  const auto Sample = [this, &Random](auto Begin, auto End) {
+    const auto Size = static_cast<std::size_t>(End - Begin);
+    const auto Count = std::min(Size, std::max(m_Options.m_MinCompared, Size / m_RouterCount));
+    for (std::size_t Index = 0; Index < Count; ++Index) {
+      std::swap(*(Begin + static_cast<std::ptrdiff_t>(Index)),
+                *(Begin + static_cast<std::ptrdiff_t>(Index + Random() % (Size - Index))));
+    }
+    return Begin + static_cast<std::ptrdiff_t>(Count);
+  };
+  const auto Kept = std::partition(
+      Open.begin(), Open.end(), [](const RankedTarget &Item) { return Item.m_CachedTokens > 0; });
+  // Targets without room are compared only if there are no others.
+  const auto WithRoom = std::partition(
+      Kept, Open.end(), [](const RankedTarget &Item) { return Item.m_Forecast.m_HasRoom; });
+  const auto End = WithRoom == Kept ? Open.end() : WithRoom;
+  const auto Own = std::partition(Kept, End, [this](const RankedTarget &Item) {
+    return Item.m_Target->record().m_DataCentre == m_Options.m_DataCentre;
+  });
+  const auto OwnEnd = Sample(Kept, Own);
+  const auto OtherEnd = Sample(Own, End);
+  auto Chosen = std::vector<RankedTarget>(Open.begin(), OwnEnd);
+  Chosen.insert(Chosen.end(), Own, OtherEnd);
+  return Chosen;
+}
+
 auto Placement::pick(const std::vector<RankedTarget> &Open, const PlacementRequest &Request) const
     -> const RankedTarget * {
   const auto IsBetter = [](const RankedTarget &Left, const RankedTarget &Right) {
@@ -137,10 +200,10 @@
     if (Checked.m_Access == GateAccess::Closed && !Checked.m_RetryAfter) {
       continue;
     }
-    (Checked.m_IsLastResort ? LastResorts : Preferred).push_back({Target, Checked});
+    (Checked.m_IsLastResort ? LastResorts : Preferred).push_back({Target, Checked, TargetLoad()});
   }
   auto Candidates = std::move(Preferred.empty() ? LastResorts : Preferred);
-  for (const auto &[Target, Checked] : Candidates) {
+  for (const auto &[Target, Checked, PeerLoad] : Candidates) {
     if (Checked.m_Access == GateAccess::NeedsPermit && Decision.m_Reason == GateReason::None) {
       Decision.m_Reason = Checked.m_Reason;
     }
@@ -157,15 +220,19 @@
                        const PlacementRequest &Request, base::SteadyTime Now) const
     -> PlacementDecision {
   auto Decision = PlacementDecision();
-  const auto Candidates = findCandidates(Targets, Gate, Request, Now, Decision);
+  auto Candidates = findCandidates(Targets, Gate, Request, Now, Decision);
+  for (auto &Item : Candidates) {
+    Item.m_PeerLoad = m_PeerLoad(Item.m_Target->record());
+  }
   const auto *Shared = lastSharedPart(Request.m_Prompt);
   const auto *AffinityTarget =
       Shared == nullptr || Candidates.empty() ? nullptr : affinityTarget(*Shared, Candidates);
-  const auto Pool = PoolView{Targets.poolFigures(Request.m_Pool, Request.m_Prompt != nullptr, Now),
-                             Targets.meanHeldTokens(Request.m_Pool)};
+  const auto Pool = viewPool(Candidates, Targets, Request, Now);
   auto Open = std::vector<RankedTarget>();
   Open.reserve(Candidates.size());
-  for (const auto &[Target, Checked] : Candidates) {
+  for (const auto &Candidate : Candidates) {
+    const auto *Target = Candidate.m_Target;
+    const auto &Checked = Candidate.m_Gate;
     if (Checked.m_Access == GateAccess::Closed) {
       continue;
     }
@@ -174,7 +241,7 @@
     if (Target == AffinityTarget) {
       CachedTokens = std::max(CachedTokens, sharedTokens(*Request.m_Prompt));
     }
-    const auto Item = forecast(*Target, Request, CachedTokens, Pool, Now);
+    const auto Item = forecast(Candidate, Request, CachedTokens, Pool, Now);
     if (Checked.m_Access == GateAccess::NeedsPermit) {
       if (!Decision.m_Wanted || Item.m_ExpectedMs < Decision.m_Wanted->m_ExpectedMs) {
         Decision.m_Wanted = WantedTarget{Target->limitKey(), Item.m_ExpectedMs};
@@ -184,7 +251,8 @@
     }
   }
   Decision.m_Room = poolRoom(Open, Targets, Request, Now);
-  if (const auto *Picked = pick(Open, Request)) {
+  const auto Compared = compared(std::move(Open), Request);
+  if (const auto *Picked = pick(Compared, Request)) {
     const auto &Item = Picked->m_Forecast;
     Decision.m_Choice = PlacementChoice{Picked->m_Target->record().m_Id, Item.m_ExpectedMs,
                                         Item.m_FirstEventMs, Item.m_Work, Picked->m_CachedTokens};
--- a/src/forwarding/internal/targetspeed.cpp
+++ b/src/forwarding/internal/targetspeed.cpp
@@ -95,6 +95,7 @@
   if (HasChanged) {
     m_Run = 0;
   }
+  smooth(m_Figures.m_MeanFirstEventMs, Forecast + Counted);
   smooth(m_Figures.m_DeviationMs, std::abs(Counted));
   // The wait for a slot is not part of the fit.
   const auto Running =
@@ -171,6 +172,7 @@
   Mixed.m_MsPerPromptToken = mix(m_Figures.m_MsPerPromptToken, Prior.m_MsPerPromptToken, Share);
   Mixed.m_MsPerActiveRequest =
       mix(m_Figures.m_MsPerActiveRequest, Prior.m_MsPerActiveRequest, Share);
+  Mixed.m_MeanFirstEventMs = m_Figures.m_MeanFirstEventMs;
   Mixed.m_ResponseMs = m_Figures.m_ResponseMs == 0.0 ? Prior.m_ResponseMs : m_Figures.m_ResponseMs;
   Mixed.m_DeviationMs = m_Weight < ChangeRun && Prior.m_DeviationMs > 0.0 ? Prior.m_DeviationMs
                                                                           : m_Figures.m_DeviationMs;
--- a/src/forwarding/placement.h
+++ b/src/forwarding/placement.h
@@ -3,6 +3,7 @@
 #include "forwarding/roompolicy.h"
 #include "forwarding/targetgate.h"
 
+#include <algorithm>
 #include <functional>
 
 namespace geraniumlift::forwarding {
@@ -27,6 +28,12 @@
   /// this share of it, are equally good: reported loads are older than the difference.
   double m_EqualMs = 3.0;
   double m_EqualShare = 0.1;
+
+  /// Mean age of the loads that other routers report, in milliseconds.
+  double m_PeerLoadAgeMs = 500.0;
+
+  /// Targets that a router of a large fleet compares at least, in its own data centre and outside.
+  std::size_t m_MinCompared = 3;
 };
 
 /// Properties of a request that decide its target.
@@ -106,6 +113,11 @@
   Placement(PlacementOptions Options, PeerLoadSource Others)
       : m_Options(std::move(Options)), m_PeerLoad(std::move(Others)) {}
 
+  /// Sets the number of routers that send to the same targets, this one included.
+  auto setRouterCount(std::size_t Count) -> void {
+    m_RouterCount = std::max<std::size_t>(1, Count);
+  }
+
   /// Only targets that the gate lets requests pass to are chosen.
   [[nodiscard]] auto decide(const TargetTable &Targets, const TargetGate &Gate,
                             const PlacementRequest &Request, base::SteadyTime Now) const
@@ -123,6 +135,9 @@
   struct Candidate {
     const TargetState *m_Target = nullptr;
     GateDecision m_Gate;
+
+    /// As the other routers report it.
+    TargetLoad m_PeerLoad;
   };
 
   [[nodiscard]] static auto affinityTarget(const PromptPart &Part,
@@ -159,9 +174,24 @@
   struct PoolView {
     SpeedFigures m_Figures;
     double m_MeanHeldTokens = 0.0;
+
+    /// Mean load that other routers report of a target, and how much of a difference from it lasts
+    /// from the report until now, 0 to 1. What is over sooner than reports come says nothing of the
+    /// single target any more.
+    double m_MeanPeerTokens = 0.0;
+    double m_MeanPeerRequests = 0.0;
+    double m_TokensLast = 1.0;
+    double m_RequestsLast = 1.0;
+
+    /// Returns the load that is expected now where a load was reported.
+    [[nodiscard]] auto expectedLoad(const TargetLoad &Reported) const -> TargetLoad;
   };
 
-  [[nodiscard]] auto forecast(const TargetState &Target, const PlacementRequest &Request,
+  [[nodiscard]] auto viewPool(const std::vector<Candidate> &Candidates, const TargetTable &Targets,
+                              const PlacementRequest &Request, base::SteadyTime Now) const
+      -> PoolView;
+
+  [[nodiscard]] auto forecast(const Candidate &Item, const PlacementRequest &Request,
                               Tokens CachedTokens, const PoolView &Pool, base::SteadyTime Now) const
       -> Forecast;
 
@@ -170,11 +200,19 @@
                                      const TargetTable &Targets, const PlacementRequest &Request,
                                      base::SteadyTime Now) -> PoolRoom;
 
+  /// Returns the targets that this router compares for the request: a random few of each data
+  /// centre's, so many that the routers together look at each target about once, and all that are
+  /// expected to keep a part of the prompt. Answers the load of many routers that all know the same
+  /// old loads: where each compares all targets, all send to the same one until the next report.
+  [[nodiscard]] auto compared(std::vector<RankedTarget> Open, const PlacementRequest &Request) const
+      -> std::vector<RankedTarget>;
+
   /// Returns the best target, or one that is as good.
   [[nodiscard]] auto pick(const std::vector<RankedTarget> &Open,
                           const PlacementRequest &Request) const -> const RankedTarget *;
 
   PlacementOptions m_Options;
+  std::size_t m_RouterCount = 1;
   PeerLoadSource m_PeerLoad;
 };
 
--- a/src/forwarding/targetspeed.h
+++ b/src/forwarding/targetspeed.h
@@ -23,6 +23,9 @@
   double m_MsPerPromptToken = 1.0 / 40.0;
   double m_MsPerActiveRequest = 1.5;
 
+  /// Mean time to the first event, whatever the work was; 0 if it is not known.
+  double m_MeanFirstEventMs = 0.0;
+
   /// Time from the first event to the end of a response.
   double m_ResponseMs = 0.0;
 
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -523,6 +523,7 @@
   const auto Routers = m_Peers.countBudgetRouters(now());
   const auto AlivePeers = m_Peers.alivePeers(now());
   m_Grants.setFleet(Routers, AlivePeers);
+  m_Placement.setRouterCount(AlivePeers.size() + 1);
   updateRetryBudgets();
   m_TargetDirectory.removeExpired(now());
   if (m_Subscription.followsBudgets() && m_Grants.shardCount() > 1) {
