--- a/src/fleet/tests/listingshares_test.cpp
+++ b/src/fleet/tests/listingshares_test.cpp
@@ -43,7 +43,7 @@
   return Result;
 }
 
-auto listOf(const std::string &Router, const std::vector<AddressCandidate> &Fleet)
+auto listOf(const std::string &Router, std::vector<AddressCandidate> Fleet)
     -> std::vector<std::string> {
   auto Selector = AddressSelector(Router);
   Selector.removeSilent(Fleet, true, Start);
--- a/src/forwarding/internal/forwardsession.cpp
+++ b/src/forwarding/internal/forwardsession.cpp
@@ -137,7 +137,8 @@
   m_Pool = Pools[Index].m_Pool;
   const auto *Pool = m_Table->findPool(m_Pool);
   if (Pool != nullptr && Pool->m_Engine) {
-    m_TokensPerEvent = Pool->m_Engine->m_TokensPerEvent;
+    m_Engine = &*Pool->m_Engine;
+    m_TokensPerEvent = m_Engine->m_TokensPerEvent;
   } else if (Pool != nullptr) {
     m_Fields.m_Prompt.reset();
   }
@@ -190,8 +191,7 @@
     Fields.m_Workspace = m_Workspace->m_Name;
   }
   if (m_Fields.m_Prompt) {
-    const auto WorkspacePriority = m_Workspace == nullptr ? std::nullopt : m_Workspace->m_Priority;
-    Fields.m_Urgency = urgencyFor(WorkspacePriority.value_or(m_Route->m_Priority));
+    Fields.m_Urgency = urgencyFor(priority());
   }
   Fields.m_ResumeAfter = m_HasResponseBegun ? m_Events.lastEventId() : m_Fields.m_LastEventId;
   auto Head = m_Head;
@@ -250,7 +250,8 @@
       RequestRegions{&m_Route->m_AllowedRegions,
                      m_Workspace == nullptr ? nullptr : &m_Workspace->m_AllowedRegions};
   const auto Decision = m_Context.m_Placement.decide(
-      m_Context.m_Targets, m_Context.m_Gate, {m_Pool, Prompt, m_TriedTargets, Regions}, now());
+      m_Context.m_Targets, m_Context.m_Gate,
+      {m_Pool, Prompt, m_TriedTargets, Regions, m_Engine, m_Context.m_Random()}, now());
   const auto &Choice = Decision.m_Choice;
   if (Decision.m_Wanted && m_PermitRequests < m_Context.m_Options.m_MaxPermitRequests) {
     waitForPermit(Decision.m_Wanted->m_Key);
@@ -261,6 +262,9 @@
     refuseUnplaced(refusalReason(Decision.m_Reason));
     return;
   }
+  if (refuseWithoutRoom(Decision)) {
+    return;
+  }
   const auto Target = m_Context.m_Targets.find(Choice->m_TargetId)->record();
   m_TargetId = Target.m_Id;
   m_TargetIncarnation = Target.m_Incarnation;
@@ -270,6 +274,9 @@
   m_BufferedBody.clear();
   m_IsAwaitingResponse = true;
   m_EventsBeforeAttempt = m_EventsSent;
+  m_SentAt = now();
+  m_AnsweredAt.reset();
+  m_Work = Choice->m_Work;
   m_UncachedTokens = Prompt == nullptr ? 0 : Prompt->m_PromptTokens - Choice->m_CachedTokens;
   m_Context.m_Limits.onSend(m_Context.m_Targets.find(m_TargetId)->limitKey());
   m_Context.m_Targets.recordSent(m_TargetId, Prompt, m_UncachedTokens, now());
@@ -281,7 +288,7 @@
                           {"pool", m_Pool},
                           {"target", m_TargetId},
                           {"send", m_SendCount + 1},
-                          {"expected_ms", static_cast<std::int64_t>(m_ExpectedMs)},
+                          {"expected_ms", static_cast<std::int64_t>(Choice->m_FirstEventMs)},
                           {"kept_tokens", Choice->m_CachedTokens},
                           {"shared_parts", formatSharedParts(m_Fields.m_Prompt)},
                           {"left_ms", timeLeft().count()}});
@@ -291,6 +298,35 @@
                                          m_Head.m_Method == "HEAD", *this);
 }
 
+auto ForwardSession::priority() const -> std::int64_t {
+  const auto OfWorkspace = m_Workspace == nullptr ? std::nullopt : m_Workspace->m_Priority;
+  return OfWorkspace.value_or(m_Route->m_Priority);
+}
+
+auto ForwardSession::refuseWithoutRoom(const PlacementDecision &Decision) -> bool {
+  // A request that a target may have run gets its further attempts.
+  if (m_MayHaveRun || m_HasResponseBegun) {
+    return false;
+  }
+  const auto Room = RoomPolicy::decide(
+      {Decision.m_Choice->m_FirstEventMs, timeLeft(), priority(), m_Context.m_Random()},
+      Decision.m_Room);
+  if (Room.m_Refusal == RoomRefusal::None) {
+    return false;
+  }
+  m_Context.m_Log.record(
+      base::LogLevel::Info, "room_refused",
+      {{"request", m_Fields.m_RequestId},
+       {"pool", m_Pool},
+       {"why", nameOf(RoomRefusalNames, Room.m_Refusal)},
+       {"expected_ms", static_cast<std::int64_t>(Decision.m_Choice->m_FirstEventMs)},
+       {"left_ms", timeLeft().count()},
+       {"taken_percent", static_cast<std::int64_t>(Decision.m_Room.m_TakenShare * 100.0)}});
+  m_GateWait = Room.m_RetryAfter;
+  refuse(RefusalReason::NoRoom);
+  return true;
+}
+
 auto ForwardSession::waitForPermit(ratelimits::TargetKey Target) -> void {
   ++m_PermitRequests;
   m_Context.m_Limits.requestPermit(Target,
@@ -398,12 +434,24 @@
   if (std::exchange(m_IsConnecting, false)) {
     m_Context.m_Gate.uplink().onConnectAbandoned();
   }
-  m_Context.m_Targets.recordEnd(m_TargetId);
+  if (Result == AttemptResult::Success) {
+    recordResponseTime();
+  }
+  m_Context.m_Targets.recordEnd(m_TargetId, heldTokens());
   m_Context.m_Targets.recordResult(m_TargetId, Result, now());
   m_Attempt.reset();
   m_IsPaused = false;
 }
 
+auto ForwardSession::recordResponseTime() -> void {
+  if (!m_AnsweredAt) {
+    return;
+  }
+  m_Context.m_Targets.recordResponse(m_TargetId, m_TargetIncarnation,
+                                     duration_cast<milliseconds>(now() - *m_AnsweredAt),
+                                     m_EventsSent - m_EventsBeforeAttempt);
+}
+
 auto ForwardSession::attemptFailed(base::Verdict Outcome, AttemptResult Result,
                                    std::string_view Reason) -> void {
   endAttempt(Result);
@@ -451,7 +499,9 @@
   const auto &Options = m_Context.m_Options;
   auto Base = Reason == RefusalReason::BudgetUnavailable ? Options.m_BudgetRetryAfterBase
                                                          : Options.m_RetryAfterBase;
-  if (Reason == RefusalReason::TargetsLimited && m_GateWait) {
+  const auto IsForecast =
+      Reason == RefusalReason::TargetsLimited || Reason == RefusalReason::NoRoom;
+  if (IsForecast && m_GateWait) {
     Base = std::max(Base, *m_GateWait);
   }
   if (Reason == RefusalReason::TargetsUnreachable) {
--- a/src/forwarding/placement.h
+++ b/src/forwarding/placement.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "forwarding/roompolicy.h"
 #include "forwarding/targetgate.h"
 
+#include <algorithm>
 #include <functional>
 
 namespace geraniumlift::forwarding {
@@ -11,16 +13,6 @@
   /// Data centre of this router.
   std::string m_DataCentre;
 
-  /// Prompt tokens that an engine processes per millisecond, used to forecast the wait. The
-  /// documentation of both deployments' engines gives about 40.
-  double m_PromptTokensPerMs = 40.0;
-
-  /// Forecast delay in milliseconds that each active request at an engine adds to a new one.
-  double m_MsPerActiveStream = 1.5;
-
-  /// Forecast delay in milliseconds that each active request at a plain service adds to a new one.
-  double m_MsPerActiveCall = 15.0;
-
   /// Added to the forecast of targets in another data centre, in milliseconds.
   double m_OtherDataCentrePenaltyMs = 4.0;
 
@@ -31,6 +23,17 @@
   /// A permit is requested for a target with a limit only if its forecast is shorter by more than
   /// this, in milliseconds: the request waits for the answer.
   double m_MinPermitGainMs = 8.0;
+
+  /// Targets whose forecasts are not longer than the shortest by more than this, or by more than
+  /// this share of it, are equally good: reported loads are older than the difference.
+  double m_EqualMs = 3.0;
+  double m_EqualShare = 0.1;
+
+  /// Mean age of the loads that other routers report, in milliseconds.
+  double m_PeerLoadAgeMs = 500.0;
+
+  /// Targets that a router of a large fleet compares at least, in its own data centre and outside.
+  std::size_t m_MinCompared = 3;
 };
 
 /// Properties of a request that decide its target.
@@ -44,6 +47,14 @@
 
   /// Where the request may be served.
   RequestRegions m_Regions = {};
+
+  /// Parameters of the pool's engines; nullptr if it has none.
+  const EngineParameters *m_Engine = nullptr;
+
+  /// Decides among targets that are equally good. Requests differ in it, so that routers with the
+  /// same loads in hand do not all choose the same target. If it is 0, the shortest forecast
+  /// counts.
+  std::uint64_t m_Salt = 0;
 };
 
 /// The chosen target and its forecast.
@@ -53,6 +64,12 @@
   /// Forecast wait for the response, in milliseconds, with the penalties of PlacementOptions.
   double m_ExpectedMs = 0.0;
 
+  /// Forecast time to the first event, in milliseconds, without penalties.
+  double m_FirstEventMs = 0.0;
+
+  /// What the forecasts are made from.
+  AttemptWork m_Work;
+
   /// Prompt tokens that the target is expected to have in its cache.
   Tokens m_CachedTokens = 0;
 };
@@ -75,10 +92,16 @@
   /// time, the reason why targets need permits.
   std::optional<std::chrono::milliseconds> m_RetryAfter;
   GateReason m_Reason = GateReason::None;
+
+  /// Room at the targets that may get the request now.
+  PoolRoom m_Room;
 };
 
 /// Chooses the target with the shortest forecast wait. The forecast covers the load that this and
-/// the other routers have put on the target and the prompt tokens that its cache does not hold.
+/// the other routers have put on the target, the prompt tokens that its cache does not hold, and
+/// the speed that the target has shown. A target whose memory would not hold the request is chosen
+/// only if no other has room.
+///
 /// Rendezvous hashing assigns each shared prompt part to one target that is assumed to cache it;
 /// all routers compute the same target, so requests with the same prompt go there without
 /// coordination.
@@ -90,6 +113,11 @@
   Placement(PlacementOptions Options, PeerLoadSource Others)
       : m_Options(std::move(Options)), m_PeerLoad(std::move(Others)) {}
 
+  /// Sets the number of routers that send to the same targets, this one included.
+  auto setRouterCount(std::size_t Count) -> void {
+    m_RouterCount = std::max<std::size_t>(1, Count);
+  }
+
   /// Only targets that the gate lets requests pass to are chosen.
   [[nodiscard]] auto decide(const TargetTable &Targets, const TargetGate &Gate,
                             const PlacementRequest &Request, base::SteadyTime Now) const
@@ -107,6 +135,9 @@
   struct Candidate {
     const TargetState *m_Target = nullptr;
     GateDecision m_Gate;
+
+    /// As the other routers report it.
+    TargetLoad m_PeerLoad;
   };
 
   [[nodiscard]] static auto affinityTarget(const PromptPart &Part,
@@ -118,10 +149,70 @@
   [[nodiscard]] static auto findCandidates(const TargetTable &Targets, const TargetGate &Gate,
                                            const PlacementRequest &Request, base::SteadyTime Now,
                                            PlacementDecision &Decision) -> std::vector<Candidate>;
-  [[nodiscard]] auto expectedMs(const TargetState &Target, const PlacementRequest &Request,
-                                Tokens CachedTokens) const -> double;
+
+  /// A candidate's forecast.
+  struct Forecast {
+    double m_FirstEventMs = 0.0;
+    double m_ExpectedMs = 0.0;
+    AttemptWork m_Work;
+
+    /// Whether the target has memory and a place for the request.
+    bool m_HasRoom = true;
+
+    /// Whether the target has turned requests away and holds no fewer now.
+    bool m_IsFull = false;
+  };
+
+  /// A target that may get the request.
+  struct RankedTarget {
+    const TargetState *m_Target = nullptr;
+    Tokens m_CachedTokens = 0;
+    Forecast m_Forecast;
+  };
+
+  /// What is the same for all candidates of a request.
+  struct PoolView {
+    SpeedFigures m_Figures;
+    double m_MeanHeldTokens = 0.0;
+
+    /// Mean load that other routers report of a target, and how much of a difference from it lasts
+    /// from the report until now, 0 to 1. What is over sooner than reports come says nothing of the
+    /// single target any more.
+    double m_MeanPeerTokens = 0.0;
+    double m_MeanPeerRequests = 0.0;
+    double m_TokensLast = 1.0;
+    double m_RequestsLast = 1.0;
+
+    /// Returns the load that is expected now where a load was reported.
+    [[nodiscard]] auto expectedLoad(const TargetLoad &Reported) const -> TargetLoad;
+  };
+
+  [[nodiscard]] auto viewPool(const std::vector<Candidate> &Candidates, const TargetTable &Targets,
+                              const PlacementRequest &Request, base::SteadyTime Now) const
+      -> PoolView;
+
+  [[nodiscard]] auto forecast(const Candidate &Item, const PlacementRequest &Request,
+                              Tokens CachedTokens, const PoolView &Pool, base::SteadyTime Now) const
+      -> Forecast;
+
+  /// Sums up the room of the targets.
+  [[nodiscard]] static auto poolRoom(const std::vector<RankedTarget> &Open,
+                                     const TargetTable &Targets, const PlacementRequest &Request,
+                                     base::SteadyTime Now) -> PoolRoom;
+
+  /// Returns the targets that this router compares for the request: a random few of each data
+  /// centre's, so many that the routers together look at each target about once, and all that are
+  /// expected to keep a part of the prompt. Answers the load of many routers that all know the same
+  /// old loads: where each compares all targets, all send to the same one until the next report.
+  [[nodiscard]] auto compared(std::vector<RankedTarget> Open, const PlacementRequest &Request) const
+      -> std::vector<RankedTarget>;
+
+  /// Returns the best target, or one that is as good.
+  [[nodiscard]] auto pick(const std::vector<RankedTarget> &Open,
+                          const PlacementRequest &Request) const -> const RankedTarget *;
 
   PlacementOptions m_Options;
+  std::size_t m_RouterCount = 1;
   PeerLoadSource m_PeerLoad;
 };
 
