--- a/src/ratelimits/tests/limitservice_test.cpp
+++ b/src/ratelimits/tests/limitservice_test.cpp
@@ -72,16 +72,20 @@
   }
 
   /// Cuts the first routers off from the others: each part hears only itself.
-  auto divide(std::size_t First) -> void {
+  auto divide(std::size_t First, milliseconds Lag = milliseconds(0)) -> void {
     m_CutOff = First;
     auto Parts = std::array<std::set<std::string>, 2>();
     for (std::size_t Number = 0; Number < m_Nodes.size(); ++Number) {
       Parts[Number < First ? 0 : 1].insert(m_Nodes[Number]->m_Name);
     }
     for (std::size_t Number = 0; Number < m_Nodes.size(); ++Number) {
-      const auto &Part = Parts[Number < First ? 0 : 1];
-      m_Nodes[Number]->m_Service.setRouters(Part);
-      m_Nodes[Number]->m_Service.setInContact(Part.size() * 2 > m_Nodes.size());
+      const auto Part = Parts[Number < First ? 0 : 1];
+      auto &Service = m_Nodes[Number]->m_Service;
+      m_Timers.start(m_Clock.steadyNow() + (Number < First ? Lag : milliseconds(0)),
+                     [this, Part, &Service] {
+                       Service.setRouters(Part);
+                       Service.setInContact(Part.size() * 2 > m_Nodes.size());
+                     });
     }
   }
 
@@ -342,3 +346,19 @@
   }
   cr_expect_not(decodeMessage("x").ok());
 }
+
+// Guards against two keepers of a cold target: those that are cut off notice it half a second after
+// the others have chosen a new one.
+Test(limitservice, coldTargetsAreNotFloodedWhileTheKeeperChanges) {
+  for (const auto PerSecond : {2.0, 10.0, 20.0}) {
+    auto Play = LimitedTargets(20, 12, 0.0);
+    Play.makeCold(PerSecond, 20s);
+    Play.run(700ms, 1.0);
+    Play.m_Arrivals.clear();
+    Play.run(2s, 1200.0);
+    Play.divide(9, 500ms);
+    Play.run(3s, 1200.0);
+    const auto Most = static_cast<int>(PerSecond * 1.5 + 5.0);
+    cr_expect_leq(Play.mostIn(1s), Most, "%d in a second at %.0f", Play.mostIn(1s), PerSecond);
+  }
+}
