Apply a changed tolerance to targets that are cold already

An allowance with the same end was ignored, so that a configuration that lowers coldPerS took effect only for targets that became cold later.

--- a/src/ratelimits/internal/limitservice.cpp
+++ b/src/ratelimits/internal/limitservice.cpp
@@ -56,7 +56,7 @@
 
 auto LimitService::setCold(TargetKey Target, const ColdAllowance &Allowance) -> void {
   auto &Known = m_Cold[Target];
-  if (Allowance.m_Until <= Known.m_Until) {
+  if (Allowance.m_Until < Known.m_Until) {
     return;
   }
   const auto WasCold = Known.m_Until > now();
--- a/src/ratelimits/limitservice.h
+++ b/src/ratelimits/limitservice.h
@@ -46,7 +46,7 @@
   /// Sets the routers that may keep permits: all that are alive and not leaving.
   auto setRouters(const std::set<std::string> &Routers) -> void;
 
-  /// Sets what a cold target tolerates. A later end than the known one replaces it.
+  /// Sets what a cold target tolerates, unless it is known to be cold for longer.
   auto setCold(TargetKey Target, const ColdAllowance &Allowance) -> void;
 
   /// Sets whether this router hears most of the fleet. Without contact it neither gives out nor
--- a/src/ratelimits/tests/limitservice_test.cpp
+++ b/src/ratelimits/tests/limitservice_test.cpp
@@ -71,6 +71,17 @@
     }
   }
 
+  [[nodiscard]] auto now() const -> base::SteadyTime { return m_Clock.steadyNow(); }
+
+  /// Changes what targets that are cold until then tolerate.
+  auto changeCold(double PerSecond, base::SteadyTime Until) -> void {
+    for (const auto &Item : m_Nodes) {
+      for (const auto Target : m_Targets) {
+        Item->m_Service.setCold(Target, coldAllowance(PerSecond, 1.5, 5.0, Until));
+      }
+    }
+  }
+
   /// Cuts the first routers off from the others: each part hears only itself.
   auto divide(std::size_t First, milliseconds Lag = milliseconds(0)) -> void {
     m_CutOff = First;
@@ -362,3 +373,19 @@
     cr_expect_leq(Play.mostIn(1s), Most, "%d in a second at %.0f", Play.mostIn(1s), PerSecond);
   }
 }
+
+// Guards against a configuration that lowers what cold targets tolerate and takes effect only for
+// those that become cold later.
+Test(limitservice, changedToleranceAppliesToTargetsThatAreColdAlready) {
+  auto Play = LimitedTargets(5, 2, 0.0);
+  const auto Until = Play.now() + 20s;
+  Play.m_NamesLimit = false;
+  Play.m_CountsAll = true;
+  Play.changeCold(20.0, Until);
+  Play.run(2s, 400.0);
+  Play.changeCold(2.0, Until);
+  Play.run(1s, 400.0);
+  Play.m_Arrivals.clear();
+  Play.run(3s, 400.0);
+  cr_expect_leq(Play.mostIn(1s), 8, "%d", Play.mostIn(1s));
+}
