One account of memory for what callers hold

MemoryAccount grants bytes before they are read; if it is short, room comes from connections that hold most and move least. New connections take the place of the one that has not moved for longest. Large bodies are reserved in few steps and mapped apart from the heap.

--- a/src/http1/internal/messageparser.cpp
+++ b/src/http1/internal/messageparser.cpp
@@ -1,6 +1,7 @@
 #include "http1/messageparser.h"
 
 #include <absl/strings/str_cat.h>
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
@@ -13,6 +14,10 @@
 using boost::beast::error_code;
 using boost::beast::string_view;
 
+/// Size from which room for a request body is reserved in advance, and how much at least.
+constexpr auto LargeBodyBytes = std::size_t{32} * 1024;
+constexpr auto FirstReserveBytes = std::size_t{256} * 1024;
+
 auto asView(string_view Text) -> std::string_view { return {Text.data(), Text.size()}; }
 
 /// Beast parser that stores the header fields with their names as received and the raw body.
@@ -58,13 +63,17 @@
     m_IsAmbiguous = !equalsIgnoringCase(*Coding, "chunked") || m_Fields.has("Content-Length");
   }
 
-  auto on_body_init_impl(const boost::optional<std::uint64_t> &, error_code &Error)
+  auto on_body_init_impl(const boost::optional<std::uint64_t> &Length, error_code &Error)
       -> void override {
     Error = {};
+    m_Announced = Length.value_or(0);
   }
 
   auto on_body_impl(string_view Bytes, error_code &Error) -> std::size_t override {
     Error = {};
+    if (IsRequest) {
+      reserveFor(m_Body.size() + Bytes.size());
+    }
     m_Body.append(Bytes.data(), Bytes.size());
     return Bytes.size();
   }
@@ -78,6 +87,17 @@
     return on_body_impl(Bytes, Error);
   }
 
+  /// Takes room for a large body in few steps: each step copies the body and leaves a gap in the
+  /// heap. Pages without bytes cost nothing.
+  auto reserveFor(std::size_t Size) -> void {
+    if (Size > LargeBodyBytes && Size > m_Body.capacity()) {
+      m_Body.reserve(std::max(
+          {static_cast<std::size_t>(m_Announced), FirstReserveBytes, 2 * m_Body.capacity(), Size}));
+    }
+  }
+
+  std::uint64_t m_Announced = 0;
+
   auto on_finish_impl(error_code &Error) -> void override { Error = {}; }
 };
 
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -31,6 +31,15 @@
 /// File descriptors reserved for connections to targets and to the store and for files.
 constexpr auto ReservedDescriptors = std::int64_t{900};
 
+/// Share of the memory limit that bytes of callers, and unsent responses, may use.
+constexpr auto HeldMemoryShare = 0.28;
+
+/// Connections without any bytes may use the memory limit divided by this.
+constexpr auto ConnectionMemoryDivisor = std::size_t{5};
+
+/// Memory of a connection without any bytes.
+constexpr auto ConnectionBytes = std::size_t{8} * 1024;
+
 /// Request bodies may use the memory limit divided by this.
 constexpr auto BodyMemoryDivisor = 4;
 
@@ -121,10 +130,28 @@
   return Options;
 }
 
+auto memoryBytes(const RouterSettings &Settings) -> std::size_t {
+  return static_cast<std::size_t>(Settings.m_MemoryMb) * 1024 * 1024;
+}
+
+auto heldBytesLimit(const RouterSettings &Settings) -> std::size_t {
+  return static_cast<std::size_t>(static_cast<double>(memoryBytes(Settings)) * HeldMemoryShare);
+}
+
+auto directOptions(std::size_t MaxConnections) -> transport::ServerOptions {
+  auto Options = transport::ServerOptions();
+  Options.m_MaxConnections = MaxConnections;
+  Options.m_Memory.m_Bytes = std::size_t{1024} * 1024;
+  return Options;
+}
+
 auto serverOptions(const RouterSettings &Settings) -> transport::ServerOptions {
   auto Options = transport::ServerOptions();
   Options.m_MaxConnections = static_cast<std::size_t>(
       std::max<std::int64_t>(64, Settings.m_MaxDescriptors - ReservedDescriptors));
+  Options.m_MaxConnections = std::min(
+      Options.m_MaxConnections, memoryBytes(Settings) / ConnectionMemoryDivisor / ConnectionBytes);
+  Options.m_Memory.m_Bytes = heldBytesLimit(Settings);
   return Options;
 }
 
@@ -187,9 +214,12 @@
                                                    forwardingOptions(m_Settings),
                                                    base::RandomEngine(
                                                        seedOf(m_Settings, m_Incarnation))},
-      m_CallerServer(Dependencies.m_Loop, Dependencies.m_Timers, serverOptions(m_Settings)),
-      m_ReadinessServer(Dependencies.m_Loop, Dependencies.m_Timers, transport::ServerOptions{64}),
-      m_DirectoryServer(Dependencies.m_Loop, Dependencies.m_Timers, transport::ServerOptions{512}),
+      m_CallerServer(Dependencies.m_Loop, Dependencies.m_Timers, Dependencies.m_Clock,
+                     serverOptions(m_Settings)),
+      m_ReadinessServer(Dependencies.m_Loop, Dependencies.m_Timers, Dependencies.m_Clock,
+                        directOptions(64)),
+      m_DirectoryServer(Dependencies.m_Loop, Dependencies.m_Timers, Dependencies.m_Clock,
+                        directOptions(512)),
       m_StoreMonitor(Dependencies.m_Store, Dependencies.m_Timers, Dependencies.m_Clock,
                      Dependencies.m_Log, [this](bool IsReachable) { onReachable(IsReachable); }) {
   m_Grants.setOnCallFailed([this] { m_StoreMonitor.probeNow(); });
@@ -532,6 +562,7 @@
   advanceQuarantine();
   advanceLimits(AlivePeers);
   reportTargetAccess();
+  reportCallerMemory();
   m_Subscription.mirror().removeExpired(now());
   m_Dependencies.m_Metrics.gauge(
       "geraniumlift_store_knowledge_age_seconds", {},
@@ -539,6 +570,27 @@
   m_Dependencies.m_Timers.start(now() + m_FleetExchange.period(), [this] { runPeriodicTasks(); });
 }
 
+auto Router::reportCallerMemory() -> void {
+  const auto &Memory = m_CallerServer.memory();
+  auto &Metrics = m_Dependencies.m_Metrics;
+  Metrics.gauge("geraniumlift_caller_bytes_held", {}, static_cast<double>(Memory.heldBytes()));
+  for (const auto &Row : transport::EvictionReasonNames) {
+    auto &Reported = m_ReportedEvictions[static_cast<std::size_t>(Row.m_Value)];
+    const auto Count = Memory.evictions(Row.m_Value) - Reported;
+    if (Count == 0) {
+      continue;
+    }
+    Reported += Count;
+    Metrics.count("geraniumlift_caller_evictions_total", {{"reason", std::string(Row.m_Name)}},
+                  static_cast<double>(Count));
+    m_Dependencies.m_Log.record(base::LogLevel::Warning, "callers_evicted",
+                                {{"reason", Row.m_Name},
+                                 {"count", Count},
+                                 {"held_bytes", Memory.heldBytes()},
+                                 {"connections", m_CallerServer.connections()}});
+  }
+}
+
 auto Router::updateRetryBudgets() -> void {
   // Each router uses an equal part of the fleet's slack, so that no coordination is needed.
   const auto Routers = static_cast<double>(m_Peers.countBudgetRouters(now()));
@@ -553,6 +605,7 @@
   m_Settings.m_RetrySlack = Settings.m_RetrySlack;
   m_Settings.m_MemoryMb = Settings.m_MemoryMb;
   m_Context.m_Options = forwardingOptions(m_Settings);
+  m_CallerServer.memory().setLimit(heldBytesLimit(m_Settings));
   updateRetryBudgets();
   m_Dependencies.m_Log.record(base::LogLevel::Warning, "settings_reloaded",
                               {{"stop_ms", m_Settings.m_StopTime.count()},
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -107,6 +107,9 @@
   [[nodiscard]] auto isReady() const -> bool;
   auto updateRetryBudgets() -> void;
 
+  /// Reports what callers hold, and how many connections were evicted since the last report.
+  auto reportCallerMemory() -> void;
+
   /// Advances a graceful stop and schedules itself again until the router has stopped.
   auto continueStop() -> void;
   [[nodiscard]] auto now() const -> base::SteadyTime { return m_Dependencies.m_Clock.steadyNow(); }
@@ -133,6 +136,9 @@
   RequestMetrics m_Metrics;
   forwarding::ForwardingContext m_Context;
   transport::CallerServer m_CallerServer;
+
+  /// Evictions by reason that were reported.
+  std::array<std::uint64_t, transport::EvictionReasonNames.size()> m_ReportedEvictions{};
   transport::CallerServer m_ReadinessServer;
   transport::CallerServer m_DirectoryServer;
   keyvalue::StoreMonitor m_StoreMonitor;
--- a/src/transport/callerserver.h
+++ b/src/transport/callerserver.h
@@ -2,6 +2,7 @@
 
 #include "base/itimers.h"
 #include "forwarding/forwardingcontext.h"
+#include "transport/memoryaccount.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -26,8 +27,8 @@
 
 /// Limits of the server.
 struct ServerOptions {
-  /// Maximum number of open connections; further ones are closed on acceptance. Limits the use of
-  /// file descriptors.
+  /// Maximum number of open connections; a further one takes the place of one that has not moved
+  /// for long and is not being served. Limits the use of file descriptors.
   std::size_t m_MaxConnections = 3000;
 
   /// Time for a request body to arrive, counted from the end of its header. After that the request
@@ -37,13 +38,17 @@
   /// Time for one write to complete. If the caller does not read that fast, the connection is
   /// closed.
   std::chrono::milliseconds m_WriteTimeout{20000};
+
+  /// Limits of what the connections hold.
+  MemoryOptions m_Memory;
 };
 
 /// Accepts callers' connections on one address. Requests are either forwarded, each by a
 /// ForwardSession, or handled synchronously by a DirectHandler.
 class CallerServer {
 public:
-  CallerServer(boost::asio::io_context &Loop, base::ITimers &Timers, ServerOptions Options);
+  CallerServer(boost::asio::io_context &Loop, base::ITimers &Timers, const base::IClock &Clock,
+               ServerOptions Options);
   ~CallerServer();
   CallerServer(const CallerServer &) = delete;
   auto operator=(const CallerServer &) -> CallerServer & = delete;
@@ -66,6 +71,9 @@
 
   [[nodiscard]] auto connections() const -> std::size_t;
 
+  /// The account of what the connections hold.
+  [[nodiscard]] auto memory() -> MemoryAccount &;
+
 private:
   struct State;
   std::shared_ptr<State> m_State;
--- a/src/transport/internal/callerconnection.h
+++ b/src/transport/internal/callerconnection.h
@@ -11,6 +11,9 @@
 
 /// State shared by all connections of one server.
 struct SharedServerState {
+  SharedServerState(base::ITimers &Timers, const base::IClock &Clock, ServerOptions Options)
+      : m_Timers(Timers), m_Options(Options), m_Memory(Timers, Clock, Options.m_Memory) {}
+
   base::ITimers &m_Timers;
   ServerOptions m_Options;
 
@@ -20,15 +23,20 @@
   /// Set if requests are handled synchronously.
   DirectHandler m_Handler;
   bool m_ClosesAfterResponses = false;
+  MemoryAccount m_Memory;
   std::set<std::shared_ptr<CallerConnection>> m_Connections;
 };
 
 /// One caller's connection. It reads requests one after the other and writes their responses.
 /// Reading continues while a request is served, so that a disconnect is detected at once.
 class CallerConnection final : public forwarding::IResponseWriter,
+                               public IMemoryHolder,
                                public std::enable_shared_from_this<CallerConnection> {
 public:
   CallerConnection(boost::asio::ip::tcp::socket Socket, std::shared_ptr<SharedServerState> Shared);
+  ~CallerConnection() override;
+  CallerConnection(const CallerConnection &) = delete;
+  auto operator=(const CallerConnection &) -> CallerConnection & = delete;
 
   auto start() -> void;
 
@@ -40,6 +48,8 @@
   auto sendChunk(std::string Piece) -> void override;
   auto finish() -> void override;
   auto abort() -> void override;
+  auto evict(EvictionReason Reason) -> void override;
+  auto onRoom() -> void override { read(); }
   [[nodiscard]] auto unsentBytes() const -> std::size_t override { return m_WriteQueue.size(); }
 
 private:
@@ -63,6 +73,12 @@
   auto onRequestTimeout() -> void;
   auto onIdleTimeout() -> void;
   auto onWriteTimeout() -> void;
+
+  /// Reports to the account what the connection holds.
+  auto updateAccount() -> void;
+
+  /// Removes the connection from the account.
+  auto leaveAccount() -> void;
   auto addConnectionField(http1::ResponseHead &Head) -> void;
 
   boost::asio::ip::tcp::socket m_Socket;
@@ -78,6 +94,12 @@
   /// Whether m_Timer limits the arrival of the request's header, not of its body.
   bool m_IsHeaderTimerRunning = false;
   base::TimerId m_Timer = 0;
+
+  /// The account's entry; nothing before the start and after the close.
+  std::optional<MemoryAccount::Place> m_Place;
+
+  /// Size of the body of the request that is being served.
+  std::size_t m_ServedBodyBytes = 0;
   std::string m_Input;
   bool m_IsReading = false;
 
--- a/src/transport/internal/callerserver.cpp
+++ b/src/transport/internal/callerserver.cpp
@@ -24,9 +24,9 @@
 } // namespace
 
 struct CallerServer::State : std::enable_shared_from_this<CallerServer::State> {
-  State(asio::io_context &Loop, base::ITimers &Timers, ServerOptions Options)
-      : m_Acceptor(Loop), m_Shared(std::make_shared<SharedServerState>(
-                              SharedServerState{Timers, Options, nullptr, {}, false, {}})) {}
+  State(asio::io_context &Loop, base::ITimers &Timers, const base::IClock &Clock,
+        ServerOptions Options)
+      : m_Acceptor(Loop), m_Shared(std::make_shared<SharedServerState>(Timers, Clock, Options)) {}
 
   auto open(const std::string &Address, std::uint16_t Port) -> absl::Status {
     auto Error = error_code();
@@ -71,7 +71,8 @@
                                });
       return;
     }
-    if (m_Shared->m_Connections.size() < m_Shared->m_Options.m_MaxConnections) {
+    if (m_Shared->m_Connections.size() < m_Shared->m_Options.m_MaxConnections ||
+        m_Shared->m_Memory.evictOldest()) {
       const auto Connection = std::make_shared<CallerConnection>(std::move(Socket), m_Shared);
       m_Shared->m_Connections.insert(Connection);
       Connection->start();
@@ -83,8 +84,9 @@
   std::shared_ptr<SharedServerState> m_Shared;
 };
 
-CallerServer::CallerServer(asio::io_context &Loop, base::ITimers &Timers, ServerOptions Options)
-    : m_State(std::make_shared<State>(Loop, Timers, Options)) {}
+CallerServer::CallerServer(asio::io_context &Loop, base::ITimers &Timers, const base::IClock &Clock,
+                           ServerOptions Options)
+    : m_State(std::make_shared<State>(Loop, Timers, Clock, Options)) {}
 
 CallerServer::~CallerServer() {
   auto Ignored = error_code();
@@ -120,4 +122,6 @@
   return m_State->m_Shared->m_Connections.size();
 }
 
+auto CallerServer::memory() -> MemoryAccount & { return m_State->m_Shared->m_Memory; }
+
 } // namespace geraniumlift::transport
