--- a/src/transport/internal/memoryaccount.cpp
+++ b/src/transport/internal/memoryaccount.cpp
@@ -12,6 +12,9 @@
 /// Room that is made for waiting connections, as a part of the limit.
 constexpr auto WaitingRoomDivisor = std::size_t{8};
 
+/// Part of the limit that waiting connections may leave unread.
+constexpr auto UnreadDivisor = std::size_t{4};
+
 /// Room without which no waiting connection is woken.
 constexpr auto WakeBytes = std::size_t{8192};
 
@@ -38,7 +41,9 @@
 }
 
 auto MemoryAccount::leave(Place Where) -> void {
-  stopWaiting(Where);
+  if (Where->m_IsWaiting) {
+    std::erase(m_Waiting, Where);
+  }
   change(*Where, 0);
   m_Entries.erase(Where);
   wake();
@@ -66,11 +71,14 @@
 
 auto MemoryAccount::mayRead(Place Where, std::size_t Bytes) -> bool {
   if (m_Held + Bytes > limit() && !makeRoom(*Where, Bytes)) {
-    if (!std::exchange(Where->m_IsWaiting, true)) {
-      m_Waiting.push_back(Where);
+    limitWaiting(*Where, Bytes);
+    if (m_Held + Bytes > limit()) {
+      if (!std::exchange(Where->m_IsWaiting, true)) {
+        m_Waiting.push_back(Where);
+      }
+      startTimer();
+      return false;
     }
-    startTimer();
-    return false;
   }
   change(*Where, Where->m_Held + Bytes);
   return true;
@@ -135,6 +143,9 @@
   ++m_Evictions[static_cast<std::size_t>(Reason)];
   // The holder is chosen once only, even if it still needs its bytes.
   Item.m_When = Evictability::Never;
+  if (std::exchange(Item.m_IsWaiting, false)) {
+    std::erase_if(m_Waiting, [&Item](Place Where) { return &*Where == &Item; });
+  }
   Item.m_Holder->evict(Reason);
 }
 
@@ -163,10 +174,19 @@
   return true;
 }
 
-auto MemoryAccount::stopWaiting(Place Where) -> void {
-  if (std::exchange(Where->m_IsWaiting, false)) {
-    std::erase(m_Waiting, Where);
+auto MemoryAccount::limitWaiting(const Entry &For, std::size_t Bytes) -> void {
+  const auto MaxWaiting = limit() / UnreadDivisor / m_Options.m_UnreadBytes + 1;
+  if (m_Waiting.size() < MaxWaiting || std::exchange(m_IsMakingRoom, true)) {
+    return;
   }
+  while (m_Waiting.size() >= MaxWaiting && m_Held + Bytes > limit()) {
+    auto *Victim = pick(For, 0, Choice::Any);
+    if (Victim == nullptr) {
+      break;
+    }
+    evict(*Victim, EvictionReason::Memory);
+  }
+  m_IsMakingRoom = false;
 }
 
 auto MemoryAccount::wake() -> void {
--- a/src/transport/memoryaccount.h
+++ b/src/transport/memoryaccount.h
@@ -24,6 +24,10 @@
   /// A connection without any movement for this long gives way to one that moves.
   std::chrono::milliseconds m_StallTime{2000};
 
+  /// What a connection that waits for room may leave unread in the kernel. Waiting connections may
+  /// leave a quarter of m_Bytes there together.
+  std::size_t m_UnreadBytes = std::size_t{64} * 1024;
+
   /// How often connections that wait for room are looked at.
   std::chrono::milliseconds m_WaitPeriod{250};
 };
@@ -92,7 +96,9 @@
   auto makeRoom(const Entry &For, std::size_t Bytes) -> bool;
   auto pick(const Entry &For, std::size_t Bytes, Choice Allowed) -> Entry *;
   auto evict(Entry &Item, EvictionReason Reason) -> void;
-  auto stopWaiting(Place Where) -> void;
+
+  /// Evicts connections until there is room, or place among the waiting ones.
+  auto limitWaiting(const Entry &For, std::size_t Bytes) -> void;
   auto wake() -> void;
   auto startTimer() -> void;
   auto onTimer() -> void;
--- a/src/transport/tests/memoryaccount_test.cpp
+++ b/src/transport/tests/memoryaccount_test.cpp
@@ -3,6 +3,7 @@
 #include "fakes/manualtimers.h"
 
 #include <criterion/criterion.h>
+#include <list>
 #include <rapidcheck.h>
 #include <vector>
 
@@ -54,7 +55,7 @@
 struct Fixture {
   base::ManualClock m_Clock;
   fakes::ManualTimers m_Timers{m_Clock};
-  MemoryAccount m_Account{m_Timers, m_Clock, {Limit, 10000, 2000ms, 250ms}};
+  MemoryAccount m_Account{m_Timers, m_Clock, {Limit, 10000, 2000ms, 8000, 250ms}};
 };
 
 } // namespace
@@ -127,6 +128,19 @@
   cr_expect_eq(First.m_Wakes, 1);
 }
 
+/// Guards against bytes of waiting connections that fill the kernel's memory.
+Test(memoryaccount, fewConnectionsWait) {
+  auto F = Fixture();
+  auto Crowd = std::list<Holder>();
+  for (auto At = 0; At < 8; ++At) {
+    Crowd.emplace_back(F.m_Account, 1).hold(Limit / 8);
+  }
+  for (auto &Item : Crowd) {
+    Item.read();
+    cr_expect_leq(F.m_Account.waiting(), 4U);
+  }
+}
+
 /// Guards against callers of one address that crowd out those of others.
 Test(memoryaccount, addressThatHoldsMostGoesFirst) {
   auto F = Fixture();
