--- a/src/http1/internal/messageparser.cpp
+++ b/src/http1/internal/messageparser.cpp
@@ -15,7 +15,7 @@
 using boost::beast::string_view;
 
 /// Size from which room for a request body is reserved in advance, and how much at least.
-constexpr auto LargeBodyBytes = std::size_t{32} * 1024;
+constexpr auto LargeBodyBytes = std::size_t{8} * 1024;
 constexpr auto FirstReserveBytes = std::size_t{256} * 1024;
 
 auto asView(string_view Text) -> std::string_view { return {Text.data(), Text.size()}; }
@@ -132,12 +132,16 @@
     }
     m_Started = true;
     const auto CarriedOver = m_Unconsumed.size();
-    m_Unconsumed.append(Bytes);
+    auto Text = Bytes;
+    if (CarriedOver > 0) {
+      m_Unconsumed.append(Bytes);
+      Text = m_Unconsumed;
+    }
     auto Used = std::size_t{0};
-    while (!m_Parser.is_done() && Used < m_Unconsumed.size()) {
+    while (!m_Parser.is_done() && Used < Text.size()) {
       auto Error = error_code();
-      const auto Parsed = m_Parser.put(
-          boost::asio::buffer(m_Unconsumed.data() + Used, m_Unconsumed.size() - Used), Error);
+      const auto Parsed =
+          m_Parser.put(boost::asio::buffer(Text.data() + Used, Text.size() - Used), Error);
       Used += Parsed;
       if (m_Parser.m_IsAmbiguous) {
         return absl::InvalidArgumentError("the framing of the body is ambiguous");
@@ -153,7 +157,11 @@
       }
     }
     if (!m_Parser.is_done()) {
-      m_Unconsumed.erase(0, Used);
+      if (CarriedOver > 0) {
+        m_Unconsumed.erase(0, Used);
+      } else {
+        m_Unconsumed.assign(Text.substr(Used));
+      }
       // Outside of the header section, which Beast limits, only a chunk's size line or the trailer
       // can be incomplete.
       if (m_Unconsumed.size() > m_MaxUnconsumed) {
--- a/src/transport/internal/callerconnection.cpp
+++ b/src/transport/internal/callerconnection.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 /// Bytes of later requests that are buffered while a request is served. Reading stops beyond that.
-constexpr auto MaxReadAhead = std::size_t{64} * 1024;
+constexpr auto MaxReadAhead = std::size_t{16} * 1024;
 
 /// How long a closing connection still reads. Otherwise, bytes that arrive late would reset the
 /// connection before the caller has read the response.
@@ -232,12 +232,14 @@
     auto Response = m_Shared->m_Handler(Head);
     auto ResponseStart = http1::ResponseHead{Response.m_Status, std::move(Response.m_Reason), {}};
     ResponseStart.m_Fields.add("Content-Type", Response.m_ContentType);
+    m_Parser.reset();
     sendComplete(std::move(ResponseStart), std::move(Response.m_Body));
     return;
   }
   m_ServedBodyBytes = m_Parser->body().size();
   m_Session = std::make_shared<forwarding::ForwardSession>(
       *m_Shared->m_Context, std::move(Head), std::move(m_Parser->body()), shared_from_this());
+  m_Parser.reset();
   // The session may end and be released within start(); this reference keeps it alive until then.
   const auto Session = m_Session;
   Session->start();
