--- a/src/transport/internal/callerconnection.cpp
+++ b/src/transport/internal/callerconnection.cpp
@@ -213,7 +213,8 @@
   }
   m_Parser.reset();
   m_Input = std::string();
-  if (m_Shared->m_Context != nullptr) {
+  // Evictions are logged together, with their count.
+  if (m_Shared->m_Context != nullptr && Reason != RefusalReason::Overloaded) {
     m_Shared->m_Context->m_Log.record(base::LogLevel::Warning, "request_unreadable",
                                       {{"reason", Text.m_Name}, {"status", Text.m_Status}});
   }
