--- a/src/fleet/tests/listingshares_test.cpp
+++ b/src/fleet/tests/listingshares_test.cpp
@@ -94,7 +94,7 @@
   for (const auto Routers : {std::size_t{82}, std::size_t{195}}) {
     const auto Former = fullestOverMean(fleetOf(Routers, false));
     const auto Weighed = fullestOverMean(fleetOf(Routers, true));
-    cr_log_warn("%zu routers: former rule %.2f, shares %.2f", Routers, Former, Weighed);
+    cr_log_info("%zu routers: former rule %.2f, shares %.2f", Routers, Former, Weighed);
     cr_expect_gt(Former, 3.0, "%zu routers: %f", Routers, Former);
     cr_expect_leq(Weighed, 1.5, "%zu routers: %f", Routers, Weighed);
   }
--- a/src/router/tests/storesubscription_test.cpp
+++ b/src/router/tests/storesubscription_test.cpp
@@ -418,7 +418,7 @@
   };
   const auto Former = Price(false);
   const auto Present = Price(true);
-  cr_log_warn("calls a second: former rule %.1f, now %.1f", Former, Present);
+  cr_log_info("calls a second: former rule %.1f, now %.1f", Former, Present);
   cr_expect_leq(Present, 0.7 * Former, "%f against %f", Present, Former);
 }
 
