--- a/src/forwarding/tests/uplinkguard_test.cpp
+++ b/src/forwarding/tests/uplinkguard_test.cpp
@@ -20,6 +20,11 @@
 
   /// Requests that reached a target after their caller had left.
   int m_TooLate = 0;
+
+  /// When the strain first reached 1, when connecting first timed out, and when the guard refused.
+  int m_FullAt = -1;
+  int m_FirstTimeoutAt = -1;
+  int m_FirstRefusalAt = -1;
 };
 
 /// Plays ten seconds at a VM whose link sends one request in SendMs while one arrives every
@@ -37,6 +42,7 @@
     }
     if (Tries == 4 || (HasGuard && !Guard.mayConnect(At))) {
       ++Played.m_Refused;
+      Played.m_FirstRefusalAt = Played.m_FirstRefusalAt < 0 ? Now : Played.m_FirstRefusalAt;
       return;
     }
     Guard.onConnecting();
@@ -46,6 +52,7 @@
       Guard.onConnectEnded(fmt::format("t{}", (Arrived + Tries) % 50), HasTimedOut,
                            Start + std::chrono::milliseconds(Then));
       if (HasTimedOut) {
+        Played.m_FirstTimeoutAt = Played.m_FirstTimeoutAt < 0 ? Then : Played.m_FirstTimeoutAt;
         TryTarget(Then, Arrived, Tries + 1);
         return;
       }
@@ -57,6 +64,13 @@
   for (auto Time = 0; Time < 10000; Time += ArrivalMs) {
     Events.emplace(Time, [&TryTarget, Time](int Now) { TryTarget(Now, Time, 0); });
   }
+  for (auto Time = 0; Time < 10000; Time += 100) {
+    Events.emplace(Time, [&](int Now) {
+      if (Played.m_FullAt < 0 && Guard.strain(Start + std::chrono::milliseconds(Now)) >= 1.0) {
+        Played.m_FullAt = Now;
+      }
+    });
+  }
   while (!Events.empty()) {
     const auto First = Events.begin();
     const auto Now = First->first;
@@ -82,6 +96,17 @@
   cr_expect_eq(playFullLink(true, 20, 25).m_Refused, 0);
 }
 
+// Guards against a VM that is left out of the lists only after requests were lost at it.
+Test(uplinkguard, strainTellsOfAFullLinkBeforeRequestsAreRefused) {
+  const auto Full = playFullLink(true, 20, 6);
+  cr_log_info("full at %d ms, first timeout at %d, first refusal at %d", Full.m_FullAt,
+              Full.m_FirstTimeoutAt, Full.m_FirstRefusalAt);
+  cr_expect_geq(Full.m_FullAt, 0);
+  cr_expect_leq(Full.m_FullAt, Full.m_FirstTimeoutAt + 100);
+  cr_expect_lt(Full.m_FullAt, Full.m_FirstRefusalAt);
+  cr_expect_eq(playFullLink(true, 20, 25).m_FullAt, -1, "a link with room is not full");
+}
+
 Test(uplinkguard, fewSilentTargetsAreNoFullLink) {
   auto Guard = UplinkGuard(UplinkGuardOptions());
   for (auto Number = 0; Number < 30; ++Number) {
