A target that starts or recovers gets requests as it answers

All routers see such a target empty at the same moment, and each finds out with its own requests that it is slow or fails again. TargetPace allows one unanswered request, doubled by each answer; routers begin in turn by rendezvous rank, more slowly while none reports a request there. It takes the place of the probe after a pause.

--- a/src/forwarding/internal/forwardsession.cpp
+++ b/src/forwarding/internal/forwardsession.cpp
@@ -437,7 +437,7 @@
   if (Result == AttemptResult::Success) {
     recordResponseTime();
   }
-  m_Context.m_Targets.recordEnd(m_TargetId, heldTokens());
+  m_Context.m_Targets.recordEnd(m_TargetId, heldTokens(), m_AnsweredAt.has_value());
   m_Context.m_Targets.recordResult(m_TargetId, Result, now());
   m_Attempt.reset();
   m_IsPaused = false;
--- a/src/forwarding/internal/targetdirectory.cpp
+++ b/src/forwarding/internal/targetdirectory.cpp
@@ -2,7 +2,8 @@
 
 namespace geraniumlift::forwarding {
 
-auto TargetDirectory::put(const TargetRecord &Record, std::int64_t Revision) -> void {
+auto TargetDirectory::put(const TargetRecord &Record, std::int64_t Revision, base::SteadyTime Now)
+    -> void {
   auto &LastRevision = m_Revisions[Record.m_Id];
   if (Revision < LastRevision) {
     return;
@@ -18,7 +19,7 @@
       Before->record().m_Incarnation == Record.m_Incarnation) {
     Next.m_IsLeaving = true;
   }
-  if (m_Targets.put(Next)) {
+  if (m_Targets.put(Next, Now)) {
     m_Log.record(base::LogLevel::Info, Next.m_IsLeaving ? "target_leaving" : "target_changed",
                  {{"target", Next.m_Id},
                   {"pool", Next.m_Pool},
--- a/src/forwarding/internal/targetgate.cpp
+++ b/src/forwarding/internal/targetgate.cpp
@@ -1,6 +1,9 @@
 #include "forwarding/targetgate.h"
 
+#include "base/rendezvous.h"
+
 #include <algorithm>
+#include <limits>
 
 namespace geraniumlift::forwarding {
 
@@ -28,12 +31,27 @@
   if (Said.m_LeavingSince) {
     return {GateAccess::Open, true, GateReason::SaidLeaving, std::nullopt};
   }
-  if (Said.m_MustProbe && Said.m_Probes > 0) {
-    return {GateAccess::Open, true, GateReason::Paused, std::nullopt};
-  }
   return {};
 }
 
+auto TargetGate::checkPace(const TargetState &Target, base::SteadyTime Now) const -> GateDecision {
+  const auto &Pace = Target.pace();
+  if (!Pace.isPaced(m_RouterCount)) {
+    return {};
+  }
+  const auto Rank = base::rendezvousRank(Target.record().m_Id, m_Options.m_Router);
+  const auto Fleet = PaceFleet{m_RouterCount,
+                               static_cast<double>(Rank) /
+                                   static_cast<double>(std::numeric_limits<std::uint64_t>::max()),
+                               m_PeerLoad(Target.record()).m_ActiveRequests};
+  if (Pace.maySend(Fleet, Now)) {
+    return {};
+  }
+  const auto UntilTurn = Pace.untilTurn(Fleet, Now);
+  return {GateAccess::Open, true, GateReason::Pacing,
+          UntilTurn.count() > 0 ? std::optional(UntilTurn) : std::nullopt};
+}
+
 auto TargetGate::checkTarget(const TargetState &Target, const RequestRegions &Regions,
                              base::SteadyTime Now) const -> GateDecision {
   const auto &Record = Target.record();
@@ -55,6 +73,8 @@
     Decision.m_IsLastResort = true;
     Decision.m_Reason = GateReason::Ejected;
     Decision.m_RetryAfter = duration_cast<milliseconds>(Target.ejectedUntil() - Now);
+  } else if (!Decision.m_IsLastResort) {
+    Decision = checkPace(Target, Now);
   }
   if (!m_Limits.maySend(Target.limitKey())) {
     Decision.m_Reason = m_Limits.isCold(Target.limitKey()) ? GateReason::Cold : GateReason::Limited;
--- a/src/forwarding/internal/targettable.cpp
+++ b/src/forwarding/internal/targettable.cpp
@@ -38,10 +38,14 @@
   return std::min(CachedTokens, Prompt.m_PromptTokens);
 }
 
-auto TargetTable::put(const TargetRecord &Record) -> bool {
+auto TargetTable::put(const TargetRecord &Record, base::SteadyTime Now) -> bool {
+  const auto IsPoolInUse = poolSpeed(Record.m_Pool).samples() > 0.0;
   const auto Found = m_Targets.find(Record.m_Id);
   if (Found == m_Targets.end()) {
-    m_Targets.emplace(Record.m_Id, TargetState(Record));
+    const auto Added = m_Targets.emplace(Record.m_Id, TargetState(Record)).first;
+    if (IsPoolInUse) {
+      Added->second.m_Pace.begin(Now);
+    }
     return true;
   }
   auto &State = Found->second;
@@ -52,6 +56,9 @@
     State = TargetState(Record);
     State.m_OwnLoad = OwnLoad;
     State.m_HeldTokens = HeldTokens;
+    if (IsPoolInUse) {
+      State.m_Pace.begin(Now);
+    }
     return true;
   }
   const auto Changed = !isSameRecord(State.m_Record, Record);
@@ -95,9 +102,7 @@
   }
   auto &State = Found->second;
   ++State.m_OwnLoad.m_ActiveRequests;
-  if (State.m_Statements.m_MustProbe && Now >= State.m_Statements.m_PausedUntil) {
-    ++State.m_Statements.m_Probes;
-  }
+  State.m_Pace.onSent();
   if (Prompt == nullptr) {
     return;
   }
@@ -124,14 +129,16 @@
   }
 }
 
-auto TargetTable::recordEnd(const std::string &Id, Tokens HeldTokens) -> void {
+auto TargetTable::recordEnd(const std::string &Id, Tokens HeldTokens, bool IsAnswered) -> void {
   const auto Found = m_Targets.find(Id);
   if (Found != m_Targets.end()) {
     auto &State = Found->second;
     State.m_OwnLoad.m_ActiveRequests =
         std::max<std::int64_t>(0, State.m_OwnLoad.m_ActiveRequests - 1);
     State.m_HeldTokens = std::max<Tokens>(0, State.m_HeldTokens - HeldTokens);
-    State.m_Statements.m_Probes = std::max<std::int64_t>(0, State.m_Statements.m_Probes - 1);
+    if (!IsAnswered) {
+      State.m_Pace.onUnansweredEnd();
+    }
   }
 }
 
@@ -141,6 +148,7 @@
   if (auto *State = findProcess(Id, Incarnation)) {
     const auto Ms = static_cast<double>(Time.count());
     const auto Prior = poolFigures(State->m_Record.m_Pool, Work.m_HasPrompt, Now);
+    State->m_Pace.onAnswered();
     State->m_Speed.recordFirstEvent(Work.m_Ahead, Work.m_Slots, Ms, Prior, Now);
     m_Pools[State->m_Record.m_Pool].m_Speed.recordFirstEvent(
         Work.m_Ahead, Work.m_Slots, Ms, SpeedFigures::assumed(Work.m_HasPrompt), Now);
@@ -188,19 +196,19 @@
     return;
   }
   auto &State = Found->second;
-  if (Now >= State.m_Statements.m_PausedUntil) {
-    State.m_Statements.m_MustProbe = false;
-  }
   const auto Failed = Result != AttemptResult::Success;
   State.m_FailureRate +=
       m_Options.m_FailureRateSmoothing * ((Failed ? 1.0 : 0.0) - State.m_FailureRate);
   if (!Failed) {
     State.m_ConsecutiveFailures = 0;
+    if (Now >= State.m_Statements.m_PausedUntil) {
+      State.m_Pace.onSuccess();
+    }
     return;
   }
   ++State.m_ConsecutiveFailures;
   // A single failed response does not eject a healthy target; being unresponsive does at once.
-  const auto IsEjected = Result == AttemptResult::Unresponsive ||
+  const auto IsEjected = Result == AttemptResult::Unresponsive || State.m_Pace.isBeginning() ||
                          State.m_ConsecutiveFailures >= 2 ||
                          State.m_FailureRate > m_Options.m_MaxFailureRate;
   if (IsEjected) {
@@ -208,6 +216,7 @@
     const auto EjectionTime =
         std::min(m_Options.m_BaseEjectionTime * (1 << Doublings), m_Options.m_MaxEjectionTime);
     State.m_EjectedUntil = std::max(State.m_EjectedUntil, Now + EjectionTime);
+    State.m_Pace.begin(State.m_EjectedUntil);
   }
 }
 
@@ -230,8 +239,7 @@
   if (auto *State = findProcess(Id, Incarnation)) {
     auto &Statements = State->m_Statements;
     Statements.m_PausedUntil = std::max(Statements.m_PausedUntil, Now + Pause);
-    Statements.m_MustProbe = true;
-    Statements.m_Probes = 0;
+    State->m_Pace.begin(Statements.m_PausedUntil);
   }
 }
 
--- a/src/forwarding/targetdirectory.h
+++ b/src/forwarding/targetdirectory.h
@@ -18,7 +18,7 @@
 
   /// Applies a registration as of a store revision. Revisions older than the last one applied for
   /// the target are ignored.
-  auto put(const TargetRecord &Record, std::int64_t Revision) -> void;
+  auto put(const TargetRecord &Record, std::int64_t Revision, base::SteadyTime Now = {}) -> void;
 
   /// Marks a target for removal because its registration was deleted or has become unreadable.
   /// Takes effect with applyRemovals().
--- a/src/forwarding/targetgate.h
+++ b/src/forwarding/targetgate.h
@@ -6,6 +6,8 @@
 #include "quarantine/ipromptquarantine.h"
 #include "ratelimits/itargetlimits.h"
 
+#include <functional>
+
 namespace geraniumlift::forwarding {
 
 /// Why this router may not send a request to a target, or only as a last resort.
@@ -15,10 +17,13 @@
   Leaving,
   /// The target has said in a response that it is leaving.
   SaidLeaving,
-  /// The target has asked for a pause, or has not answered since one ended.
+  /// The target has asked for a pause.
   Paused,
   /// The target is ejected after failures.
   Ejected,
+  /// The target has just started or recovered and gets no more requests until it answers, or other
+  /// routers are to send first.
+  Pacing,
   /// The target names a limit, and this router holds no permit.
   Limited,
   /// The target is cold, and this router holds no permit.
@@ -37,6 +42,7 @@
     base::NamedValue<GateReason>{GateReason::SaidLeaving, "said_leaving"},
     base::NamedValue<GateReason>{GateReason::Paused, "paused"},
     base::NamedValue<GateReason>{GateReason::Ejected, "ejected"},
+    base::NamedValue<GateReason>{GateReason::Pacing, "pacing"},
     base::NamedValue<GateReason>{GateReason::Limited, "limited"},
     base::NamedValue<GateReason>{GateReason::Cold, "cold"},
     base::NamedValue<GateReason>{GateReason::Evacuated, "evacuated"},
@@ -74,6 +80,9 @@
 
   /// Region of each data centre.
   std::map<std::string, std::string> m_Regions;
+
+  /// Name of this router, for its place among the routers that begin to send to a target.
+  std::string m_Router;
 };
 
 /// Regions in which a request may be served: those of its route and of its workspace. An empty list
@@ -123,16 +132,32 @@
   }
   [[nodiscard]] auto evacuated() const -> const std::set<std::string> & { return m_Evacuated; }
 
+  /// Sets the number of routers that may send to the same targets, this one included.
+  auto setRouterCount(std::int64_t Count) -> void { m_RouterCount = Count; }
+
+  /// Sets where to learn what other routers report to have at a target.
+  auto setPeerLoad(std::function<TargetLoad(const TargetRecord &)> Source) -> void {
+    m_PeerLoad = std::move(Source);
+  }
+
   /// Records whether connecting to targets succeeds.
   [[nodiscard]] auto uplink() -> UplinkGuard & { return m_Uplink; }
 
 private:
   /// Whether the target's responses close it: after it has said that it is leaving, and during a
-  /// pause. At the end of a pause one request probes the target before others follow.
+  /// pause.
   [[nodiscard]] auto checkStatements(const TargetState &Target, base::SteadyTime Now) const
       -> GateDecision;
 
+  /// Whether the target's pace leaves it to other routers or to earlier requests.
+  [[nodiscard]] auto checkPace(const TargetState &Target, base::SteadyTime Now) const
+      -> GateDecision;
+
   GateOptions m_Options;
+  std::int64_t m_RouterCount = 1;
+  std::function<TargetLoad(const TargetRecord &)> m_PeerLoad = [](const TargetRecord &) {
+    return TargetLoad();
+  };
   ratelimits::ITargetLimits &m_Limits;
   quarantine::IPromptQuarantine &m_Quarantine;
   std::set<std::string> m_Evacuated;
--- a/src/forwarding/targettable.h
+++ b/src/forwarding/targettable.h
@@ -2,6 +2,7 @@
 
 #include "base/iclock.h"
 #include "forwarding/requesttypes.h"
+#include "forwarding/targetpace.h"
 #include "forwarding/targetspeed.h"
 #include "ratelimits/limittypes.h"
 
@@ -70,12 +71,6 @@
   /// End of the longest pause that it has asked for.
   base::SteadyTime m_PausedUntil;
 
-  /// Whether no request has been answered since the last pause.
-  bool m_MustProbe = false;
-
-  /// Requests sent since the end of the pause that have not ended.
-  std::int64_t m_Probes = 0;
-
   /// Number of unreadable statements.
   std::int64_t m_Unreadable = 0;
 };
@@ -106,6 +101,9 @@
 
   [[nodiscard]] auto statements() const -> const TargetStatements & { return m_Statements; }
 
+  /// How many requests the target may get after it has started or recovered.
+  [[nodiscard]] auto pace() const -> const TargetPace & { return m_Pace; }
+
   /// How fast the target's process answers.
   [[nodiscard]] auto speed() const -> const TargetSpeed & { return m_Speed; }
 
@@ -126,6 +124,7 @@
   absl::flat_hash_map<std::string, base::SteadyTime> m_CachedParts;
   TargetStatements m_Statements;
   TargetSpeed m_Speed;
+  TargetPace m_Pace;
   Tokens m_HeldTokens = 0;
   base::SteadyTime m_EjectedUntil;
   double m_FailureRate = 0.0;
@@ -156,8 +155,10 @@
   explicit TargetTable(HealthOptions Options) : m_Options(Options) {}
 
   /// Adds a target or updates its registration. A new incarnation resets everything but the load.
-  /// Returns whether the target is new or restarted, or its registration has changed.
-  auto put(const TargetRecord &Record) -> bool;
+  /// Returns whether the target is new or restarted, or its registration has changed. A new or
+  /// restarted target is paced if its pool has answered this router before; what a router finds
+  /// when it starts itself is not new.
+  auto put(const TargetRecord &Record, base::SteadyTime Now = {}) -> bool;
 
   /// Removes a target. Returns whether it existed.
   auto remove(const std::string &Id) -> bool;
@@ -181,8 +182,8 @@
   auto recordResponseStart(const std::string &Id, Tokens UncachedTokens) -> void;
 
   /// Removes an ended request from the target's load; HeldTokens are those of its prompt and output
-  /// limit.
-  auto recordEnd(const std::string &Id, Tokens HeldTokens = 0) -> void;
+  /// limit. IsAnswered says whether recordFirstEvent() was called for it.
+  auto recordEnd(const std::string &Id, Tokens HeldTokens = 0, bool IsAnswered = false) -> void;
 
   /// Learns from the time between the sending of a request to a process and the first event of its
   /// successful response. Ignored if another process runs under the ID by now.
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -103,6 +103,7 @@
   // placed in the last moment has yet to arrive there.
   Options.m_LeavingGrace = Settings.m_DrainTime / 2;
   Options.m_Regions = Settings.m_Regions;
+  Options.m_Router = Settings.m_Vm;
   return Options;
 }
 
@@ -192,6 +193,9 @@
       m_DirectoryServer(Dependencies.m_Loop, Dependencies.m_Timers, transport::ServerOptions{512}),
       m_StoreMonitor(Dependencies.m_Store, Dependencies.m_Timers, Dependencies.m_Clock,
                      Dependencies.m_Log, [this](bool IsReachable) { onReachable(IsReachable); }) {
+  m_Gate.setPeerLoad([this](const forwarding::TargetRecord &Target) {
+    return m_Peers.peerLoad(Target.m_Id, now());
+  });
   m_Grants.setOnCallFailed([this] { m_StoreMonitor.probeNow(); });
   m_Quarantine.setPublisher([this](const quarantine::QuarantineUpdate &Update) {
     m_PeerLink.sendToNeighbours(QuarantineByte + encodeUpdate(Update));
@@ -436,7 +440,7 @@
   const auto Record = m_Dependencies.m_Documents.decodeTarget(Item.m_Key, Item.m_Value);
   m_Subscription.mirror().put(Item, Record.ok() ? meaningOf(*Record) : "unreadable");
   if (Record.ok()) {
-    m_TargetDirectory.put(*Record, Item.m_ModRevision);
+    m_TargetDirectory.put(*Record, Item.m_ModRevision, now());
     applyColdTime(*Record);
     return;
   }
@@ -524,6 +528,7 @@
   const auto AlivePeers = m_Peers.alivePeers(now());
   m_Grants.setFleet(Routers, AlivePeers);
   m_Placement.setRouterCount(AlivePeers.size() + 1);
+  m_Gate.setRouterCount(static_cast<std::int64_t>(AlivePeers.size()) + 1);
   updateRetryBudgets();
   m_TargetDirectory.removeExpired(now());
   if (m_Subscription.followsBudgets() && m_Grants.shardCount() > 1) {
