Pace only where the settings ask for it

What is new must take effect only where a deployment calls for it.

Change: setting targets.paced, false by default. After a pause that a target asked for, the pace stays.

--- a/src/forwarding/internal/targettable.cpp
+++ b/src/forwarding/internal/targettable.cpp
@@ -43,7 +43,7 @@
   const auto Found = m_Targets.find(Record.m_Id);
   if (Found == m_Targets.end()) {
     const auto Added = m_Targets.emplace(Record.m_Id, TargetState(Record)).first;
-    if (IsPoolInUse) {
+    if (IsPoolInUse && m_Options.m_IsPaced) {
       Added->second.m_Pace.begin(Now);
     }
     return true;
@@ -56,7 +56,7 @@
     State = TargetState(Record);
     State.m_OwnLoad = OwnLoad;
     State.m_HeldTokens = HeldTokens;
-    if (IsPoolInUse) {
+    if (IsPoolInUse && m_Options.m_IsPaced) {
       State.m_Pace.begin(Now);
     }
     return true;
@@ -216,7 +216,9 @@
     const auto EjectionTime =
         std::min(m_Options.m_BaseEjectionTime * (1 << Doublings), m_Options.m_MaxEjectionTime);
     State.m_EjectedUntil = std::max(State.m_EjectedUntil, Now + EjectionTime);
-    State.m_Pace.begin(State.m_EjectedUntil);
+    if (m_Options.m_IsPaced) {
+      State.m_Pace.begin(State.m_EjectedUntil);
+    }
   }
 }
 
--- a/src/forwarding/targettable.h
+++ b/src/forwarding/targettable.h
@@ -61,6 +61,10 @@
 
   /// Weight of the newest attempt in the exponential moving average of the failure rate.
   double m_FailureRateSmoothing = 0.12;
+
+  /// Whether targets that have started, restarted or been ejected get requests as they answer; see
+  /// TargetPace. After a pause they always do.
+  bool m_IsPaced = true;
 };
 
 /// What a target has said about itself in its responses.
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -108,6 +108,12 @@
   return Options;
 }
 
+auto healthOptions(const RouterSettings &Settings) -> forwarding::HealthOptions {
+  auto Options = forwarding::HealthOptions();
+  Options.m_IsPaced = Settings.m_IsPaced;
+  return Options;
+}
+
 auto gateOptions(const RouterSettings &Settings) -> forwarding::GateOptions {
   auto Options = forwarding::GateOptions();
   // Half of the time within which a leaving target must get no more requests: a request that was
@@ -184,7 +190,7 @@
                                          seedOf(m_Settings, m_Incarnation)),
                      Dependencies.m_Store, m_PeerLink, Dependencies.m_Timers, Dependencies.m_Clock,
                      Dependencies.m_Log, *this),
-      m_Targets(forwarding::HealthOptions()), m_TargetDirectory(m_Targets, Dependencies.m_Log),
+      m_Targets(healthOptions(m_Settings)), m_TargetDirectory(m_Targets, Dependencies.m_Log),
       m_Grants(m_Settings.m_Vm,
                grantOptions(m_Settings, m_Incarnation, Dependencies.m_Clock.steadyNow()),
                Dependencies.m_Store, m_PeerLink, Dependencies.m_Timers, Dependencies.m_Clock,
--- a/src/router/internal/routersettings.cpp
+++ b/src/router/internal/routersettings.cpp
@@ -118,6 +118,20 @@
   return readString(Table, "peers.ip", Out.m_Peers.m_Ip);
 }
 
+/// Reads true or false. The output keeps its default if the key is missing.
+auto readFlag(const toml::table &Table, std::string_view Key, bool &Out) -> absl::Status {
+  const auto Node = Table.at_path(Key);
+  if (!Node) {
+    return absl::OkStatus();
+  }
+  const auto Value = Node.value_exact<bool>();
+  if (!Value) {
+    return invalidSetting(Key, "true or false");
+  }
+  Out = *Value;
+  return absl::OkStatus();
+}
+
 /// Reads the regions by data centre; the table may be missing.
 auto readRegions(const toml::table &Table, std::map<std::string, std::string> &Out)
     -> absl::Status {
@@ -168,6 +182,7 @@
         readMilliseconds(Table, "store.configuration_time_ms", Result.m_ConfigurationTime),
         readRegions(Table, Result.m_Regions),
         readMilliseconds(Table, "peers.contact_time_ms", Result.m_ContactTime),
+        readFlag(Table, "targets.paced", Result.m_IsPaced),
         readNumber(Table, "cold_targets.overage", Result.m_ColdOverage),
         readNumber(Table, "cold_targets.slack", Result.m_ColdSlack),
         readNumber(Table, "retries.share", Result.m_RetryShare),
--- a/src/router/routersettings.h
+++ b/src/router/routersettings.h
@@ -63,6 +63,9 @@
   /// Time after which a router that has lost most of the others takes them for gone.
   std::chrono::milliseconds m_ContactTime{3000};
 
+  /// Whether targets that have started or recovered get requests as they answer.
+  bool m_IsPaced = false;
+
   /// How far all routers together may exceed, in one second, what a cold target tolerates: by a
   /// factor and by a number of requests.
   double m_ColdOverage = 1.5;
--- a/src/router/tests/routersettings_test.cpp
+++ b/src/router/tests/routersettings_test.cpp
@@ -19,6 +19,8 @@
 ip = "10.0.0.1"
 ports = "7340,7355"
 contact_time_ms = "4000"
+[targets]
+paced = true
 [cold_targets]
 overage = ""
 slack = "7"
@@ -59,6 +61,7 @@
   cr_expect_float_eq(Settings->m_LinkMbps, 12.5, 1e-9);
   cr_expect_eq(Settings->m_MaxDescriptors, RouterSettings().m_MaxDescriptors);
   cr_expect_eq(Settings->m_ContactTime.count(), 4000);
+  cr_expect(Settings->m_IsPaced);
   cr_expect_float_eq(Settings->m_ColdOverage, 1.5, 1e-9);
   cr_expect_float_eq(Settings->m_ColdSlack, 7.0, 1e-9);
   cr_expect_eq(Settings->m_Regions.at("b"), "south");
@@ -80,4 +83,5 @@
   cr_expect(ErrorNames(withReplaced("\"8.5\"", "\"soon\""), "stop.time_s"));
   cr_expect(ErrorNames(withReplaced("[stop]", "[stop"), "line"));
   cr_expect(ErrorNames(withReplaced("\"south\"", "7"), "regions.b"));
+  cr_expect(ErrorNames(withReplaced("paced = true", "paced = \"sometimes\""), "targets.paced"));
 }
