--- a/src/budget/granttypes.h
+++ b/src/budget/granttypes.h
@@ -120,6 +120,11 @@
   double m_DividedShareAfterKill = 0.1;
   std::chrono::milliseconds m_KillMemory{10000};
 
+  /// Fraction of the prepaid tokens that must be left for a division, and from which on it is
+  /// whole.
+  double m_NoDivisionBelow = 0.1;
+  double m_FullDivisionAbove = 0.5;
+
   /// Part of its own reserve that the owner of a divided shard keeps.
   double m_OwnerShare = 0.5;
 
--- a/src/budget/internal/grantallocator.cpp
+++ b/src/budget/internal/grantallocator.cpp
@@ -157,8 +157,15 @@
   }
   const auto IsAfterKill = m_StrandedAt && Now - *m_StrandedAt < m_Options.m_KillMemory;
   const auto Fraction = IsAfterKill ? m_Options.m_DividedShareAfterKill : m_Options.m_DividedShare;
-  const auto Left = freeTokensOf(Found->second) + unreservedTokens(Found->second) + HeldAhead;
-  return static_cast<Tokens>(Fraction * static_cast<double>(Left));
+  const auto Left = static_cast<double>(freeTokensOf(Found->second) +
+                                        unreservedTokens(Found->second) + HeldAhead);
+  // What one router holds serves no other, so that little is held of a budget near its end.
+  const auto LeftFraction = Left / std::max(1.0, static_cast<double>(Found->second.m_Prepaid));
+  const auto Freshness =
+      std::clamp((LeftFraction - m_Options.m_NoDivisionBelow) /
+                     (m_Options.m_FullDivisionAbove - m_Options.m_NoDivisionBelow),
+                 0.0, 1.0);
+  return static_cast<Tokens>(Fraction * Freshness * Left);
 }
 
 auto GrantAllocator::takeReceived(const std::string &Budget, Tokens Most) -> Tokens {
--- a/src/budget/tests/reserveplanner_test.cpp
+++ b/src/budget/tests/reserveplanner_test.cpp
@@ -65,7 +65,7 @@
   auto Load = CutLoad{std::vector<double>(77, 0.0)};
   Load.m_PerSecond[3] = 20.0;
   Load.m_PerSecond[40] = 10.0;
-  Load.m_Reserve = 240 * 9000;
+  Load.m_Reserve = Tokens{240} * 9000;
   cr_expect_geq(servedByDemand(Load), 230);
   cr_expect_leq(servedByEvenShare(Load), 6);
 }
@@ -73,7 +73,7 @@
 // Guards against reserves that are smaller than one request at every router.
 Test(reserveplanner, smallReserveIsHeldInWholeRequestsBySomeRouters) {
   auto Load = CutLoad{std::vector<double>(77, 0.25)};
-  Load.m_Reserve = 40 * 9000;
+  Load.m_Reserve = Tokens{40} * 9000;
   cr_expect_geq(servedByDemand(Load), 25);
   cr_expect_leq(servedByDemand(Load), 55);
   cr_expect_eq(servedByEvenShare(Load), 0);
@@ -81,7 +81,7 @@
 
 Test(reserveplanner, evenDemandIsServedInACut) {
   auto Load = CutLoad{std::vector<double>(77, 0.5)};
-  Load.m_Reserve = 77 * 6 * 9000;
+  Load.m_Reserve = Tokens{77} * 6 * 9000;
   cr_expect_geq(servedByDemand(Load), 300);
 }
 
