--- a/review/rig/httpchannel.cpp
+++ b/review/rig/httpchannel.cpp
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <array>
+#include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -39,6 +40,15 @@
   }
 }
 
+auto HttpChannel::isOpen() const -> bool {
+  if (m_Socket < 0) {
+    return false;
+  }
+  auto Byte = char{0};
+  const auto Size = ::recv(m_Socket, &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return Size > 0 || (Size < 0 && errno == EAGAIN);
+}
+
 auto HttpChannel::send(const std::string &Bytes) const -> bool {
   std::size_t Done = 0;
   while (Done < Bytes.size()) {
--- a/review/rig/httpchannel.h
+++ b/review/rig/httpchannel.h
@@ -16,7 +16,7 @@
 
   /// Whether the other side has closed the channel.
   bool m_IsClosed = false;
-  bool m_KeepsChannel = true;
+  bool m_KeepsChannel = false;
   std::string m_Body;
 };
 
@@ -31,7 +31,9 @@
   /// Opens the channel unless it is open. Returns false if that fails.
   auto open() -> bool;
   auto close() -> void;
-  [[nodiscard]] auto isOpen() const -> bool { return m_Socket >= 0; }
+
+  /// Whether the channel is open and the other side has not closed it.
+  [[nodiscard]] auto isOpen() const -> bool;
   [[nodiscard]] auto socket() const -> int { return m_Socket; }
 
   auto send(const std::string &Bytes) const -> bool;
