--- a/review/rig/client.cpp
+++ b/review/rig/client.cpp
@@ -9,7 +9,10 @@
 namespace {
 
 constexpr auto Pause = 300ms;
-constexpr auto StartSpread = 15;
+
+/// Clients begin one after the other, so that at any time some wait for their first event.
+constexpr auto StartStep = 55ms;
+constexpr auto StartSpread = 3300ms;
 
 /// A client waits for at most its deadline of 5 s and a little for the answer to arrive.
 constexpr auto Patience = 6s;
@@ -22,7 +25,7 @@
 }
 
 auto Client::run(const std::atomic<bool> &IsOver) -> void {
-  std::this_thread::sleep_for(std::chrono::milliseconds(m_Number * StartSpread));
+  std::this_thread::sleep_for(m_Number * StartStep % StartSpread);
   while (!IsOver) {
     sendOne();
     std::this_thread::sleep_for(Pause);
