--- a/review/rig/rig.cpp
+++ b/review/rig/rig.cpp
@@ -176,7 +176,7 @@
   }
 }
 
-auto Deployment::configure(int Version, const std::string &MoreRoutes) -> void {
+auto Deployment::configure(int Version, const std::string &Tenants) -> void {
   m_Store->put(
       "op/config",
       fmt::format(
@@ -184,14 +184,11 @@
           R"({{"name":"dossier","host":"h","pathPrefix":"/dossier/","kind":"streaming",)"
           R"("timeoutMs":5000,"targetLatencyMs":600,"priority":0,"service":"engines",)"
           R"("maxAttempts":2,"public":false,"sticky":true,"resumable":true,"targetGapMs":250}})"
-          R"({}],"services":[{{"name":"engines","healthPath":"/health","maxConnections":370,)"
-          R"("engine":{{"slots":64,"kvCapacityTokens":243249,"stride":5}}}},)"
-          R"({{"name":"ledger","healthPath":"/health","maxConnections":110}},)"
-          R"({{"name":"ledger-2","healthPath":"/health","maxConnections":110}}],)"
+          R"(],"services":[{{"name":"engines","healthPath":"/health","maxConnections":370,)"
+          R"("engine":{{"slots":64,"kvCapacityTokens":243249,"stride":5}}}}],)"
           R"("limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,)"
-          R"("idleTimeoutMs":15000}},"tenants":[{{"name":"w","apiKeys":["k"],)"
-          R"("prepaid":400000000}}]}})",
-          Version, MoreRoutes));
+          R"("idleTimeoutMs":15000}},"tenants":{}}})",
+          Version, Tenants));
 }
 
 auto Deployment::addRouters(int Count, int MemoryMb) -> void {
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -105,8 +105,12 @@
   Deployment(const Deployment &) = delete;
   auto operator=(const Deployment &) -> Deployment & = delete;
 
-  /// Writes a configuration with one streaming route and one booking route.
-  auto configure(int Version, const std::string &MoreRoutes = "") -> void;
+  /// One tenant with the key `k`, and more tokens than a run can use.
+  static constexpr auto DefaultTenants = R"([{"name":"w","apiKeys":["k"],"prepaid":400000000}])";
+
+  /// Writes a configuration with one streaming route.
+  /// The tenants are a JSON list.
+  auto configure(int Version, const std::string &Tenants = DefaultTenants) -> void;
   auto addRouters(int Count, int MemoryMb) -> void;
   auto addEngine(const std::string &Service, EngineTimes Times) -> EngineVm &;
 
