Answers cut by a reset during the upload are not complete

What callers saw: a target answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection; callers got that part as the whole answer.

Cause: the system reports a reset of a connection once. While the request was still being written, the write got the error, which was ignored, and the next read saw a regular end, which completes a response that has neither a length nor chunks. The store's client had the same fault, and also kept the connection of an early answer for the next call although the rest of the body was still due.

Change: RequestExchange reads the responses of targets and of the store. A response that ends with its connection is complete only if no write failed, the socket has no pending error and the peer has received the request; a peer that ended only its own side gets the time to read the rest. A connection is kept only if the request was written whole.

--- a/src/http1/internal/messageparser.cpp
+++ b/src/http1/internal/messageparser.cpp
@@ -226,6 +226,11 @@
   return m_State->feed(Bytes);
 }
 
+auto ResponseParser::endsAtClose() const -> bool {
+  const auto &Parser = m_State->m_Parser;
+  return Parser.is_header_done() && !Parser.is_done() && Parser.need_eof();
+}
+
 auto ResponseParser::finishAtClose() -> absl::Status {
   auto Error = error_code();
   if (m_State->m_Started) {
--- a/src/http1/messageparser.h
+++ b/src/http1/messageparser.h
@@ -57,8 +57,11 @@
   /// Like RequestParser::feed.
   auto feed(std::string_view Bytes) -> absl::StatusOr<std::size_t>;
 
-  /// Ends the message because the peer has closed the connection. Returns InvalidArgument if the
-  /// message is incomplete.
+  /// Whether the header has arrived and only the end of the connection ends the body.
+  [[nodiscard]] auto endsAtClose() const -> bool;
+
+  /// Ends the message because the peer has closed the connection in order. Returns InvalidArgument
+  /// if the message is incomplete.
   auto finishAtClose() -> absl::Status;
 
   [[nodiscard]] auto hasStarted() const -> bool;
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -1,9 +1,8 @@
 #include "transport/httpclient.h"
 
-#include <array>
-#include <boost/asio/ip/tcp.hpp>
+#include "transport/requestexchange.h"
+
 #include <boost/asio/post.hpp>
-#include <boost/asio/write.hpp>
 #include <fmt/format.h>
 #include <netinet/tcp.h>
 #include <vector>
@@ -19,9 +18,6 @@
 /// Maximum number of idle connections to keep. Concurrent calls need one connection each.
 constexpr auto MaxIdleConnections = std::size_t{3};
 
-/// Size of the read buffer in bytes.
-constexpr auto ReadBytes = std::size_t{16} * 1024;
-
 /// Limits of a response, which may be a page of about a megabyte, base64 included.
 constexpr auto ResponseLimits = http1::MessageLimits{16 * 1024, std::uint64_t{8} * 1024 * 1024};
 
@@ -53,8 +49,8 @@
   std::vector<tcp::socket> m_Idle = {};
 };
 
-/// One call. Its pending operations keep it alive.
-class Call final : public std::enable_shared_from_this<Call> {
+/// One call. Its timer keeps it alive until it ends.
+class Call final : public IResponseHandler, public std::enable_shared_from_this<Call> {
 public:
   Call(std::shared_ptr<ConnectionPool> Pool, CallRequest Request, HttpClient::Callback Done)
       : m_Pool(std::move(Pool)), m_Socket(m_Pool->m_Loop), m_Request(std::move(Request)),
@@ -67,9 +63,9 @@
       Head.m_Fields.add("Content-Type", "application/json");
     }
     const auto HasBody = m_Request.m_Method != "GET";
-    m_RequestText = formatRequestHead(Head, HasBody ? http1::Framing::Length : http1::Framing::None,
-                                      m_Request.m_Body.size()) +
-                    m_Request.m_Body;
+    m_HeadText = formatRequestHead(Head, HasBody ? http1::Framing::Length : http1::Framing::None,
+                                   m_Request.m_Body.size());
+    m_Body = std::make_shared<const std::string>(std::move(m_Request.m_Body));
     m_Timer = m_Pool->m_Timers.start(base::SteadyTime::clock::now() + m_Request.m_Timeout,
                                      [Self = shared_from_this()] {
                                        Self->m_Timer = 0;
@@ -120,55 +116,29 @@
       return;
     }
     m_IsSent = true;
-    asio::async_write(m_Socket, asio::buffer(m_RequestText),
-                      [Self = shared_from_this()](const error_code &, std::size_t) {
-                        // After a failed write the read fails too.
-                      });
-    read();
+    m_Response.emplace();
+    const auto Exchange = std::make_shared<RequestExchange>(std::move(m_Socket), ResponseLimits,
+                                                            false, shared_from_this());
+    m_Exchange = Exchange;
+    Exchange->start(m_HeadText, m_Body);
   }
 
-  auto read() -> void {
-    m_Socket.async_read_some(
-        asio::buffer(m_Buffer),
-        [Self = shared_from_this()](const error_code &Error, std::size_t Size) {
-          Self->onRead(Error, Size);
-        });
-  }
+  auto onHead(http1::ResponseHead &Head) -> void override { m_Response->m_Status = Head.m_Status; }
 
-  auto onRead(const error_code &Error, std::size_t Size) -> void {
-    if (!m_Done) {
-      return;
-    }
-    if (Error) {
-      onReadError(Error);
-      return;
-    }
-    const auto Bytes = std::string_view(m_Buffer.data(), Size);
-    const auto Used = m_Parser.feed(Bytes);
-    if (!Used.ok()) {
-      fail();
-      return;
-    }
-    if (!m_Parser.isDone()) {
-      read();
-      return;
-    }
-    const auto IsReusable = *Used == Bytes.size() && m_Parser.keepsConnection();
+  auto onBody(std::string Bytes) -> void override { m_Response->m_Body += Bytes; }
+
+  auto onEnd(bool IsReusable) -> void override {
     if (IsReusable && m_Pool->m_Idle.size() < MaxIdleConnections) {
-      m_Pool->m_Idle.push_back(std::move(m_Socket));
+      m_Pool->m_Idle.push_back(m_Exchange.lock()->takeSocket());
     }
-    succeed();
+    finish({std::move(m_Response)});
   }
 
-  auto onReadError(const error_code &Error) -> void {
-    if (Error == asio::error::eof && m_Parser.hasStarted() && m_Parser.finishAtClose().ok()) {
-      succeed();
-      return;
-    }
+  auto onBroken(std::string_view) -> void override {
     // The service may have closed the reused connection before the request reached it. A GET is
     // retried at once on a new connection. The outcome of a write is unknown, so the caller
     // decides.
-    if (m_IsReused && !m_Parser.hasStarted() && m_Request.m_Method == "GET") {
+    if (m_IsReused && !m_Exchange.lock()->hasStarted() && m_Request.m_Method == "GET") {
       m_IsReused = false;
       m_Pool->m_Idle.clear();
       connect();
@@ -177,12 +147,6 @@
     fail();
   }
 
-  auto succeed() -> void {
-    auto Result = CallResult();
-    Result.m_Response = CallResponse{m_Parser.head().m_Status, std::move(m_Parser.body())};
-    finish(std::move(Result));
-  }
-
   auto fail() -> void {
     if (m_IsReused) {
       // What broke this connection has probably broken the other idle ones too.
@@ -198,6 +162,9 @@
     m_Pool->m_Timers.cancel(std::exchange(m_Timer, 0));
     auto Ignored = error_code();
     m_Socket.close(Ignored);
+    if (const auto Exchange = m_Exchange.lock()) {
+      Exchange->abort();
+    }
     const auto Done = std::exchange(m_Done, {});
     Done(std::move(Result));
   }
@@ -206,12 +173,15 @@
   tcp::socket m_Socket;
   CallRequest m_Request;
   HttpClient::Callback m_Done;
-  std::string m_RequestText;
-  http1::ResponseParser m_Parser{ResponseLimits};
+  std::string m_HeadText;
+  std::shared_ptr<const std::string> m_Body;
+
+  /// Its pending operations keep it alive, and it keeps this call alive.
+  std::weak_ptr<RequestExchange> m_Exchange;
+  std::optional<CallResponse> m_Response;
   base::TimerId m_Timer = 0;
   bool m_IsReused = false;
   bool m_IsSent = false;
-  std::array<char, ReadBytes> m_Buffer;
 };
 
 } // namespace
--- a/src/transport/tests/httpclient_test.cpp
+++ b/src/transport/tests/httpclient_test.cpp
@@ -1,6 +1,7 @@
 #include "transport/httpclient.h"
 
 #include "transport/asiotimers.h"
+#include "transport/tests/earlyserver.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -10,6 +11,7 @@
 
 using namespace geraniumlift;
 using namespace geraniumlift::transport;
+using namespace geraniumlift::transport::tests;
 using namespace std::chrono_literals;
 using boost::asio::ip::tcp;
 using boost::system::error_code;
@@ -87,3 +89,40 @@
   }
   cr_assert(Answers == (std::vector<std::string>{"1", "2", "3"}));
 }
+
+// Guards against a part of an answer that passes for the whole, because the service resets the
+// connection while the call's body is still being written.
+Test(httpclient, unframedAnswerOfAResetConnectionIsNoResponse) {
+  using Ending = EarlyServer::Ending;
+  for (const auto Size : UploadBytes) {
+    for (const auto How : {Ending::Reset, Ending::LateReset, Ending::HalfCloseAndReset}) {
+      auto Loop = boost::asio::io_context();
+      auto Timers = AsioTimers(Loop);
+      auto Service = EarlyServer(Loop, Timers, "HTTP/1.1 200 OK\r\n\r\n{}", How);
+      auto Client = HttpClient(Loop, Timers, "127.0.0.1", Service.port());
+      auto Results = std::vector<CallResult>();
+      Client.call({"POST", "/", std::string(Size, 'x')},
+                  [&Results](const CallResult &Result) { Results.push_back(Result); });
+      Loop.run_for(300ms);
+      cr_assert_eq(Results.size(), 1U);
+      cr_expect_not(Results[0].m_Response.has_value(), "%zu bytes, ending %d", Size,
+                    static_cast<int>(How));
+    }
+  }
+}
+
+// Guards against a connection that is kept for the next call while the service still expects the
+// rest of this one's body.
+Test(httpclient, connectionOfAnEarlyAnswerIsNotKept) {
+  auto Loop = boost::asio::io_context();
+  auto Timers = AsioTimers(Loop);
+  auto Service = EarlyServer(Loop, Timers, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+                             EarlyServer::Ending::Stay);
+  auto Client = HttpClient(Loop, Timers, "127.0.0.1", Service.port());
+  auto Answers = 0;
+  Client.call({"POST", "/", std::string(UploadBytes.back(), 'x')},
+              [&Answers](const CallResult &Result) { Answers += Result.m_Response ? 1 : 0; });
+  Loop.run_for(100ms);
+  cr_expect_eq(Answers, 1);
+  cr_expect(Service.isClosedByPeer());
+}
--- a/src/transport/tests/targetconnector_test.cpp
+++ b/src/transport/tests/targetconnector_test.cpp
@@ -2,15 +2,18 @@
 
 #include "base/systemclock.h"
 #include "transport/asiotimers.h"
+#include "transport/tests/earlyserver.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
+#include <fmt/format.h>
 
 using namespace geraniumlift;
 using namespace geraniumlift::transport;
+using namespace geraniumlift::transport::tests;
 using namespace std::chrono_literals;
 using boost::asio::ip::tcp;
 
@@ -80,6 +83,27 @@
   std::string m_Reason;
 };
 
+/// Uploads a body to an EarlyServer and waits for the end of the attempt.
+auto upload(std::size_t BodyBytes, const std::string &Answer, EarlyServer::Ending How) -> Recorder {
+  auto Loop = boost::asio::io_context();
+  auto Timers = AsioTimers(Loop);
+  auto Clock = base::SystemClock();
+  auto Server = EarlyServer(Loop, Timers, Answer, How);
+  auto Target = forwarding::TargetRecord();
+  Target.m_Address = "127.0.0.1";
+  Target.m_Port = Server.port();
+  auto Connector = TargetConnector(Loop, Timers, Clock, 400ms);
+  auto Events = Recorder();
+  const auto Attempt = Connector.send(
+      Target, fmt::format("POST / HTTP/1.1\r\nContent-Length: {}\r\n\r\n", BodyBytes),
+      std::make_shared<const std::string>(BodyBytes, 'x'), false, Events);
+  const auto End = Clock.steadyNow() + 5s;
+  while (!Events.m_HasEnded && !Events.m_Verdict && Clock.steadyNow() < End) {
+    Loop.run_one_for(100ms);
+  }
+  return Events;
+}
+
 /// Sends a request to a target that answers like this, and waits for the end of the attempt.
 struct Play {
   Play(const std::string &Start, const std::string &Endless) : m_Target(m_Loop, Start, Endless) {
@@ -171,3 +195,31 @@
   cr_expect_not(Result.m_Events.m_HasEnded, "the answer is not complete");
   cr_expect(Result.m_Target.m_IsClosedByPeer);
 }
+
+// Guards against a part of an answer that passes for the whole: the target resets the connection
+// while the request is still being written, the write gets the error, and the read sees an end.
+Test(targetconnector, unframedAnswerOfAResetConnectionIsNotComplete) {
+  using Ending = EarlyServer::Ending;
+  for (const auto Size : UploadBytes) {
+    for (const auto How : {Ending::Reset, Ending::LateReset, Ending::HalfCloseAndReset}) {
+      const auto Events = upload(Size, "HTTP/1.1 200 OK\r\n\r\npart", How);
+      cr_expect(Events.m_Verdict == base::Verdict::MayHaveRun, "%zu bytes, ending %d", Size,
+                static_cast<int>(How));
+      cr_expect_not(Events.m_HasEnded, "%zu bytes, ending %d", Size, static_cast<int>(How));
+    }
+  }
+}
+
+// Guards against taking every early answer for a broken one.
+Test(targetconnector, wholeAnswerBeforeTheEndOfTheUploadIsComplete) {
+  for (const auto Size : UploadBytes) {
+    const auto Unframed =
+        upload(Size, "HTTP/1.1 200 OK\r\n\r\nwhole", EarlyServer::Ending::HalfClose);
+    cr_expect(Unframed.m_HasEnded, "%zu bytes, no length", Size);
+    cr_expect_eq(Unframed.m_BodyBytes, 5U);
+    const auto Framed = upload(Size, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
+                               EarlyServer::Ending::Reset);
+    cr_expect(Framed.m_HasEnded, "%zu bytes, with a length", Size);
+    cr_expect_eq(Framed.m_BodyBytes, 5U);
+  }
+}
--- a/testing/standins/platform/targetstandin.cpp
+++ b/testing/standins/platform/targetstandin.cpp
@@ -18,6 +18,13 @@
 
 } // namespace
 
+auto targetRegistration(const TargetRegistration &Registration) -> std::string {
+  return fmt::format(R"({{"service":"{}","address":"127.0.0.1:{}","zone":"{}","version":"v1",)"
+                     R"("slots":{},"state":"{}","coldRemainingMs":{},"sequence":1,"born":5}})",
+                     Registration.m_Pool, Registration.m_Port, Registration.m_DataCentre,
+                     Registration.m_Slots, Registration.m_State, Registration.m_ColdTime.count());
+}
+
 TargetStandin::TargetStandin(boost::asio::io_context &Loop, StoreStandin &Store, std::string Id,
                              std::string Pool, int Port)
     : m_Store(Store), m_Id(std::move(Id)), m_Pool(std::move(Pool)), m_Port(Port),
@@ -27,9 +34,7 @@
 
 auto TargetStandin::registerAs(const std::string &State) -> void {
   m_Store.put("servers/" + m_Id,
-              fmt::format(R"({{"service":"{}","address":"127.0.0.1:{}","zone":"{}","version":"v1",)"
-                          R"("slots":4,"state":"{}","coldRemainingMs":{},"sequence":1,"born":5}})",
-                          m_Pool, m_Port, m_DataCentre, State, m_ColdTime.count()));
+              targetRegistration({m_Pool, m_Port, 4, State, m_DataCentre, m_ColdTime}));
 }
 
 auto TargetStandin::runs(const std::string &RequestId) -> int {
--- a/testing/standins/platform/targetstandin.h
+++ b/testing/standins/platform/targetstandin.h
@@ -19,6 +19,19 @@
   RepeatsRefusal,
 };
 
+/// What a target registers in the store.
+struct TargetRegistration {
+  std::string m_Pool;
+  int m_Port = 0;
+  int m_Slots = 4;
+  std::string m_State = "ready";
+  std::string m_DataCentre = "a";
+  std::chrono::milliseconds m_ColdTime{0};
+};
+
+/// The text of a target's entry in the store.
+auto targetRegistration(const TargetRegistration &Registration) -> std::string;
+
 /// A target that registers itself in the store and counts what it ran.
 class TargetStandin {
 public:
