A status outside the protocol is no answer

What callers saw: a target in trouble answered with the status 000, and callers of our own interface got that as the answer of a service, billed as one that had run. On the users' platform a status over 599 was passed on with the target's signature, and after 000 a caller waited until its deadline, while the body (up to 1 GB) was kept as that of an interim response.

Cause: Beast's parser takes any three digits for a status, as does cpprestsdk's client, through which src/targets read its answers and whose parsing cannot be made stricter.

Change: ResponseParser rejects statuses outside 100 to 599 and 101, which no request asks for. HttpExchange of src/targets sends its requests through RequestExchange instead of cpprestsdk's client, so both paths read answers with the same code; kept connections, limits of time and verdicts are as before.

--- a/src/base/internal/asioscheduler.cpp
+++ b/src/base/internal/asioscheduler.cpp
@@ -23,6 +23,8 @@
   m_State->m_Thread.join();
 }
 
+auto AsioScheduler::context() -> boost::asio::io_context & { return m_State->m_Context; }
+
 auto AsioScheduler::post(std::function<void()> Function) -> void {
   boost::asio::post(m_State->m_Context, std::move(Function));
 }
--- a/src/http1/internal/messageparser.cpp
+++ b/src/http1/internal/messageparser.cpp
@@ -18,6 +18,13 @@
 constexpr auto LargeBodyBytes = std::size_t{8} * 1024;
 constexpr auto FirstReserveBytes = std::size_t{256} * 1024;
 
+/// Range of the status codes of RFC 9110.
+constexpr auto MinStatus = 100;
+constexpr auto MaxStatus = 599;
+
+/// What follows a response with this status is another protocol, which no request asks for.
+constexpr auto SwitchingProtocols = 101;
+
 auto asView(string_view Text) -> std::string_view { return {Text.data(), Text.size()}; }
 
 /// Beast parser that stores the header fields with their names as received and the raw body.
@@ -42,6 +49,10 @@
 
   auto on_response_impl(int Status, string_view Reason, int, error_code &Error) -> void override {
     Error = {};
+    if (Status < MinStatus || Status > MaxStatus || Status == SwitchingProtocols) {
+      Error = http::error::bad_status;
+      return;
+    }
     m_Status = Status;
     m_Reason = asView(Reason);
   }
--- a/src/http1/tests/messageparser_test.cpp
+++ b/src/http1/tests/messageparser_test.cpp
@@ -110,3 +110,20 @@
   cr_expect_leq(FedUntilRejected(Chunked + "5;", "extension"), Limit, "a chunk's size line");
   cr_expect_leq(FedUntilRejected(Chunked + "0\r\n", "a: b\r\n"), Limit, "the trailer");
 }
+
+// Guards against a target in trouble whose status line has three digits that are no status: callers
+// would get it as an answer.
+Test(responseparser, statusesOutsideTheProtocolAreRejected) {
+  auto Wrong = std::string();
+  for (auto Status = 0; Status < 1000; ++Status) {
+    auto Parser = ResponseParser(MessageLimits{});
+    const auto Result =
+        Parser.feed(fmt::format("HTTP/1.1 {:03} x\r\nContent-Length: 0\r\n\r\n", Status));
+    // No request asks for another protocol, which a response with 101 would switch to.
+    const auto IsStatus = Status >= 100 && Status < 600 && Status != 101;
+    if (Result.ok() != IsStatus) {
+      Wrong += fmt::format("{:03} ", Status);
+    }
+  }
+  cr_expect(Wrong.empty(), "%s", Wrong.c_str());
+}
--- a/src/targets/httptargetclient.h
+++ b/src/targets/httptargetclient.h
@@ -26,7 +26,7 @@
   std::int64_t m_ResumeAttempts = 3;
 };
 
-/// ITargetClient on top of cpprestsdk. All callbacks run on one thread that this object owns. The
+/// ITargetClient on top of plain sockets. All callbacks run on one thread that this object owns. The
 /// destructor closes open streams and calls without further callbacks; it must not run in a
 /// callback.
 class HttpTargetClient final : public ITargetClient {
--- a/src/targets/internal/enginestream.cpp
+++ b/src/targets/internal/enginestream.cpp
@@ -178,7 +178,7 @@
       throw std::invalid_argument("A header contains a control character.");
     }
     const auto Client = makeHttpClient(m_Request.m_Url, m_Context.m_Options.m_ConnectTimeout);
-    m_Exchange = HttpExchange::start(Client, Request, m_Context.m_Scheduler, m_Receiver);
+    m_Exchange = HttpExchange::start(Client, Request, *m_Context.m_Scheduler, m_Receiver);
   } catch (const std::exception &Error) {
     end({.m_Verdict = m_IsResumption ? base::Verdict::MayHaveRun : base::Verdict::DidNotRun,
          .m_Detail = Error.what()});
@@ -283,7 +283,7 @@
                                    .m_Body = ""};
   try {
     const auto Client = makeHttpClient(m_Request.m_Url, m_Context.m_Options.m_ConnectTimeout);
-    const auto Exchange = HttpExchange::start(Client, Request, m_Context.m_Scheduler, {});
+    const auto Exchange = HttpExchange::start(Client, Request, *m_Context.m_Scheduler, {});
     m_Context.m_Scheduler->after(m_Context.m_Options.m_ControlTimeout,
                                  [Exchange] { Exchange->cancel(); });
   } catch (const std::exception &) {
--- a/src/targets/internal/httpexchange.cpp
+++ b/src/targets/internal/httpexchange.cpp
@@ -1,96 +1,121 @@
 #include "targets/internal/httpexchange.h"
 
 #include "targets/verdictrules.h"
+#include "transport/requestexchange.h"
 
+#include <absl/strings/numbers.h>
 #include <algorithm>
-#include <array>
-#include <atomic>
 #include <boost/asio/ip/tcp.hpp>
-#include <cpprest/http_client.h>
+#include <boost/asio/post.hpp>
 #include <netinet/tcp.h>
+#include <stdexcept>
 #include <utility>
+#include <vector>
 
 namespace geraniumlift::targets {
 
 namespace {
 
-using boost::asio::ip::tcp;
-using web::http::http_response;
-
-/// Longest time without progress that the library allows within an exchange. EngineStream and
-/// ServiceCall enforce progress timeouts and deadlines, so this only bounds the lifetime of an
-/// exchange that nobody cancels. It is above the longest deadline of a request (600 s).
-constexpr auto LibraryTimeout = std::chrono::seconds{700};
-
-/// Maximum number of bytes read from a response at once.
-constexpr std::size_t ChunkBytes = std::size_t{8} * 1024;
-
-/// Opens the socket before the library connects it and sets TCP_USER_TIMEOUT to limit the time to
-/// connect. The library has only one timeout, which also covers the wait for the response.
-auto prepareSocket(tcp::socket &Socket, bool IsVersion6, std::chrono::milliseconds ConnectTimeout)
-    -> void {
-  if (Socket.is_open()) {
-    return;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+/// Maximum header and body size of a response in bytes. Receivers bound what they keep of a body.
+constexpr auto ResponseLimits = http1::MessageLimits{64 * 1024, std::uint64_t{1} << 30U};
+
+/// Maximum number of idle connections to keep for one base URL.
+constexpr auto MaxIdleConnections = std::size_t{8};
+
+/// Opens a socket and sets TCP_USER_TIMEOUT to limit the time to connect and the time without an
+/// acknowledgement.
+auto openSocket(tcp::socket &Socket, const tcp::endpoint &Peer,
+                std::chrono::milliseconds ConnectTimeout) -> error_code {
+  using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+  auto Error = error_code();
+  Socket.open(Peer.protocol(), Error);
+  if (!Error) {
+    Socket.set_option(tcp::no_delay(true), Error);
   }
-  auto Error = boost::system::error_code();
-  Socket.open(IsVersion6 ? tcp::v6() : tcp::v4(), Error);
-  if (Error) {
-    return;
+  if (!Error) {
+    Socket.set_option(UserTimeout(static_cast<int>(ConnectTimeout.count())), Error);
   }
-  Socket.set_option(tcp::no_delay(true), Error);
-  using UserTimeout = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-  Socket.set_option(UserTimeout(static_cast<int>(ConnectTimeout.count())), Error);
+  return Error;
 }
 
-auto isHeaderTrue(const http_response &Response, const std::string &Name) -> bool {
-  const auto Found = Response.headers().find(Name);
-  return Found != Response.headers().end() && Found->second == "true";
-}
-
-auto toResponseHead(const http_response &Response) -> HttpResponseHead {
-  auto Head = HttpResponseHead();
-  Head.m_Status = Response.status_code();
-  Head.m_ContentType = Response.headers().content_type();
-  Head.m_NotRun = isHeaderTrue(Response, "X-Not-Run");
-  Head.m_Leaving = isHeaderTrue(Response, "X-Leaving");
-  return Head;
+/// Whether all characters are visible ones of ASCII, so that the text is one word of a start line.
+auto isWord(std::string_view Text) -> bool {
+  return !Text.empty() && std::ranges::all_of(Text, [](char Character) {
+    return Character > 0x20 && Character < 0x7f;
+  });
 }
 
-auto toLibraryRequest(const HttpRequest &Request) -> web::http::http_request {
-  auto Result = web::http::http_request(Request.m_Method);
-  Result.set_request_uri(web::uri(Request.m_Path));
+auto formatHead(const HttpRequest &Request, const std::string &Host) -> std::string {
+  if (!isWord(Request.m_Method) || !isWord(Request.m_Path)) {
+    throw std::invalid_argument("The method or the path cannot be sent.");
+  }
+  auto Head = http1::RequestHead{Request.m_Method, Request.m_Path, {}};
+  Head.m_Fields.add("Host", Host);
   for (const auto &Header : Request.m_Headers) {
-    Result.headers().add(Header.m_Name, Header.m_Value);
+    Head.m_Fields.add(Header.m_Name, Header.m_Value);
   }
   if (!Request.m_Body.empty()) {
-    Result.set_body(Request.m_Body, Request.m_ContentType);
+    Head.m_Fields.add("Content-Type", Request.m_ContentType);
   }
+  const auto HasBody = !Request.m_Body.empty() || Request.m_Method == "POST";
+  return formatRequestHead(Head, HasBody ? http1::Framing::Length : http1::Framing::None,
+                           Request.m_Body.size());
+}
+
+auto isTrue(const http1::HeaderFields &Fields, std::string_view Name) -> bool {
+  return Fields.find(Name) == "true";
+}
+
+auto toResponseHead(const http1::ResponseHead &Head) -> HttpResponseHead {
+  auto Result = HttpResponseHead();
+  Result.m_Status = Head.m_Status;
+  Result.m_ContentType = Head.m_Fields.find("Content-Type").value_or("");
+  Result.m_NotRun = isTrue(Head.m_Fields, "X-Not-Run");
+  Result.m_Leaving = isTrue(Head.m_Fields, "X-Leaving");
   return Result;
 }
 
+/// Whether the header tells where the body ends. A response that ends with its connection counts as
+/// incomplete: no target sends one, and a process that ends in the middle of its response would
+/// look the same.
+auto isFramed(const http1::ResponseHead &Head, bool IsHeadRequest) -> bool {
+  return IsHeadRequest || Head.m_Status == 204 || Head.m_Status == 304 ||
+         Head.m_Fields.has("Content-Length") || Head.m_Fields.has("Transfer-Encoding");
+}
+
 } // namespace
 
 struct HttpClient {
-  std::unique_ptr<web::http::client::http_client> m_LibraryClient;
+  /// Address and port as in the URL.
+  std::string m_Host;
+  tcp::endpoint m_Endpoint;
+  std::chrono::milliseconds m_ConnectTimeout;
 
-  /// Whether an exchange was started, after which a further one may reuse a connection.
-  std::atomic<bool> m_StartedExchange = false;
+  /// Connections that wait for the next request.
+  std::vector<tcp::socket> m_Idle;
 };
 
 auto makeHttpClient(const std::string &Url, std::chrono::milliseconds ConnectTimeout)
     -> std::shared_ptr<HttpClient> {
-  const auto Address = web::uri(Url);
-  const auto IsVersion6 = Address.host().starts_with('[');
-  auto Settings = web::http::client::http_client_config();
-  Settings.set_timeout(LibraryTimeout);
-  // Following a redirect would send a call a second time, to a host that is not configured.
-  Settings.set_max_redirects(0);
-  Settings.set_nativehandle_options([IsVersion6, ConnectTimeout](void *Handle) {
-    prepareSocket(*static_cast<tcp::socket *>(Handle), IsVersion6, ConnectTimeout);
-  });
-  auto Result = std::make_shared<HttpClient>();
-  Result->m_LibraryClient = std::make_unique<web::http::client::http_client>(Address, Settings);
-  return Result;
+  constexpr auto Scheme = std::string_view("http://");
+  const auto Host = Url.substr(std::min(Scheme.size(), Url.size()));
+  const auto Colon = Host.rfind(':');
+  auto Port = std::uint32_t{0};
+  if (!Url.starts_with(Scheme) || Colon == std::string::npos ||
+      !absl::SimpleAtoi(Host.substr(Colon + 1), &Port) || Port > 65535) {
+    throw std::invalid_argument("The URL is not http://ADDRESS:PORT.");
+  }
+  auto Address = Host.substr(0, Colon);
+  if (Address.starts_with('[') && Address.ends_with(']')) {
+    Address = Address.substr(1, Address.size() - 2);
+  }
+  const auto Ip = asio::ip::make_address(Address);
+  return std::make_shared<HttpClient>(
+      HttpClient{std::string(Host), {Ip, static_cast<std::uint16_t>(Port)}, ConnectTimeout, {}});
 }
 
 auto hasValidHeaders(const HttpRequest &Request) -> bool {
@@ -102,152 +127,153 @@
   });
 }
 
-/// State of an exchange, shared with the continuations that the library runs on its own threads.
-struct HttpExchange::State : std::enable_shared_from_this<HttpExchange::State> {
-  using ReceiverFunction = std::function<void(IHttpReceiver &)>;
+/// State of an exchange. Its pending operations keep it alive.
+struct HttpExchange::State final : transport::IResponseHandler,
+                                   std::enable_shared_from_this<HttpExchange::State> {
+  State(std::shared_ptr<HttpClient> Client, std::weak_ptr<IHttpReceiver> Receiver,
+        const HttpRequest &Request, asio::io_context &Loop)
+      : m_HttpClient(std::move(Client)), m_Receiver(std::move(Receiver)), m_Socket(Loop),
+        m_Head(formatHead(Request, m_HttpClient->m_Host)),
+        m_Body(std::make_shared<const std::string>(Request.m_Body)),
+        m_IsHeadRequest(Request.m_Method == "HEAD") {}
+
+  auto start() -> void {
+    auto &Idle = m_HttpClient->m_Idle;
+    while (!Idle.empty()) {
+      m_Socket = std::move(Idle.back());
+      Idle.pop_back();
+      // Bytes that have arrived already belong to no request.
+      auto Error = error_code();
+      if (m_Socket.available(Error) == 0 && !Error) {
+        m_IsReused = true;
+        send();
+        return;
+      }
+    }
+    connect();
+  }
+
+  auto cancel() -> void {
+    m_IsCancelled = true;
+    auto Ignored = error_code();
+    m_Socket.close(Ignored);
+    if (const auto Exchange = m_Exchange.lock()) {
+      Exchange->abort();
+    }
+  }
 
-  auto postToReceiver(ReceiverFunction Function) -> void {
-    const auto Scheduler = m_Scheduler.lock();
-    if (!Scheduler) {
+  auto connect() -> void {
+    m_Socket = tcp::socket(m_Socket.get_executor());
+    const auto Failure =
+        openSocket(m_Socket, m_HttpClient->m_Endpoint, m_HttpClient->m_ConnectTimeout);
+    if (Failure) {
+      asio::post(m_Socket.get_executor(),
+                 [Self = shared_from_this(), Failure] { Self->onConnected(Failure); });
       return;
     }
-    Scheduler->post([Self = shared_from_this(), Run = std::move(Function)] {
-      if (const auto Receiver = Self->m_Receiver.lock()) {
-        Run(*Receiver);
-      }
-    });
+    m_Socket.async_connect(
+        m_HttpClient->m_Endpoint,
+        [Self = shared_from_this()](const error_code &Error) { Self->onConnected(Error); });
   }
 
-  auto fail(const std::string &Message) -> void {
-    const auto Verdict =
-        m_Response ? base::Verdict::MayHaveRun : verdictOfFailure({m_FreshConnection, Message});
-    postToReceiver([Verdict, Message](IHttpReceiver &Receiver) {
-      Receiver.onEnd({false, Verdict, Message});
-    });
+  auto onConnected(const error_code &Error) -> void {
+    if (m_IsCancelled) {
+      return;
+    }
+    if (Error) {
+      // The attempt on a kept connection may have run.
+      fail(m_WasSent ? base::Verdict::MayHaveRun : base::Verdict::DidNotRun,
+           "The connection could not be opened: " + Error.message());
+      return;
+    }
+    send();
+  }
+
+  auto send() -> void {
+    m_WasSent = true;
+    const auto Exchange = std::make_shared<transport::RequestExchange>(
+        std::move(m_Socket), ResponseLimits, m_IsHeadRequest, shared_from_this());
+    m_Exchange = Exchange;
+    Exchange->start(m_Head, m_Body);
   }
 
-  auto handleResponse(const pplx::task<http_response> &Answer) -> void {
-    try {
-      m_Response = Answer.get();
-      postToReceiver(
-          [Head = toResponseHead(*m_Response)](IHttpReceiver &Receiver) { Receiver.onHead(Head); });
-      readNextChunk();
-    } catch (const std::exception &Error) {
-      fail(Error.what());
+  auto onHead(http1::ResponseHead &Head) -> void override {
+    m_Response = toResponseHead(Head);
+    m_IsFramed = isFramed(Head, m_IsHeadRequest);
+    if (const auto Receiver = m_Receiver.lock()) {
+      Receiver->onHead(*m_Response);
     }
   }
 
-  /// Waits for one byte, then reads what is available: waiting for a full chunk would delay events
-  /// that are smaller than a chunk.
-  auto readNextChunk() -> void {
-    auto Source = m_Response->body().streambuf();
-    Source.getc().then([Self = shared_from_this()](const pplx::task<int> &Peeked) {
-      try {
-        Self->readAvailable(Peeked.get());
-      } catch (const std::exception &Error) {
-        Self->fail(Error.what());
-      }
-    });
+  auto onBody(std::string Bytes) -> void override {
+    if (const auto Receiver = m_Receiver.lock()) {
+      Receiver->onBytes(Bytes);
+    }
   }
 
-  auto readAvailable(int Peeked) -> void {
-    auto Source = m_Response->body().streambuf();
-    if (Peeked == concurrency::streams::char_traits<std::uint8_t>::eof()) {
-      finish();
-      return;
+  auto onEnd(bool IsReusable) -> void override {
+    if (IsReusable && m_HttpClient->m_Idle.size() < MaxIdleConnections) {
+      m_HttpClient->m_Idle.push_back(m_Exchange.lock()->takeSocket());
     }
-    const auto Count = std::clamp<std::size_t>(Source.in_avail(), 1, ChunkBytes);
-    Source.getn(m_Chunk.data(), Count)
-        .then([Self = shared_from_this()](const pplx::task<std::size_t> &Read) {
-          try {
-            Self->deliver(Read.get());
-          } catch (const std::exception &Error) {
-            Self->fail(Error.what());
-          }
-        });
-  }
-
-  auto deliver(std::size_t Count) -> void {
-    auto Bytes = std::string(reinterpret_cast<const char *>(m_Chunk.data()), Count);
-    postToReceiver(
-        [Moved = std::move(Bytes)](IHttpReceiver &Receiver) { Receiver.onBytes(Moved); });
-    m_BodyBytes += Count;
-    readNextChunk();
-  }
-
-  /// Called at the end of the body; content_ready reports whether the library read all of it.
-  auto finish() -> void {
-    m_Response->content_ready().then(
-        [Self = shared_from_this()](const pplx::task<http_response> &Ready) {
-          try {
-            Ready.get();
-            Self->reportEnd();
-          } catch (const std::exception &Error) {
-            Self->fail(Error.what());
-          }
-        });
-  }
-
-  auto reportEnd() -> void {
-    if (!isComplete()) {
-      fail("The response ended before its length was reached.");
+    if (!m_IsFramed) {
+      fail(base::Verdict::MayHaveRun, "The response has no length.");
       return;
     }
-    const auto Verdict = verdictOfResponse(
-        m_Response->status_code(), isHeaderTrue(*m_Response, "X-Not-Run"), m_FreshConnection);
-    postToReceiver([Verdict](IHttpReceiver &Receiver) { Receiver.onEnd({true, Verdict, ""}); });
-  }
-
-  /// Whether the framing shows that the whole body was read. A response with neither Content-Length
-  /// nor Transfer-Encoding ends with its connection. It counts as incomplete, as a truncated one
-  /// would look the same.
-  [[nodiscard]] auto isComplete() const -> bool {
-    const auto &Headers = m_Response->headers();
-    const auto Status = m_Response->status_code();
-    if (m_IsHeadRequest || Status == web::http::status_codes::NoContent ||
-        Status == web::http::status_codes::NotModified) {
-      return true;
+    const auto Verdict = verdictOfResponse(m_Response->m_Status, m_Response->m_NotRun, !m_IsReused);
+    if (const auto Receiver = m_Receiver.lock()) {
+      Receiver->onEnd({true, Verdict, ""});
     }
-    if (Headers.has("Content-Length")) {
-      return m_BodyBytes == Headers.content_length();
+  }
+
+  auto onBroken(std::string_view Reason) -> void override {
+    // The target may have closed the kept connection before the request reached it. Only
+    // connections of requests that may run twice are kept.
+    if (m_IsReused && !m_HasReconnected && !m_Exchange.lock()->hasStarted()) {
+      m_HasReconnected = true;
+      connect();
+      return;
+    }
+    fail(base::Verdict::MayHaveRun, "The response is broken: " + std::string(Reason));
+  }
+
+  auto fail(base::Verdict Verdict, const std::string &Message) -> void {
+    if (const auto Receiver = m_Receiver.lock()) {
+      Receiver->onEnd({false, Verdict, Message});
     }
-    return Headers.has("Transfer-Encoding");
   }
 
-  std::weak_ptr<base::IScheduler> m_Scheduler;
-  std::weak_ptr<IHttpReceiver> m_Receiver;
   std::shared_ptr<HttpClient> m_HttpClient;
-  pplx::cancellation_token_source m_Cancellation;
-  std::optional<http_response> m_Response;
-  std::array<std::uint8_t, ChunkBytes> m_Chunk{};
-  std::uint64_t m_BodyBytes = 0;
-  bool m_FreshConnection = false;
-  bool m_IsHeadRequest = false;
+  std::weak_ptr<IHttpReceiver> m_Receiver;
+  tcp::socket m_Socket;
+  std::string m_Head;
+  std::shared_ptr<const std::string> m_Body;
+  bool m_IsHeadRequest;
+
+  /// Keeps this object alive.
+  std::weak_ptr<transport::RequestExchange> m_Exchange;
+  std::optional<HttpResponseHead> m_Response;
+  bool m_IsFramed = false;
+
+  /// Whether the request was first sent on a kept connection.
+  bool m_IsReused = false;
+  bool m_HasReconnected = false;
+  bool m_WasSent = false;
+  bool m_IsCancelled = false;
 };
 
-HttpExchange::HttpExchange(std::weak_ptr<base::IScheduler> Scheduler,
-                           std::weak_ptr<IHttpReceiver> Receiver)
-    : m_State(std::make_shared<State>()) {
-  m_State->m_Scheduler = std::move(Scheduler);
-  m_State->m_Receiver = std::move(Receiver);
-}
+HttpExchange::HttpExchange(std::shared_ptr<State> Started) : m_State(std::move(Started)) {}
 
 HttpExchange::~HttpExchange() = default;
 
-auto HttpExchange::cancel() -> void { m_State->m_Cancellation.cancel(); }
+auto HttpExchange::cancel() -> void { m_State->cancel(); }
 
 auto HttpExchange::start(const std::shared_ptr<HttpClient> &Client, const HttpRequest &Request,
-                         std::weak_ptr<base::IScheduler> Scheduler,
-                         std::weak_ptr<IHttpReceiver> Receiver) -> std::shared_ptr<HttpExchange> {
-  auto Exchange = std::make_shared<HttpExchange>(std::move(Scheduler), std::move(Receiver));
-  const auto Started = Exchange->m_State;
-  Started->m_HttpClient = Client;
-  Started->m_FreshConnection = !Client->m_StartedExchange.exchange(true);
-  Started->m_IsHeadRequest = Request.m_Method == "HEAD";
-  Client->m_LibraryClient->request(toLibraryRequest(Request), Started->m_Cancellation.get_token())
-      .then(
-          [Started](const pplx::task<http_response> &Answer) { Started->handleResponse(Answer); });
-  return Exchange;
+                         base::AsioScheduler &Scheduler, std::weak_ptr<IHttpReceiver> Receiver)
+    -> std::shared_ptr<HttpExchange> {
+  const auto Started =
+      std::make_shared<State>(Client, std::move(Receiver), Request, Scheduler.context());
+  Started->start();
+  return std::make_shared<HttpExchange>(Started);
 }
 
 } // namespace geraniumlift::targets
--- a/src/targets/internal/httpexchange.h
+++ b/src/targets/internal/httpexchange.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "base/ischeduler.h"
+#include "base/asioscheduler.h"
 #include "targets/internal/httptypes.h"
 #include "targets/internal/ihttpreceiver.h"
 
@@ -9,31 +9,33 @@
 
 namespace geraniumlift::targets {
 
-/// HTTP client for one base URL, which keeps its connections open for reuse.
+/// HTTP client for one base URL, which keeps its connections open for reuse. Used on the
+/// scheduler's thread only.
 struct HttpClient;
 
 /// Creates a client without opening a connection. Throws if the URL is malformed.
 auto makeHttpClient(const std::string &Url, std::chrono::milliseconds ConnectTimeout)
     -> std::shared_ptr<HttpClient>;
 
-/// One request and its response.
+/// One request and its response. Used on the scheduler's thread only.
 class HttpExchange {
+  struct State;
+
 public:
-  /// Sends the request. The receiver is called on the scheduler while both exist. The exchange
-  /// continues until the response ends or cancel is called, even if the returned pointer is
-  /// destroyed.
+  /// Sends the request. The receiver is called on the scheduler, after this function has returned,
+  /// while it exists. The exchange continues until the response ends or cancel is called, even if
+  /// the returned pointer is destroyed. Throws if the request cannot be sent.
   static auto start(const std::shared_ptr<HttpClient> &Client, const HttpRequest &Request,
-                    std::weak_ptr<base::IScheduler> Scheduler,
-                    std::weak_ptr<IHttpReceiver> Receiver) -> std::shared_ptr<HttpExchange>;
+                    base::AsioScheduler &Scheduler, std::weak_ptr<IHttpReceiver> Receiver)
+      -> std::shared_ptr<HttpExchange>;
 
-  HttpExchange(std::weak_ptr<base::IScheduler> Scheduler, std::weak_ptr<IHttpReceiver> Receiver);
+  explicit HttpExchange(std::shared_ptr<State> Started);
   ~HttpExchange();
 
-  /// Closes the connection. Calls to the receiver that are already under way still arrive.
+  /// Closes the connection; no call to the receiver follows.
   auto cancel() -> void;
 
 private:
-  struct State;
   std::shared_ptr<State> m_State;
 };
 
--- a/src/targets/internal/httptargetclient.cpp
+++ b/src/targets/internal/httptargetclient.cpp
@@ -54,6 +54,7 @@
     post([this, &Cleared] {
       m_Streams.clear();
       m_Calls.clear();
+      m_PooledClients.clear();
       *m_Closed = true;
       Cleared.set_value();
     });
@@ -151,8 +152,8 @@
   std::set<std::shared_ptr<ServiceCall>> m_Calls;
   std::map<std::string, std::shared_ptr<HttpClient>> m_PooledClients;
 
-  /// Read and written on the scheduler's thread. Shared with posted functions, as a thread of the
-  /// library can keep the scheduler running for a moment after this object is destroyed.
+  /// Read and written on the scheduler's thread. Shared with posted functions, as a caller's handle
+  /// can keep the scheduler running for a moment after this object is destroyed.
   std::shared_ptr<bool> m_Closed = std::make_shared<bool>(false);
 };
 
--- a/src/targets/internal/servicecall.cpp
+++ b/src/targets/internal/servicecall.cpp
@@ -39,7 +39,7 @@
   try {
     const auto Request = httpRequest();
     checkRequest(Request);
-    m_Exchange = HttpExchange::start(Client, Request, m_Context.m_Scheduler, weak_from_this());
+    m_Exchange = HttpExchange::start(Client, Request, *m_Context.m_Scheduler, weak_from_this());
   } catch (const std::exception &Error) {
     fail(base::Verdict::DidNotRun, Error.what());
     return;
--- /dev/null
+++ b/src/targets/tests/brokenanswers_test.cpp
@@ -0,0 +1,64 @@
+#include "standins/platform/brokenserver.h"
+#include "targets/tests/clientfixture.h"
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+
+using namespace geraniumlift;
+using namespace geraniumlift::targets;
+using standins::BrokenAnswer;
+using standins::BrokenServer;
+
+namespace {
+
+/// Requests that are sent at once: the slots of one target.
+constexpr auto Slots = 64;
+
+/// Sends one call for each slot and a stream at once to a server that answers like this. Describes
+/// those that got an answer, or any event; empty if none did.
+auto answersFrom(const BrokenAnswer &Answer, std::size_t BodyBytes = 2) -> std::string {
+  auto Server = BrokenServer(Answer);
+  const auto Url = fmt::format("http://127.0.0.1:{}", Server.port());
+  auto Setup = ClientFixture();
+  const auto Observer = std::make_shared<RecordingObserver>();
+  Setup.stream(Url, std::string(BodyBytes, 'x'), Observer);
+  auto Results = std::vector<std::future<ServiceResult>>();
+  for (auto Number = 0; Number < Slots; ++Number) {
+    Results.push_back(Setup.startCall(Url, "POST", Number % 2 == 0, std::string(BodyBytes, 'x')));
+  }
+  auto Text = std::string();
+  for (auto &Result : Results) {
+    const auto Got = Result.get();
+    if (Got.m_Verdict != base::Verdict::MayHaveRun || Got.m_Status != 0) {
+      Text += fmt::format("status {} with {} bytes; ", Got.m_Status, Got.m_Body.size());
+    }
+  }
+  const auto End = Observer->waitForEnd();
+  if (!End || End->m_Complete || End->m_Verdict == base::Verdict::DidNotRun ||
+      !Observer->events().empty()) {
+    Text += "a stream";
+  }
+  return Text;
+}
+
+auto expectNoAnswer(const BrokenAnswer &Answer, std::size_t BodyBytes = 2) -> void {
+  const auto Text = answersFrom(Answer, BodyBytes);
+  cr_expect(Text.empty(), "%s: %s", Answer.m_Start.substr(0, 60).c_str(),
+            Text.substr(0, 120).c_str());
+}
+
+} // namespace
+
+// Guards against a part of an answer that counts as the whole, because the target resets the
+// connection while a long request is still being written.
+Test(brokenanswers, unframedAnswerOfAResetConnection) {
+  expectNoAnswer({"HTTP/1.1 200 OK\r\n\r\npart", "", BrokenAnswer::Ending::Close, true},
+                 std::size_t{4} << 20U);
+}
+
+// Guards against a target in trouble whose status is no status.
+Test(brokenanswers, statusOutsideTheProtocol) {
+  for (const auto *Status : {"000", "099", "101", "999"}) {
+    expectNoAnswer({fmt::format("HTTP/1.1 {} x\r\nContent-Length: 4\r\n\r\nnone", Status), ""});
+  }
+}
--- a/src/targets/tests/httptargetclient_test.cpp
+++ b/src/targets/tests/httptargetclient_test.cpp
@@ -1,12 +1,11 @@
 #include "targets/httptargetclient.h"
 
-#include "base/systemclock.h"
-#include "targets/tests/recorders.h"
+#include "targets/tests/clientfixture.h"
+#include "targets/tests/rawserver.h"
 #include "targets/tests/standinprocess.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
 #include <fmt/format.h>
 #include <future>
@@ -20,42 +19,6 @@
 
 constexpr auto ForeignEvents = "geraniumlift_targets_foreign_events_total";
 
-/// A client with a progress timeout of 1.5 s, and helpers that send requests.
-struct Fixture {
-  base::SystemClock m_Clock;
-  CountingMetrics m_Metrics;
-  HttpTargetClient m_Client{
-      {.m_ProgressTimeout = std::chrono::milliseconds{1500}}, m_Clock, m_Metrics};
-
-  auto stream(const std::string &Url, const std::string &Body,
-              const std::shared_ptr<RecordingObserver> &Observer)
-      -> std::shared_ptr<IEngineStream> {
-    auto Request = StreamRequest();
-    Request.m_RequestId = "ws/key 1";
-    Request.m_Url = Url;
-    Request.m_Body = Body;
-    Request.m_Deadline = m_Clock.steadyNow() + WaitLimit;
-    return m_Client.startStream(Request, Observer);
-  }
-
-  auto call(const std::string &Url, const std::string &Method, bool Idempotent,
-            std::chrono::milliseconds Deadline = WaitLimit) -> ServiceResult {
-    auto Request = ServiceRequest();
-    Request.m_Url = Url;
-    Request.m_Method = Method;
-    Request.m_Path = "/book?x=1";
-    Request.m_ContentType = "application/json";
-    Request.m_Body = Method == "POST" ? "{}" : "";
-    Request.m_IdempotencyKey = "k1";
-    Request.m_TraceParent = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
-    Request.m_Deadline = m_Clock.steadyNow() + Deadline;
-    Request.m_Idempotent = Idempotent;
-    auto Result = std::make_shared<std::promise<ServiceResult>>();
-    m_Client.callService(Request, [Result](const ServiceResult &Done) { Result->set_value(Done); });
-    return Result->get_future().get();
-  }
-};
-
 auto completionBody(int Tokens) -> std::string {
   return R"({"stream":true,"max_tokens":1000,"x_tokens":)" + std::to_string(Tokens) + "}";
 }
@@ -93,39 +56,12 @@
   return Condition();
 }
 
-/// Accepts one connection, reads once, writes fixed bytes and closes the connection.
-class RawServer {
-public:
-  explicit RawServer(std::string Bytes, int Requests = 1)
-      : m_Thread([this, Moved = std::move(Bytes), Requests] { serve(Moved, Requests); }) {}
-  ~RawServer() { m_Thread.join(); }
-
-  auto url() -> std::string {
-    return "http://127.0.0.1:" + std::to_string(m_Acceptor.local_endpoint().port());
-  }
-
-private:
-  auto serve(const std::string &Bytes, int Requests) -> void {
-    auto Error = boost::system::error_code();
-    auto Socket = m_Acceptor.accept(Error);
-    auto Buffer = std::array<char, 4096>();
-    for (auto Number = 0; Number < Requests && !Error; ++Number) {
-      Socket.read_some(boost::asio::buffer(Buffer), Error);
-      boost::asio::write(Socket, boost::asio::buffer(Bytes), Error);
-    }
-  }
-
-  boost::asio::io_context m_Context;
-  tcp::acceptor m_Acceptor{m_Context, {boost::asio::ip::address_v4::loopback(), 0}};
-  std::thread m_Thread;
-};
-
 } // namespace
 
 // Guards against lost events, a lost usage report and a request that runs twice.
 Test(stream, arrivesComplete) {
   auto Engine = StandinProcess(STANDIN_ENGINE, {"--ttft_ms=5", "--token_ms=1"});
-  auto Setup = Fixture();
+  auto Setup = ClientFixture();
   const auto Observer = std::make_shared<RecordingObserver>();
   Setup.stream(Engine.url(), completionBody(50), Observer);
   assertComplete(*Observer, 50);
@@ -137,7 +73,7 @@
 // test), and against a cancellation that leaves the engine generating.
 Test(stream, firstEventIsNotDelayedAndCancelReachesTheEngine) {
   auto Engine = StandinProcess(STANDIN_ENGINE, {"--ttft_ms=5", "--token_ms=60000"});
-  auto Setup = Fixture();
+  auto Setup = ClientFixture();
   const auto Observer = std::make_shared<RecordingObserver>();
   const auto Stream = Setup.stream(Engine.url(), completionBody(3), Observer);
   cr_assert(Observer->waitForEvents(1));
@@ -153,7 +89,7 @@
   auto Engine = StandinProcess(STANDIN_ENGINE, {"--ttft_ms=5", "--token_ms=5"});
   const auto Observer = std::make_shared<RecordingObserver>();
   auto Handle = std::shared_ptr<IEngineStream>();
-  auto Setup = std::make_unique<Fixture>();
+  auto Setup = std::make_unique<ClientFixture>();
   Handle = Setup->stream(Engine.url(), completionBody(1000), Observer);
   cr_assert(Observer->waitForEvents(2));
   Setup.reset();
@@ -167,7 +103,7 @@
 // after the resumption.
 Test(stream, silentConnectionIsResumed) {
   auto Engine = StandinProcess(STANDIN_ENGINE, {"--ttft_ms=5", "--token_ms=20"});
-  auto Setup = Fixture();
+  auto Setup = ClientFixture();
   const auto Observer = std::make_shared<RecordingObserver>();
   Setup.stream(Engine.url(), completionBody(40), Observer);
   cr_assert(Observer->waitForEvents(3));
@@ -181,7 +117,7 @@
 Test(stream, cutStreamIsResumed) {
   auto Engine = StandinProcess(STANDIN_ENGINE, {"--ttft_ms=5", "--token_ms=1"});
   Engine.control(R"({"cut_after_events":4})");
-  auto Setup = Fixture();
+  auto Setup = ClientFixture();
   const auto Observer = std::make_shared<RecordingObserver>();
   Setup.stream(Engine.url(), completionBody(18), Observer);
   assertComplete(*Observer, 18);
@@ -194,7 +130,7 @@
 Test(stream, crossedEventsAreNeverDelivered) {
   auto Engine = StandinProcess(STANDIN_ENGINE, {"--ttft_ms=5", "--token_ms=1"});
   Engine.control(R"({"crossed_events":2})");
-  auto Setup = Fixture();
+  auto Setup = ClientFixture();
   const auto Passing = std::make_shared<RecordingObserver>();
   Setup.stream(Engine.url(), completionBody(10), Passing);
   assertComplete(*Passing, 10);
@@ -210,7 +146,7 @@
 // Guards against a wrong verdict when the engine refuses, is leaving, is killed or is not running.
 Test(stream, failuresHaveAccurateVerdicts) {
   auto Engine = StandinProcess(STANDIN_ENGINE, {"--ttft_ms=5", "--token_ms=60000"});
-  auto Setup = Fixture();
+  auto Setup = ClientFixture();
   Engine.control(R"({"refuse":true})");
   const auto Refused = std::make_shared<RecordingObserver>();
   Setup.stream(Engine.url(), completionBody(3), Refused);
@@ -253,7 +189,7 @@
         ::connect(Filler.native_handle(), Endpoint.data(), static_cast<socklen_t>(Endpoint.size()));
     cr_assert(Result == 0 || errno == EINPROGRESS);
   }
-  auto Setup = Fixture();
+  auto Setup = ClientFixture();
   const auto Url = "http://127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
   const auto Start = std::chrono::steady_clock::now();
   const auto Result = Setup.call(Url, "POST", false);
@@ -267,7 +203,7 @@
 // although it may have run.
 Test(service, dyingServiceGetsOneCallWithMayHaveRun) {
   auto Service = StandinProcess(STANDIN_SERVICE);
-  auto Setup = Fixture();
+  auto Setup = ClientFixture();
   Service.control(R"({"die_before_read":1})");
   cr_assert(Setup.call(Service.url(), "POST", false).m_Verdict == base::Verdict::MayHaveRun);
   cr_assert_eq(Service.count("by_key", "k1"), 0);
@@ -285,7 +221,7 @@
   const auto Refusal =
       std::string("HTTP/1.1 503 x\r\nX-Not-Run: true\r\nContent-Length: 0\r\n\r\n");
   auto Server = RawServer(Refusal, 2);
-  auto Setup = Fixture();
+  auto Setup = ClientFixture();
   cr_assert(Setup.call(Server.url(), "GET", true).m_Verdict == base::Verdict::DidNotRun);
   const auto Second = Setup.call(Server.url(), "GET", true);
   cr_assert_eq(Second.m_Status, 503);
@@ -296,7 +232,7 @@
 // not a target.
 Test(service, redirectIsNotFollowed) {
   auto Service = StandinProcess(STANDIN_SERVICE);
-  auto Setup = Fixture();
+  auto Setup = ClientFixture();
   for (const auto *Status : {"302 Found", "307 Temporary Redirect"}) {
     auto Server = RawServer(fmt::format("HTTP/1.1 {}\r\nLocation: {}/book\r\n"
                                         "Content-Length: 0\r\n\r\n",
@@ -311,7 +247,7 @@
 // Guards against lost headers, and against the reuse of a pooled connection that went silent.
 Test(service, silentPooledConnectionIsReplaced) {
   auto Service = StandinProcess(STANDIN_SERVICE);
-  auto Setup = Fixture();
+  auto Setup = ClientFixture();
   const auto First = Setup.call(Service.url(), "GET", true);
   cr_assert(First.m_Verdict == base::Verdict::Ran && First.m_Status == 200);
   for (const auto *Text : {R"("Idempotency-Key":"k1")", R"("path":"/book?x=1")", "0af7651916cd"}) {
@@ -328,7 +264,7 @@
 
 // Guards against accepting a truncated or oversized body as a complete response.
 Test(service, incompleteAndOversizedResponsesMayHaveRun) {
-  auto Setup = Fixture();
+  auto Setup = ClientFixture();
   const auto Head = std::string("HTTP/1.1 200 OK\r\n");
   for (const auto &Bytes : {Head + "Content-Length: 10\r\n\r\n12345",
                             Head + "Transfer-Encoding: chunked\r\n\r\n5\r\n12",
@@ -345,7 +281,7 @@
 // not running.
 Test(load, isReadFromTheEngine) {
   auto Engine = StandinProcess(STANDIN_ENGINE, {"--load_lag_ms=70"});
-  auto Setup = Fixture();
+  auto Setup = ClientFixture();
   auto Read = [&Setup](const std::string &Url) {
     auto Result = std::promise<absl::StatusOr<EngineLoad>>();
     Setup.m_Client.readLoad(
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -125,7 +125,14 @@
 
   auto onHead(http1::ResponseHead &Head) -> void override { m_Response->m_Status = Head.m_Status; }
 
-  auto onBody(std::string Bytes) -> void override { m_Response->m_Body += Bytes; }
+  auto onBody(std::string Bytes) -> void override {
+    auto &Body = m_Response->m_Body;
+    if (Body.empty()) {
+      Body = std::move(Bytes);
+    } else {
+      Body += Bytes;
+    }
+  }
 
   auto onEnd(bool IsReusable) -> void override {
     if (IsReusable && m_Pool->m_Idle.size() < MaxIdleConnections) {
--- a/testing/standins/platform/brokentarget.cpp
+++ b/testing/standins/platform/brokenserver.cpp
@@ -1,6 +1,6 @@
-#include "standins/platform/brokentarget.h"
+#include "standins/platform/brokenserver.h"
 
-#include "standins/platform/targetstandin.h"
+#include "http1/messageparser.h"
 
 #include <absl/strings/str_replace.h>
 #include <array>
@@ -28,9 +28,9 @@
 
 } // namespace
 
-class BrokenTarget::Connection : public std::enable_shared_from_this<Connection> {
+class BrokenServer::Connection : public std::enable_shared_from_this<Connection> {
 public:
-  Connection(tcp::socket Socket, BrokenTarget &Owner)
+  Connection(tcp::socket Socket, BrokenServer &Owner)
       : m_Socket(std::move(Socket)), m_Owner(Owner), m_Endless(repeated(Owner.m_Answer.m_Endless)) {
   }
 
@@ -81,7 +81,7 @@
   }
 
   tcp::socket m_Socket;
-  BrokenTarget &m_Owner;
+  BrokenServer &m_Owner;
   std::string m_Endless;
   http1::RequestParser m_Request{RequestLimits};
   std::string m_Out;
@@ -89,21 +89,19 @@
   std::array<char, 16384> m_Buffer;
 };
 
-BrokenTarget::BrokenTarget(StoreStandin &Store, const std::string &Id, const std::string &Pool,
-                           int Slots, BrokenAnswer Answer)
+BrokenServer::BrokenServer(BrokenAnswer Answer)
     : m_Answer(std::move(Answer)),
       m_Acceptor(m_Loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)) {
   accept();
   m_Thread = std::thread([this] { m_Loop.run(); });
-  Store.put("servers/" + Id, targetRegistration({Pool, m_Acceptor.local_endpoint().port(), Slots}));
 }
 
-BrokenTarget::~BrokenTarget() {
+BrokenServer::~BrokenServer() {
   m_Loop.stop();
   m_Thread.join();
 }
 
-auto BrokenTarget::accept() -> void {
+auto BrokenServer::accept() -> void {
   m_Acceptor.async_accept([this](const error_code &Error, tcp::socket Socket) {
     if (!Error) {
       std::make_shared<Connection>(std::move(Socket), *this)->read();
--- a/testing/standins/platform/brokentarget.h
+++ b/testing/standins/platform/brokenserver.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include "standins/platform/storestandin.h"
-
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -11,7 +9,7 @@
 
 namespace geraniumlift::standins {
 
-/// What a BrokenTarget sends in answer to each request.
+/// What a BrokenServer sends in answer to each request.
 struct BrokenAnswer {
   /// How the connection ends. A close with bytes of the request unread resets the connection.
   enum class Ending { Close, Stay };
@@ -27,14 +25,15 @@
   bool m_IsEarly = false;
 };
 
-/// A registered target in trouble: its answers are broken. Runs on a thread of its own.
-class BrokenTarget {
+/// A server in trouble on a loopback port: its answers are broken. Runs on a thread of its own.
+class BrokenServer {
 public:
-  BrokenTarget(StoreStandin &Store, const std::string &Id, const std::string &Pool, int Slots,
-               BrokenAnswer Answer);
-  ~BrokenTarget();
-  BrokenTarget(const BrokenTarget &) = delete;
-  auto operator=(const BrokenTarget &) -> BrokenTarget & = delete;
+  explicit BrokenServer(BrokenAnswer Answer);
+  ~BrokenServer();
+  BrokenServer(const BrokenServer &) = delete;
+  auto operator=(const BrokenServer &) -> BrokenServer & = delete;
+
+  [[nodiscard]] auto port() const -> int { return m_Acceptor.local_endpoint().port(); }
 
   /// Requests that have arrived.
   [[nodiscard]] auto requests() const -> int { return m_Requests; }
