A header line whose name is no token makes an answer broken

What callers saw: on the users' platform a line of an answer's head that began with a blank was joined to the field before it and passed on. Through our own interface any such line passed (a blank or a control byte in the name, no colon), and 'Content-Length : 2' cut the body short, so that callers got one that was not the target's.

Evidence: responseparser::fieldNamesThatAreNoTokensAreRejected failed for the bytes 9 and 32 at the beginning of a name, foldedFieldsAreRejected in all cases, whole or byte by byte. All pass now. Names with other bytes were rejected on the users' platform before; these tests are kept.

Change: ResponseParser rejects a header with a folded field.

--- a/src/http1/internal/messageparser.cpp
+++ b/src/http1/internal/messageparser.cpp
@@ -112,6 +112,19 @@
   auto on_finish_impl(error_code &Error) -> void override { Error = {}; }
 };
 
+/// Whether a line of the header begins with a blank. Beast joins it to the field before it, while
+/// other parsers take it for a field. The text is the part of the header that is not parsed yet,
+/// perhaps with bytes of the body behind it; complete fields are parsed only with the byte after
+/// them.
+auto hasFoldedField(std::string_view Text) -> bool {
+  if (Text.starts_with("\r\n")) {
+    return false;
+  }
+  const auto Header = Text.substr(0, Text.find("\r\n\r\n"));
+  return Header.find("\r\n ") != std::string_view::npos ||
+         Header.find("\r\n\t") != std::string_view::npos;
+}
+
 auto toStatus(const error_code &Error) -> absl::Status {
   if (Error == http::error::header_limit) {
     return absl::ResourceExhaustedError("the header is too large");
@@ -148,6 +161,9 @@
       m_Unconsumed.append(Bytes);
       Text = m_Unconsumed;
     }
+    if (!IsRequest && !m_Parser.is_header_done() && hasFoldedField(Text)) {
+      return absl::InvalidArgumentError("a header field is folded");
+    }
     auto Used = std::size_t{0};
     while (!m_Parser.is_done() && Used < Text.size()) {
       auto Error = error_code();
--- a/src/http1/messageparser.h
+++ b/src/http1/messageparser.h
@@ -54,7 +54,7 @@
   ResponseParser(ResponseParser &&) noexcept;
   auto operator=(ResponseParser &&) noexcept -> ResponseParser &;
 
-  /// Like RequestParser::feed.
+  /// Like RequestParser::feed; also returns InvalidArgument for a folded header field.
   auto feed(std::string_view Bytes) -> absl::StatusOr<std::size_t>;
 
   /// Whether the header has arrived and only the end of the connection ends the body.
--- a/src/http1/tests/messageparser_test.cpp
+++ b/src/http1/tests/messageparser_test.cpp
@@ -127,3 +127,61 @@
   }
   cr_expect(Wrong.empty(), "%s", Wrong.c_str());
 }
+
+// Guards against a field whose name another parser would read differently, so that it is passed on
+// or changes where the body ends.
+Test(responseparser, fieldNamesThatAreNoTokensAreRejected) {
+  const auto IsAccepted = [](const std::string &Line) {
+    auto Parser = ResponseParser(MessageLimits{});
+    return Parser.feed("HTTP/1.1 200 OK\r\nA: b\r\n" + Line + "Content-Length: 0\r\n\r\n").ok();
+  };
+  cr_assert(IsAccepted("X-Name: x\r\n"));
+  const auto Tokens = std::string_view("!#$%&'*+-.^_`|~");
+  for (auto Byte = 0; Byte < 256; ++Byte) {
+    const auto Character = static_cast<char>(Byte);
+    const auto IsToken =
+        Byte < 128 && (std::isalnum(Byte) != 0 || Tokens.find(Character) != std::string_view::npos);
+    if (Character == ':') {
+      continue;
+    }
+    for (const auto &Name :
+         {std::string(1, Character) + "Name", "X" + std::string(1, Character) + "Name",
+          "Name" + std::string(1, Character)}) {
+      cr_expect_eq(IsAccepted(Name + ": x\r\n"), IsToken, "byte %d", Byte);
+    }
+  }
+  cr_expect_not(IsAccepted(": x\r\n"), "no name");
+  cr_expect_not(IsAccepted("Name\r\n"), "no colon");
+}
+
+// Guards against a line that begins with a blank: it continues the field before it for some parsers
+// and is a field of its own for others.
+Test(responseparser, foldedFieldsAreRejected) {
+  for (const auto *Fold : {" ", "\t", "  "}) {
+    for (const auto *Value : {"", " b"}) {
+      const auto Text = fmt::format(
+          "HTTP/1.1 200 OK\r\nA:{}\r\n{}Content-Length: 3\r\nB: c\r\n\r\nabc", Value, Fold);
+      auto Whole = ResponseParser(MessageLimits{});
+      cr_expect_not(Whole.feed(Text).ok());
+      auto Single = ResponseParser(MessageLimits{});
+      auto IsRejected = false;
+      for (const auto Byte : Text) {
+        IsRejected = IsRejected || !Single.feed({&Byte, 1}).ok();
+      }
+      cr_expect(IsRejected);
+    }
+  }
+}
+
+// Guards against taking a body that begins with a blank for a folded field.
+Test(responseparser, bodyMayBeginWithABlank) {
+  for (const auto *Head : {"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nA: b\r\n\r\n"}) {
+    const auto Text = std::string(Head) + " a\r\n b";
+    for (std::size_t Cut = 1; Cut < Text.size(); ++Cut) {
+      auto Parser = ResponseParser(MessageLimits{});
+      cr_expect(Parser.feed(Text.substr(0, Cut)).ok());
+      cr_expect(Parser.feed(Text.substr(Cut)).ok(), "cut at %zu", Cut);
+      cr_expect_eq(Parser.body(), " a\r\n b");
+    }
+  }
+}
--- a/src/targets/tests/brokenanswers_test.cpp
+++ b/src/targets/tests/brokenanswers_test.cpp
@@ -62,3 +62,21 @@
     expectNoAnswer({fmt::format("HTTP/1.1 {} x\r\nContent-Length: 4\r\n\r\nnone", Status), ""});
   }
 }
+
+// Guards against a header line whose name is no token: it could change where the body ends.
+Test(brokenanswers, fieldNameWithABlankOrAControlByte) {
+  const auto Answer = [](const std::string &Line) {
+    return BrokenAnswer{"HTTP/1.1 200 OK\r\nServer: s\r\n" + Line + "\r\n\r\nnone", ""};
+  };
+  const auto Framing = std::string("\r\nContent-Length: 4");
+  const auto VerticalTab = std::string("\x0b");
+  for (const auto *Line : {"Bad Name: x", "X-Name : x", " X-Name: x", "\tX-Name: x", "X\x01Name: x",
+                           "X-Name\x7f: x", "no name"}) {
+    expectNoAnswer(Answer(Line + Framing));
+  }
+  expectNoAnswer(Answer(VerticalTab + "X-Name: x" + Framing));
+  for (const auto &Name : {std::string("Content-Length "), VerticalTab + "Content-Length",
+                           std::string(" Content-Length")}) {
+    expectNoAnswer(Answer(Name + ": 2"));
+  }
+}
--- a/testing/standins/platform/brokenserver.cpp
+++ b/testing/standins/platform/brokenserver.cpp
@@ -30,9 +30,9 @@
 
 class BrokenServer::Connection : public std::enable_shared_from_this<Connection> {
 public:
-  Connection(tcp::socket Socket, BrokenServer &Owner)
-      : m_Socket(std::move(Socket)), m_Owner(Owner), m_Endless(repeated(Owner.m_Answer.m_Endless)) {
-  }
+  Connection(tcp::socket Socket, BrokenAnswer Answer, std::atomic<int> &Requests)
+      : m_Socket(std::move(Socket)), m_Answer(std::move(Answer)), m_Requests(Requests),
+        m_Endless(repeated(m_Answer.m_Endless)) {}
 
   auto read() -> void {
     m_Socket.async_read_some(
@@ -46,17 +46,16 @@
 
 private:
   auto take(std::string_view Bytes) -> void {
-    const auto &Answer = m_Owner.m_Answer;
     const auto IsReady = m_Request.feed(Bytes).ok() &&
-                         (Answer.m_IsEarly ? m_Request.isHeadDone() : m_Request.isDone());
+                         (m_Answer.m_IsEarly ? m_Request.isHeadDone() : m_Request.isDone());
     if (!IsReady || m_HasAnswered) {
       read();
       return;
     }
     m_HasAnswered = true;
-    ++m_Owner.m_Requests;
+    ++m_Requests;
     const auto Id = std::string(m_Request.head().m_Fields.find("Request-Id").value_or(""));
-    m_Out = absl::StrReplaceAll(Answer.m_Start, {{"{id}", Id}});
+    m_Out = absl::StrReplaceAll(m_Answer.m_Start, {{"{id}", Id}});
     write();
   }
 
@@ -75,13 +74,14 @@
       write();
       return;
     }
-    if (m_Owner.m_Answer.m_Ending == BrokenAnswer::Ending::Stay) {
+    if (m_Answer.m_Ending == BrokenAnswer::Ending::Stay) {
       read();
     }
   }
 
   tcp::socket m_Socket;
-  BrokenServer &m_Owner;
+  BrokenAnswer m_Answer;
+  std::atomic<int> &m_Requests;
   std::string m_Endless;
   http1::RequestParser m_Request{RequestLimits};
   std::string m_Out;
@@ -101,10 +101,16 @@
   m_Thread.join();
 }
 
+auto BrokenServer::answerWith(BrokenAnswer Answer) -> void {
+  const auto Lock = std::lock_guard(m_Mutex);
+  m_Answer = std::move(Answer);
+}
+
 auto BrokenServer::accept() -> void {
   m_Acceptor.async_accept([this](const error_code &Error, tcp::socket Socket) {
     if (!Error) {
-      std::make_shared<Connection>(std::move(Socket), *this)->read();
+      const auto Lock = std::lock_guard(m_Mutex);
+      std::make_shared<Connection>(std::move(Socket), m_Answer, m_Requests)->read();
       accept();
     }
   });
--- a/testing/standins/platform/brokenserver.h
+++ b/testing/standins/platform/brokenserver.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
 
@@ -35,6 +36,9 @@
 
   [[nodiscard]] auto port() const -> int { return m_Acceptor.local_endpoint().port(); }
 
+  /// Sets the answer of the connections to come.
+  auto answerWith(BrokenAnswer Answer) -> void;
+
   /// Requests that have arrived.
   [[nodiscard]] auto requests() const -> int { return m_Requests; }
 
@@ -43,6 +47,7 @@
 
   auto accept() -> void;
 
+  std::mutex m_Mutex;
   BrokenAnswer m_Answer;
   boost::asio::io_context m_Loop;
   boost::asio::ip::tcp::acceptor m_Acceptor;
