Trailer fields do not join the header of a message

A target's chunked answer that came in one packet with a trailer carried the trailer's fields in its header, so that an answer without a signature could count as signed, or as not run. In several packets it did not.

Cause: the parser added every field that Beast reports, also those after the body.

Evidence: responseparser::trailerFieldsAreNotPartOfTheHeader failed before, passes now. Requests are parsed by the same code and behave alike.

--- a/src/http1/internal/messageparser.cpp
+++ b/src/http1/internal/messageparser.cpp
@@ -60,7 +60,10 @@
   auto on_field_impl(http::field, string_view Name, string_view Value, error_code &Error)
       -> void override {
     Error = {};
-    m_Fields.add(asView(Name), asView(Value));
+    // Fields of a trailer come after the body, which the header describes.
+    if (!this->is_header_done()) {
+      m_Fields.add(asView(Name), asView(Value));
+    }
   }
 
   /// Detects framings that two parsers could interpret differently: a transfer coding other than
--- a/src/http1/tests/messageparser_test.cpp
+++ b/src/http1/tests/messageparser_test.cpp
@@ -185,3 +185,15 @@
     }
   }
 }
+
+// Guards against fields after the body that change what the header says, depending on how many
+// packets a response arrives in.
+Test(responseparser, trailerFieldsAreNotPartOfTheHeader) {
+  auto Parser = ResponseParser(MessageLimits{});
+  cr_assert(Parser
+                .feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+                      "Server-Signature: s\r\n\r\n")
+                .ok());
+  cr_assert(Parser.isDone());
+  cr_expect_not(Parser.head().m_Fields.has("Server-Signature"));
+}
