Answers without end take a bounded part of memory

What callers saw: a target in trouble sent bytes without end; the router that had called it kept them and passed the memory of its VM, which ends the process and the requests of all its callers.

Cause: each answer that is passed on whole was bounded (4 MB), their sum was not; 64 at once, the slots of one engine, hold 256 MB. A head could have 64 KB, which small fields turn into ten times as much.

An ordinary request at another target is answered meanwhile.

Change: BufferLimit counts what is buffered of all answers, an eighth of the VM's memory in a router; if there is more, the answer that takes most fails, and its request is repeated or gets 502 as after any broken answer. Heads of answers may have 16 KB, as those of requests.

--- a/src/forwarding/forwardingcontext.h
+++ b/src/forwarding/forwardingcontext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/bufferlimit.h"
 #include "base/iclock.h"
 #include "base/ieventlog.h"
 #include "base/itimers.h"
@@ -48,6 +49,10 @@
   /// Maximum body size of a response that is buffered before it is sent to the caller.
   std::size_t m_MaxBufferedResponseBytes = std::size_t{4} * 1024 * 1024;
 
+  /// Maximum total size of the responses that are buffered, and of incomplete events. If there is
+  /// more, the request whose response takes most fails.
+  std::size_t m_MaxResponseBytes = std::size_t{16} * 1024 * 1024;
+
   /// Maximum size of one event of a stream. A target that sends more without ending the event has
   /// failed.
   std::size_t m_MaxEventBytes = std::size_t{256} * 1024;
@@ -91,6 +96,9 @@
   /// Retry budgets by pool name.
   std::map<std::string, retry::RetryBudget> m_RetryBudgets = {};
 
+  /// Counts what targets have sent and callers cannot be sent yet.
+  base::BufferLimit m_ResponseBuffers = base::BufferLimit(m_Options.m_MaxResponseBytes);
+
   std::size_t m_SessionCount = 0;
 
   /// Total size of the request bodies of all sessions.
--- a/src/forwarding/forwardsession.h
+++ b/src/forwarding/forwardsession.h
@@ -10,7 +10,8 @@
 /// Forwards one request of a caller: finds its route, checks the API key, reserves tokens, chooses
 /// a target, retries at other targets where that is allowed, and responds to the caller.
 class ForwardSession final : public std::enable_shared_from_this<ForwardSession>,
-                             public ITargetEventHandler {
+                             public ITargetEventHandler,
+                             private base::IBufferHolder {
 public:
   ForwardSession(ForwardingContext &Context, http1::RequestHead Head, std::string Body,
                  std::shared_ptr<IResponseWriter> Caller);
@@ -34,6 +35,8 @@
   auto onEnd() -> void override;
   auto onFailed(base::Verdict Outcome, std::string_view Reason) -> void override;
 
+  auto dropBuffer() -> void override;
+
   auto findRoute() -> std::optional<RefusalReason>;
   auto choosePool() -> void;
   auto reserve() -> void;
@@ -79,6 +82,12 @@
   /// Handles the end of a buffered response: retries after a 5xx status if that is allowed,
   /// otherwise sends the response to the caller.
   auto onBufferedResponse() -> void;
+  /// Releases the buffered body; an incomplete event stays.
+  auto releaseBuffer() -> void;
+
+  /// Counts the buffered part of the response. The attempt may have failed when this returns.
+  auto countBuffered() -> void;
+
   auto forwardEvents(std::string_view Bytes) -> void;
   auto beginResponse() -> void;
 
@@ -163,6 +172,9 @@
 
   std::optional<http1::ResponseHead> m_ResponseHead;
   std::string m_BufferedBody;
+
+  /// Whether m_Context.m_ResponseBuffers counts this session.
+  bool m_IsBufferCounted = false;
   bool m_IsEventStream = false;
 
   /// Whether only the end of the connection ends the response: it has neither a length nor chunks.
--- a/src/forwarding/internal/forwardsession.cpp
+++ b/src/forwarding/internal/forwardsession.cpp
@@ -55,6 +55,7 @@
 }
 
 ForwardSession::~ForwardSession() {
+  releaseBuffer();
   --m_Context.m_SessionCount;
   m_Context.m_BodyBytes -= m_Body->size();
 }
@@ -271,7 +272,6 @@
   m_ExpectedMs = Choice->m_ExpectedMs;
   m_TriedTargets.insert(m_TargetId);
   m_ResponseHead.reset();
-  m_BufferedBody.clear();
   m_IsAwaitingResponse = true;
   m_EventsBeforeAttempt = m_EventsSent;
   m_SentAt = now();
@@ -441,6 +441,7 @@
   m_Context.m_Targets.recordResult(m_TargetId, Result, now());
   m_Attempt.reset();
   m_IsPaused = false;
+  releaseBuffer();
 }
 
 auto ForwardSession::recordResponseTime() -> void {
--- a/src/forwarding/internal/forwardsessionanswer.cpp
+++ b/src/forwarding/internal/forwardsessionanswer.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+/// Buffered bytes of one session that are not counted, so that ordinary responses cost no
+/// accounting.
+constexpr auto UncountedBufferBytes = std::size_t{8} * 1024;
+
 auto isSuccess(int Status) -> bool { return Status >= 200 && Status < 300; }
 
 auto mayHaveBody(std::string_view Method, int Status) -> bool {
@@ -128,15 +132,38 @@
   m_BufferedBody += Bytes;
   if (m_BufferedBody.size() > m_Context.m_Options.m_MaxBufferedResponseBytes) {
     attemptFailed(base::Verdict::Ran, AttemptResult::Failed, "answer_too_large");
+    return;
+  }
+  countBuffered();
+}
+
+auto ForwardSession::countBuffered() -> void {
+  const auto Bytes = m_BufferedBody.size() + m_Events.partialEventBytes();
+  if (Bytes > UncountedBufferBytes || m_IsBufferCounted) {
+    m_IsBufferCounted = true;
+    m_Context.m_ResponseBuffers.setHeld(*this, Bytes);
   }
 }
 
+auto ForwardSession::releaseBuffer() -> void {
+  m_BufferedBody = std::string();
+  if (std::exchange(m_IsBufferCounted, false)) {
+    m_Context.m_ResponseBuffers.setHeld(*this, 0);
+  }
+}
+
+auto ForwardSession::dropBuffer() -> void {
+  attemptFailed(base::Verdict::MayHaveRun, AttemptResult::Failed, "answers_too_large");
+}
+
 auto ForwardSession::forwardEvents(std::string_view Bytes) -> void {
   auto Complete = m_Events.add(Bytes);
   if (Complete.empty()) {
     if (m_Events.partialEventBytes() > m_Context.m_Options.m_MaxEventBytes) {
       attemptFailed(base::Verdict::MayHaveRun, AttemptResult::Failed, "event_too_large");
+      return;
     }
+    countBuffered();
     return;
   }
   recordFirstByte();
@@ -153,6 +180,7 @@
     m_IsPaused = true;
     m_Attempt->pause(true);
   }
+  countBuffered();
 }
 
 auto ForwardSession::onCallerReady() -> void {
@@ -196,9 +224,10 @@
     attemptFailed(base::Verdict::Ran, AttemptResult::Failed, "failed_by_target");
     return;
   }
+  auto Body = std::exchange(m_BufferedBody, {});
   endAttempt(Status >= 500 ? AttemptResult::Failed : AttemptResult::Success);
   m_MayHaveRun = true;
-  m_Caller->sendComplete(std::move(*m_ResponseHead), std::move(m_BufferedBody));
+  m_Caller->sendComplete(std::move(*m_ResponseHead), std::move(Body));
   finish(Status >= 500 ? "failed_by_target" : "answered");
 }
 
--- a/src/forwarding/tests/forwardsession_test.cpp
+++ b/src/forwarding/tests/forwardsession_test.cpp
@@ -612,3 +612,44 @@
   Fixture.request("/book/");
   cr_expect_eq(Fixture.attempts().size(), 1U, "a place has become free");
 }
+
+// Guards against a target whose answer has no end: it must not take the memory of other answers.
+Test(forwardsession, largestAnswerFailsIfAllTakeTooMuchMemory) {
+  auto Fixture = ForwardingFixture();
+  Fixture.m_Context.m_ResponseBuffers.setLimit(100000);
+  Fixture.request("/book/1");
+  Fixture.connect();
+  Fixture.answerHead(200, {"signed"});
+  const auto Ordinary = Fixture.m_Caller;
+  const auto OrdinarySession = Fixture.m_Session;
+  const auto OrdinaryAttempt = Fixture.attempts().back();
+  OrdinaryAttempt->m_Events->onBody(std::string(20000, 'x'));
+  Fixture.request("/book/2");
+  Fixture.connect();
+  Fixture.answerHead(200, {"signed"});
+  for (auto Part = 0; Part < 5; ++Part) {
+    Fixture.body(std::string(16000, 'x'));
+  }
+  cr_expect_eq(Fixture.m_Caller->m_Status, 0);
+  Fixture.body(std::string(16000, 'x'));
+  cr_expect_eq(Fixture.m_Caller->m_Status, 502);
+  cr_expect(Fixture.attempts().back()->m_IsClosed);
+  cr_expect(Fixture.m_Log.has("attempt_failed", {"reason=answers_too_large", "repeats=false"}));
+  OrdinaryAttempt->m_Events->onEnd();
+  cr_expect_eq(Ordinary->m_Status, 200);
+  cr_expect_eq(Ordinary->m_Body.size(), 20000U);
+  cr_expect_eq(Fixture.m_Context.m_ResponseBuffers.heldBytes(), 0U);
+}
+
+// Guards against incomplete events that are kept apart from other buffers.
+Test(forwardsession, incompleteEventsCountAsBuffered) {
+  auto Fixture = ForwardingFixture();
+  Fixture.request("/stream/1", true);
+  Fixture.connect();
+  Fixture.answerHead(200, {"signed"});
+  Fixture.body("id: 1\ndata: " + std::string(20000, 'x'));
+  cr_expect_gt(Fixture.m_Context.m_ResponseBuffers.heldBytes(), 20000U);
+  Fixture.body("\n\n");
+  cr_expect_eq(Fixture.m_Context.m_ResponseBuffers.heldBytes(), 0U);
+  cr_expect_not(Fixture.m_Caller->m_IsAborted);
+}
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -43,6 +43,9 @@
 /// Request bodies may use the memory limit divided by this.
 constexpr auto BodyMemoryDivisor = 4;
 
+/// Responses that are buffered may use the memory limit divided by this.
+constexpr auto ResponseMemoryDivisor = std::size_t{8};
+
 auto peerOptions(const RouterSettings &Settings) -> fleet::PeerOptions {
   auto Options = fleet::PeerOptions();
   Options.m_Self = Settings.m_Vm;
@@ -130,19 +133,21 @@
   return Options;
 }
 
+auto memoryBytes(const RouterSettings &Settings) -> std::size_t {
+  return static_cast<std::size_t>(Settings.m_MemoryMb) * 1024 * 1024;
+}
+
 auto forwardingOptions(const RouterSettings &Settings) -> forwarding::ForwardingOptions {
   auto Options = forwarding::ForwardingOptions();
-  Options.m_MaxBodyBytes =
-      static_cast<std::size_t>(Settings.m_MemoryMb) * 1024 * 1024 / BodyMemoryDivisor;
+  Options.m_MaxBodyBytes = memoryBytes(Settings) / BodyMemoryDivisor;
+  // One response of the largest size must fit.
+  Options.m_MaxResponseBytes =
+      std::max(memoryBytes(Settings) / ResponseMemoryDivisor, Options.m_MaxBufferedResponseBytes);
   Options.m_Retry.m_Share = Settings.m_RetryShare * UsableRetryShare;
   Options.m_Retry.m_Burst = Settings.m_RetrySlack * UsableRetryShare;
   return Options;
 }
 
-auto memoryBytes(const RouterSettings &Settings) -> std::size_t {
-  return static_cast<std::size_t>(Settings.m_MemoryMb) * 1024 * 1024;
-}
-
 auto heldBytesLimit(const RouterSettings &Settings) -> std::size_t {
   return static_cast<std::size_t>(static_cast<double>(memoryBytes(Settings)) * HeldMemoryShare);
 }
@@ -590,7 +595,7 @@
   reportTargetAccess();
   auto Candidates = m_Peers.addressCandidates(m_IsLeaving, now());
   m_AddressSelector.removeSilent(Candidates, m_IsStoreReachable, now());
-  reportCallerMemory();
+  reportHeldMemory();
   m_Subscription.mirror().removeExpired(now());
   m_Dependencies.m_Metrics.gauge(
       "geraniumlift_store_knowledge_age_seconds", {},
@@ -624,10 +629,15 @@
                                  m_Overload.isOverloaded() ? 1.0 : 0.0);
 }
 
-auto Router::reportCallerMemory() -> void {
+auto Router::reportHeldMemory() -> void {
   const auto &Memory = m_CallerServer.memory();
   auto &Metrics = m_Dependencies.m_Metrics;
   Metrics.gauge("geraniumlift_caller_bytes_held", {}, static_cast<double>(Memory.heldBytes()));
+  const auto &Buffers = m_Context.m_ResponseBuffers;
+  Metrics.gauge("geraniumlift_response_bytes_held", {}, static_cast<double>(Buffers.heldBytes()));
+  Metrics.count("geraniumlift_response_drops_total", {},
+                static_cast<double>(Buffers.drops() -
+                                    std::exchange(m_ReportedResponseDrops, Buffers.drops())));
   for (const auto &Row : transport::EvictionReasonNames) {
     auto &Reported = m_ReportedEvictions[static_cast<std::size_t>(Row.m_Value)];
     const auto Count = Memory.evictions(Row.m_Value) - Reported;
@@ -661,6 +671,7 @@
   m_Settings.m_ColdSlack = Settings.m_ColdSlack;
   m_Settings.m_MemoryMb = Settings.m_MemoryMb;
   m_Context.m_Options = forwardingOptions(m_Settings);
+  m_Context.m_ResponseBuffers.setLimit(m_Context.m_Options.m_MaxResponseBytes);
   m_CallerServer.memory().setLimit(heldBytesLimit(m_Settings));
   updateRetryBudgets();
   m_Dependencies.m_Log.record(base::LogLevel::Warning, "settings_reloaded",
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -113,8 +113,8 @@
   [[nodiscard]] auto isReady() const -> bool;
   auto updateRetryBudgets() -> void;
 
-  /// Reports what callers hold, and how many connections were evicted since the last report.
-  auto reportCallerMemory() -> void;
+  /// Reports what callers and responses hold, and how much gave way since the last report.
+  auto reportHeldMemory() -> void;
 
   /// Advances a graceful stop and schedules itself again until the router has stopped.
   auto continueStop() -> void;
@@ -151,6 +151,9 @@
 
   /// Evictions by reason that were reported.
   std::array<std::uint64_t, transport::EvictionReasonNames.size()> m_ReportedEvictions{};
+
+  /// Responses that were dropped for want of memory and reported.
+  std::uint64_t m_ReportedResponseDrops = 0;
   transport::CallerServer m_ReadinessServer;
   transport::CallerServer m_DirectoryServer;
   keyvalue::StoreMonitor m_StoreMonitor;
--- a/src/targets/httptargetclient.h
+++ b/src/targets/httptargetclient.h
@@ -24,10 +24,15 @@
 
   /// Number of consecutive resumptions without an event after which a stream fails.
   std::int64_t m_ResumeAttempts = 3;
+
+  /// Maximum total size in bytes of the responses and events that are incomplete. If there is more,
+  /// the call or stream that holds most fails, so that a target that sends without end uses up no
+  /// memory of others.
+  std::size_t m_MaxResponseBytes = std::size_t{32} * 1024 * 1024;
 };
 
-/// ITargetClient on top of plain sockets. All callbacks run on one thread that this object owns. The
-/// destructor closes open streams and calls without further callbacks; it must not run in a
+/// ITargetClient on top of plain sockets. All callbacks run on one thread that this object owns.
+/// The destructor closes open streams and calls without further callbacks; it must not run in a
 /// callback.
 class HttpTargetClient final : public ITargetClient {
 public:
--- a/src/targets/internal/enginestream.cpp
+++ b/src/targets/internal/enginestream.cpp
@@ -76,7 +76,13 @@
   }
   if (m_Parser.overflowed()) {
     resume("An event of the engine was too long.");
+    return;
   }
+  m_Context.m_Buffers.setHeld(*this, m_Parser.heldBytes());
+}
+
+auto EngineStream::dropBuffer() -> void {
+  resume("The responses of all targets take too much memory.");
 }
 
 auto EngineStream::handleEvent(const SseEvent &Event) -> bool {
@@ -186,6 +192,7 @@
 }
 
 auto EngineStream::closeConnection() -> void {
+  m_Context.m_Buffers.setHeld(*this, 0);
   m_Receiver.reset();
   if (m_Exchange) {
     m_Exchange->cancel();
--- a/src/targets/internal/enginestream.h
+++ b/src/targets/internal/enginestream.h
@@ -15,11 +15,12 @@
 
 /// One completion, which may span several consecutive connections. Used on the scheduler's thread
 /// only.
-class EngineStream : public std::enable_shared_from_this<EngineStream> {
+class EngineStream : public std::enable_shared_from_this<EngineStream>,
+                     private base::IBufferHolder {
 public:
   EngineStream(const TargetContext &Context, StreamRequest Request,
                std::shared_ptr<IStreamObserver> Observer);
-  ~EngineStream();
+  ~EngineStream() override;
 
   /// Sends the request. OnEnded is called once, after the observer's last call.
   auto start(std::function<void()> OnEnded) -> void;
@@ -32,6 +33,7 @@
   /// late calls from a replaced connection are dropped.
   class ConnectionReceiver;
 
+  auto dropBuffer() -> void override;
   auto onHead(const HttpResponseHead &Head) -> void;
   auto onBytes(std::string_view Bytes) -> void;
   auto onConnectionEnd(const HttpEnd &End) -> void;
--- a/src/targets/internal/httpexchange.cpp
+++ b/src/targets/internal/httpexchange.cpp
@@ -21,7 +21,7 @@
 using boost::system::error_code;
 
 /// Maximum header and body size of a response in bytes. Receivers bound what they keep of a body.
-constexpr auto ResponseLimits = http1::MessageLimits{64 * 1024, std::uint64_t{1} << 30U};
+constexpr auto ResponseLimits = http1::MessageLimits{16 * 1024, std::uint64_t{1} << 30U};
 
 /// Maximum number of idle connections to keep for one base URL.
 constexpr auto MaxIdleConnections = std::size_t{8};
--- a/src/targets/internal/httptargetclient.cpp
+++ b/src/targets/internal/httptargetclient.cpp
@@ -47,7 +47,9 @@
 class HttpTargetClient::Implementation {
 public:
   Implementation(HttpTargetOptions Options, const base::IClock &Clock, telemetry::IMetrics &Metrics)
-      : m_Context{Options, Clock, Metrics, std::make_shared<base::AsioScheduler>()} {}
+      : m_Buffers(Options.m_MaxResponseBytes), m_Context{Options, Clock, Metrics,
+                                                         std::make_shared<base::AsioScheduler>(),
+                                                         m_Buffers} {}
 
   ~Implementation() {
     auto Cleared = std::promise<void>();
@@ -147,6 +149,7 @@
     post([this, Weak] { m_Streams.erase(Weak.lock()); });
   }
 
+  base::BufferLimit m_Buffers;
   TargetContext m_Context;
   std::set<std::shared_ptr<EngineStream>> m_Streams;
   std::set<std::shared_ptr<ServiceCall>> m_Calls;
--- a/src/targets/internal/servicecall.cpp
+++ b/src/targets/internal/servicecall.cpp
@@ -25,6 +25,7 @@
     : m_Context(Context), m_Request(std::move(Request)), m_Done(std::move(Done)) {}
 
 ServiceCall::~ServiceCall() {
+  m_Context.m_Buffers.setHeld(*this, 0);
   if (m_Exchange) {
     m_Exchange->cancel();
   }
@@ -59,6 +60,11 @@
     return;
   }
   m_Body += Bytes;
+  m_Context.m_Buffers.setHeld(*this, m_Body.size());
+}
+
+auto ServiceCall::dropBuffer() -> void {
+  fail(base::Verdict::MayHaveRun, "The responses of all targets take too much memory.");
 }
 
 auto ServiceCall::onEnd(const HttpEnd &End) -> void {
@@ -66,6 +72,7 @@
     fail(End.m_Verdict, End.m_Detail);
     return;
   }
+  m_Context.m_Buffers.setHeld(*this, 0);
   // The connection returns to the client's pool; cancelling the exchange now would close it.
   m_Exchange.reset();
   finish({.m_Verdict = End.m_Verdict,
@@ -86,6 +93,8 @@
 }
 
 auto ServiceCall::finish(ServiceResult Result) -> void {
+  m_Body = std::string();
+  m_Context.m_Buffers.setHeld(*this, 0);
   if (m_Exchange) {
     m_Exchange->cancel();
   }
--- a/src/targets/internal/servicecall.h
+++ b/src/targets/internal/servicecall.h
@@ -10,7 +10,9 @@
 namespace geraniumlift::targets {
 
 /// One call of a plain service on one connection. Used on the scheduler's thread only.
-class ServiceCall final : public IHttpReceiver, public std::enable_shared_from_this<ServiceCall> {
+class ServiceCall final : public IHttpReceiver,
+                          public std::enable_shared_from_this<ServiceCall>,
+                          private base::IBufferHolder {
 public:
   /// Largest response body in bytes. The call fails if the response is larger.
   static constexpr std::size_t MaxBodyBytes = std::size_t{1024} * 1024;
@@ -28,6 +30,7 @@
   auto onEnd(const HttpEnd &End) -> void override;
 
 private:
+  auto dropBuffer() -> void override;
   auto fail(base::Verdict Verdict, const std::string &Detail) -> void;
   auto finish(ServiceResult Result) -> void;
   [[nodiscard]] auto httpRequest() const -> HttpRequest;
--- a/src/targets/internal/sseparser.h
+++ b/src/targets/internal/sseparser.h
@@ -29,6 +29,11 @@
   /// Parses the next bytes and returns the events that they complete.
   auto feed(std::string_view Bytes) -> std::vector<SseEvent>;
 
+  /// Bytes of the event that is not complete yet.
+  [[nodiscard]] auto heldBytes() const -> std::size_t {
+    return m_Line.size() + m_Event.m_Data.size();
+  }
+
   /// Whether a line or an event exceeded MaxLineBytes. Nothing is parsed after that.
   [[nodiscard]] auto overflowed() const -> bool { return m_Overflowed; }
 
--- a/src/targets/internal/targetcontext.h
+++ b/src/targets/internal/targetcontext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/asioscheduler.h"
+#include "base/bufferlimit.h"
 #include "base/iclock.h"
 #include "targets/httptargetclient.h"
 #include "telemetry/imetrics.h"
@@ -17,6 +18,9 @@
 
   /// Runs all state changes of streams and calls, and their callbacks.
   std::shared_ptr<base::AsioScheduler> m_Scheduler;
+
+  /// Counts the bodies and events that are incomplete. Used on the scheduler's thread only.
+  base::BufferLimit &m_Buffers;
 };
 
 /// Time left until a deadline, rounded down, at least 0.
--- a/src/targets/tests/brokenanswers_test.cpp
+++ b/src/targets/tests/brokenanswers_test.cpp
@@ -3,6 +3,7 @@
 
 #include <criterion/criterion.h>
 #include <fmt/format.h>
+#include <fstream>
 
 using namespace geraniumlift;
 using namespace geraniumlift::targets;
@@ -47,6 +48,21 @@
             Text.substr(0, 120).c_str());
 }
 
+/// The most memory that this process has held at once, in kilobytes.
+auto peakMemoryKb() -> std::int64_t {
+  auto File = std::ifstream("/proc/self/status");
+  for (auto Line = std::string(); std::getline(File, Line);) {
+    if (Line.starts_with("VmHWM:")) {
+      return std::stoll(Line.substr(6));
+    }
+  }
+  return -1;
+}
+
+/// What the calls and the stream may add to the memory in kilobytes: the limit of the fixture, the
+/// buffers of the connections on both sides, and what the allocator keeps.
+constexpr auto MaxAddedKb = std::int64_t{24} * 1024;
+
 } // namespace
 
 // Guards against a part of an answer that counts as the whole, because the target resets the
@@ -80,3 +96,22 @@
     expectNoAnswer(Answer(Name + ": 2"));
   }
 }
+
+// Guards against a header without end that is kept until memory is used up.
+Test(brokenanswers, headWithoutEnd) {
+  const auto Before = peakMemoryKb();
+  expectNoAnswer({"HTTP/1.1 200 OK\r\n", "a: b\r\n"});
+  expectNoAnswer({"HTTP/1.1 200 OK\r\nX: ", "aaaaaaaa"});
+  expectNoAnswer({"", "aaaaaaaa"});
+  cr_expect_leq(peakMemoryKb() - Before, MaxAddedKb);
+}
+
+// Guards against bodies without end, each of which is bounded while their sum is not.
+Test(brokenanswers, bodyWithoutEnd) {
+  const auto Before = peakMemoryKb();
+  const auto Head = std::string("HTTP/1.1 200 OK\r\n");
+  expectNoAnswer({Head + "Content-Length: 1000000000\r\n\r\n", "xxxxxxxx"});
+  expectNoAnswer({Head + "Transfer-Encoding: chunked\r\n\r\n", "10\r\nxxxxxxxxxxxxxxxx\r\n"});
+  expectNoAnswer({Head + "Transfer-Encoding: chunked\r\n\r\n5;", "extension"});
+  cr_expect_leq(peakMemoryKb() - Before, MaxAddedKb);
+}
--- a/src/targets/tests/clientfixture.h
+++ b/src/targets/tests/clientfixture.h
@@ -14,8 +14,10 @@
 struct ClientFixture {
   base::SystemClock m_Clock;
   CountingMetrics m_Metrics;
-  HttpTargetClient m_Client{
-      {.m_ProgressTimeout = std::chrono::milliseconds{1500}}, m_Clock, m_Metrics};
+  HttpTargetClient m_Client{{.m_ProgressTimeout = std::chrono::milliseconds{1500},
+                             .m_MaxResponseBytes = std::size_t{4} * 1024 * 1024},
+                            m_Clock,
+                            m_Metrics};
 
   auto stream(const std::string &Url, const std::string &Body,
               const std::shared_ptr<RecordingObserver> &Observer)
--- a/src/transport/internal/targetconnector.cpp
+++ b/src/transport/internal/targetconnector.cpp
@@ -14,7 +14,7 @@
 using boost::system::error_code;
 
 /// Maximum header and body size of a target's response in bytes.
-constexpr auto ResponseLimits = http1::MessageLimits{64 * 1024, std::uint64_t{1} << 30U};
+constexpr auto ResponseLimits = http1::MessageLimits{16 * 1024, std::uint64_t{1} << 30U};
 
 /// The connection of one attempt. Its pending operations and the session's handle keep it alive;
 /// destroying the handle closes it.
