Requests of a planned stop get an answer

What callers saw (other operators): in a planned stop of one router, requests that came late were taken and passed on, and were cut without an answer when the time to stop was over, among them such that may not be repeated.

Cause: a stopping router took requests for 3 s whatever its stop time was, counted from the moment at which it handled the signal and checked every 50 ms; at the end of the stop time it exited with all requests that still ran.

Change: requests are taken for 35% of the stop time, at most 2.8 s. 0.6 s before its end those whose answers have not begun get one, 504 if a target has received them, else 503, and 0.3 s are left to send them.

--- a/src/forwarding/forwardsession.h
+++ b/src/forwarding/forwardsession.h
@@ -25,6 +25,9 @@
   /// Cancels the request because the caller has closed its connection.
   auto onCallerGone() -> void;
 
+  /// Answers the request because the router stops, unless its response has begun.
+  auto onRouterStops() -> void;
+
   /// Resumes reading from the target once the caller has read everything that was sent.
   auto onCallerReady() -> void;
 
--- a/src/forwarding/internal/forwardsession.cpp
+++ b/src/forwarding/internal/forwardsession.cpp
@@ -407,6 +407,17 @@
   refuse(m_MayHaveRun ? RefusalReason::TimedOut : RefusalReason::NoTarget);
 }
 
+auto ForwardSession::onRouterStops() -> void {
+  if (m_IsFinished || m_HasResponseBegun) {
+    return;
+  }
+  if (m_Attempt) {
+    m_MayHaveRun |= m_SendCount > 0;
+    endAttempt(AttemptResult::Unknown);
+  }
+  refuse(m_MayHaveRun ? RefusalReason::TimedOut : RefusalReason::Stopping);
+}
+
 auto ForwardSession::onFailed(base::Verdict Outcome, std::string_view Reason) -> void {
   recordConnectEnd(Reason == ConnectTimeoutReason);
   if (Outcome != base::Verdict::DidNotRun) {
--- a/src/forwarding/tests/forwardsession_test.cpp
+++ b/src/forwarding/tests/forwardsession_test.cpp
@@ -653,3 +653,28 @@
   cr_expect_eq(Fixture.m_Context.m_ResponseBuffers.heldBytes(), 0U);
   cr_expect_not(Fixture.m_Caller->m_IsAborted);
 }
+
+// Guards against requests that are cut without an answer when the router's time to stop is over,
+// and against a promise that one did not run which a target has received.
+Test(forwardsession, requestsAreAnsweredBeforeTheRouterStops) {
+  auto Unsent = ForwardingFixture();
+  Unsent.request("/book/1");
+  Unsent.m_Session->onRouterStops();
+  cr_expect_eq(Unsent.m_Caller->m_Status, 503);
+  cr_expect(Unsent.attempts().back()->m_IsClosed);
+  auto Sent = ForwardingFixture();
+  Sent.request("/book/1");
+  Sent.connect();
+  Sent.m_Session->onRouterStops();
+  cr_expect_eq(Sent.m_Caller->m_Status, 504);
+  cr_expect(Sent.attempts().back()->m_IsClosed);
+  auto Begun = ForwardingFixture();
+  Begun.request("/stream/1", true);
+  Begun.connect();
+  Begun.answerHead(200, {"signed"});
+  Begun.body("id: 1\ndata: a\n\n");
+  Begun.m_Session->onRouterStops();
+  cr_expect_not(Begun.m_Caller->m_IsAborted, "it has time until the exit");
+  Begun.end();
+  cr_expect(Begun.m_Caller->m_IsComplete);
+}
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -19,12 +19,19 @@
 /// cannot know of, such as those of a killed process.
 constexpr auto UsableRetryShare = 0.6;
 
-/// How long a stopping router still accepts requests, since callers cache the directory's response.
-constexpr auto StopAcceptPeriod = 3000ms;
-
-/// A stopping router exits this long before the end of its stop time even if requests are running.
+/// How long a stopping router still accepts requests, since callers cache the directory's response:
+/// at most this long, and a share of the stop time, so that the rest of it suffices to answer them.
+constexpr auto MaxStopAcceptPeriod = 2800ms;
+constexpr auto StopAcceptShare = 0.35;
+
+/// This long before the end of its stop time a stopping router answers the requests whose responses
+/// have not begun, and exits a little later.
+constexpr auto FinalAnswerMargin = 600ms;
 constexpr auto ForcedExitMargin = 300ms;
 
+/// Interval at which a stopping router checks how far it is.
+constexpr auto StopCheckInterval = 50ms;
+
 /// Delay before a failed registration is retried.
 constexpr auto RegistrationRetryDelay = 300ms;
 
@@ -697,7 +704,10 @@
 
 auto Router::continueStop() -> void {
   const auto Since = now() - m_StopStarted;
-  if (Since >= StopAcceptPeriod && !m_Context.m_IsStopping) {
+  const auto StopTime = m_Settings.m_StopTime;
+  const auto AcceptPeriod = std::min<std::chrono::duration<double, std::milli>>(
+      MaxStopAcceptPeriod, StopTime * StopAcceptShare);
+  if (Since >= AcceptPeriod && !m_Context.m_IsStopping) {
     m_Context.m_IsStopping = true;
     m_CallerServer.closeIdle();
   }
@@ -705,15 +715,20 @@
   if (m_Context.m_IsStopping && !std::exchange(m_IsDrainingGrants, true)) {
     m_Grants.drain();
   }
+  if (Since >= StopTime - FinalAnswerMargin && !std::exchange(m_HasAnsweredBeforeStop, true)) {
+    m_Dependencies.m_Log.record(base::LogLevel::Warning, "router_answers_before_stop",
+                                {{"sessions", m_Context.m_SessionCount}});
+    m_CallerServer.answerBeforeStop();
+  }
   const auto IsDone = m_IsDrainingGrants && m_Context.m_SessionCount == 0 && m_Grants.isDrained();
-  if (IsDone || Since >= m_Settings.m_StopTime - ForcedExitMargin) {
+  if (IsDone || Since >= StopTime - ForcedExitMargin) {
     m_Dependencies.m_Log.record(
         base::LogLevel::Warning, "router_stopped",
         {{"sessions", m_Context.m_SessionCount}, {"grants_returned", m_Grants.isDrained()}});
     m_OnStopped();
     return;
   }
-  m_Dependencies.m_Timers.start(now() + 50ms, [this] { continueStop(); });
+  m_Dependencies.m_Timers.start(now() + StopCheckInterval, [this] { continueStop(); });
 }
 
 } // namespace geraniumlift::router
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -168,6 +168,9 @@
   /// Whether this router must be registered once the store can be reached.
   bool m_MustRegister = false;
   bool m_IsDrainingGrants = false;
+
+  /// Whether the requests that run at the end of the stop time got an answer.
+  bool m_HasAnsweredBeforeStop = false;
   std::uint32_t m_HeartbeatSequence = 0;
   base::SteadyTime m_StopStarted;
   std::function<void()> m_OnStopped;
--- a/src/transport/callerserver.h
+++ b/src/transport/callerserver.h
@@ -69,6 +69,10 @@
   /// Closes the connections on which no request is being read or served.
   auto closeIdle() -> void;
 
+  /// Answers the requests that are being served and whose responses have not begun, because the
+  /// process ends.
+  auto answerBeforeStop() -> void;
+
   [[nodiscard]] auto connections() const -> std::size_t;
 
   /// The account of what the connections hold.
--- a/src/transport/internal/callerconnection.cpp
+++ b/src/transport/internal/callerconnection.cpp
@@ -378,6 +378,12 @@
   }
 }
 
+auto CallerConnection::answerBeforeStop() -> void {
+  if (const auto Session = m_Session; Session && m_Phase == Phase::Serving) {
+    Session->onRouterStops();
+  }
+}
+
 auto CallerConnection::close() -> void {
   if (m_Phase == Phase::Closed) {
     return;
--- a/src/transport/internal/callerconnection.h
+++ b/src/transport/internal/callerconnection.h
@@ -43,6 +43,9 @@
   /// Closes the connection unless a request is being read or served.
   auto closeIfIdle() -> void;
 
+  /// Answers the request that is being served, unless its response has begun.
+  auto answerBeforeStop() -> void;
+
   auto sendComplete(http1::ResponseHead Head, std::string Body) -> void override;
   auto begin(http1::ResponseHead Head) -> void override;
   auto sendChunk(std::string Piece) -> void override;
--- a/src/transport/internal/callerserver.cpp
+++ b/src/transport/internal/callerserver.cpp
@@ -80,6 +80,15 @@
     accept();
   }
 
+  /// Calls the function of each connection. It may close connections.
+  auto forEach(void (CallerConnection::*Function)()) -> void {
+    const auto Connections =
+        std::vector(m_Shared->m_Connections.begin(), m_Shared->m_Connections.end());
+    for (const auto &Connection : Connections) {
+      (Connection.get()->*Function)();
+    }
+  }
+
   tcp::acceptor m_Acceptor;
   std::shared_ptr<SharedServerState> m_Shared;
 };
@@ -110,12 +119,10 @@
   m_State->m_Shared->m_ClosesAfterResponses = true;
 }
 
-auto CallerServer::closeIdle() -> void {
-  const auto Connections =
-      std::vector(m_State->m_Shared->m_Connections.begin(), m_State->m_Shared->m_Connections.end());
-  for (const auto &Connection : Connections) {
-    Connection->closeIfIdle();
-  }
+auto CallerServer::closeIdle() -> void { m_State->forEach(&CallerConnection::closeIfIdle); }
+
+auto CallerServer::answerBeforeStop() -> void {
+  m_State->forEach(&CallerConnection::answerBeforeStop);
 }
 
 auto CallerServer::connections() const -> std::size_t {
--- a/testing/standins/platform/brokenserver.cpp
+++ b/testing/standins/platform/brokenserver.cpp
@@ -4,6 +4,7 @@
 
 #include <absl/strings/str_replace.h>
 #include <array>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 namespace geraniumlift::standins {
@@ -30,9 +31,9 @@
 
 class BrokenServer::Connection : public std::enable_shared_from_this<Connection> {
 public:
-  Connection(tcp::socket Socket, BrokenAnswer Answer, std::atomic<int> &Requests)
-      : m_Socket(std::move(Socket)), m_Answer(std::move(Answer)), m_Requests(Requests),
-        m_Endless(repeated(m_Answer.m_Endless)) {}
+  Connection(tcp::socket Socket, BrokenAnswer Answer, BrokenServer &Owner)
+      : m_Socket(std::move(Socket)), m_Timer(m_Socket.get_executor()), m_Answer(std::move(Answer)),
+        m_Owner(Owner), m_Endless(repeated(m_Answer.m_Endless)) {}
 
   auto read() -> void {
     m_Socket.async_read_some(
@@ -53,10 +54,15 @@
       return;
     }
     m_HasAnswered = true;
-    ++m_Requests;
     const auto Id = std::string(m_Request.head().m_Fields.find("Request-Id").value_or(""));
+    m_Owner.record(Id);
     m_Out = absl::StrReplaceAll(m_Answer.m_Start, {{"{id}", Id}});
-    write();
+    if (m_Answer.m_Delay.count() == 0) {
+      write();
+      return;
+    }
+    m_Timer.expires_after(m_Answer.m_Delay);
+    m_Timer.async_wait([Self = shared_from_this()](const error_code &) { Self->write(); });
   }
 
   auto write() -> void {
@@ -80,8 +86,9 @@
   }
 
   tcp::socket m_Socket;
+  boost::asio::steady_timer m_Timer;
   BrokenAnswer m_Answer;
-  std::atomic<int> &m_Requests;
+  BrokenServer &m_Owner;
   std::string m_Endless;
   http1::RequestParser m_Request{RequestLimits};
   std::string m_Out;
@@ -106,11 +113,22 @@
   m_Answer = std::move(Answer);
 }
 
+auto BrokenServer::record(const std::string &RequestId) -> void {
+  const auto Lock = std::lock_guard(m_Mutex);
+  ++m_Requests;
+  m_Received.insert(RequestId);
+}
+
+auto BrokenServer::hasReceived(const std::string &RequestId) -> bool {
+  const auto Lock = std::lock_guard(m_Mutex);
+  return m_Received.contains(RequestId);
+}
+
 auto BrokenServer::accept() -> void {
   m_Acceptor.async_accept([this](const error_code &Error, tcp::socket Socket) {
     if (!Error) {
       const auto Lock = std::lock_guard(m_Mutex);
-      std::make_shared<Connection>(std::move(Socket), m_Answer, m_Requests)->read();
+      std::make_shared<Connection>(std::move(Socket), m_Answer, *this)->read();
       accept();
     }
   });
--- a/testing/standins/platform/brokenserver.h
+++ b/testing/standins/platform/brokenserver.h
@@ -3,8 +3,10 @@
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 
@@ -24,6 +26,9 @@
 
   /// Whether the answer begins when the head of the request has arrived, not at its end.
   bool m_IsEarly = false;
+
+  /// How long the server works on a request before it answers.
+  std::chrono::milliseconds m_Delay{0};
 };
 
 /// A server in trouble on a loopback port: its answers are broken. Runs on a thread of its own.
@@ -42,16 +47,21 @@
   /// Requests that have arrived.
   [[nodiscard]] auto requests() const -> int { return m_Requests; }
 
+  /// Whether a request with this ID has arrived.
+  [[nodiscard]] auto hasReceived(const std::string &RequestId) -> bool;
+
 private:
   class Connection;
 
   auto accept() -> void;
+  auto record(const std::string &RequestId) -> void;
 
   std::mutex m_Mutex;
   BrokenAnswer m_Answer;
   boost::asio::io_context m_Loop;
   boost::asio::ip::tcp::acceptor m_Acceptor;
   std::atomic<int> m_Requests{0};
+  std::set<std::string> m_Received;
   std::thread m_Thread;
 };
 
