Test answers whose head is cut off

Other operators saw a 200 with an empty or short body, framed as whole, after a target had stopped in the middle of its head and closed. Here this was handled: a connection that closes within the head leaves the parser without one, and the attempt has failed.

--- a/src/http1/tests/messageparser_test.cpp
+++ b/src/http1/tests/messageparser_test.cpp
@@ -197,3 +197,16 @@
   cr_assert(Parser.isDone());
   cr_expect_not(Parser.head().m_Fields.has("Server-Signature"));
 }
+
+// Guards against a response whose header was cut off and that counts as complete at the close.
+Test(responseparser, headerThatIsCutOffIsNotComplete) {
+  const auto Head =
+      std::string("HTTP/1.1 200 OK\r\nRequest-Id: 7\r\nContent-Length: 0\r\nServer: s\r\n\r\n");
+  for (std::size_t Size = 0; Size < Head.size(); ++Size) {
+    auto Parser = ResponseParser(MessageLimits{});
+    cr_assert(Parser.feed(Head.substr(0, Size)).ok());
+    cr_expect_not(Parser.isHeadDone(), "%zu bytes", Size);
+    cr_expect_not(Parser.finishAtClose().ok(), "%zu bytes", Size);
+    cr_expect_not(Parser.isDone(), "%zu bytes", Size);
+  }
+}
--- a/src/targets/tests/brokenanswers_test.cpp
+++ b/src/targets/tests/brokenanswers_test.cpp
@@ -115,3 +115,14 @@
   expectNoAnswer({Head + "Transfer-Encoding: chunked\r\n\r\n5;", "extension"});
   cr_expect_leq(peakMemoryKb() - Before, MaxAddedKb);
 }
+
+// Guards against a target that stops in the middle of its header and closes: callers got a status
+// with an empty body.
+Test(brokenanswers, headThatIsCutOff) {
+  const auto Head =
+      std::string("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\n");
+  for (std::size_t Size = 0; Size < Head.size(); Size += 3) {
+    expectNoAnswer({Head.substr(0, Size), "", BrokenAnswer::Ending::Close});
+  }
+  expectNoAnswer({Head + "bod", "", BrokenAnswer::Ending::Close});
+}
