Calls to the store that are given up are closed, not reset

Since RequestExchange reads their answers, a call to the store that timed out reset its connection and discarded what the system had not sent yet, where it was closed before. That was meant for requests to targets only; calls to the store and those of our own interface are closed as before. transport_test and targets_http_test pass.

--- a/src/targets/internal/httpexchange.cpp
+++ b/src/targets/internal/httpexchange.cpp
@@ -158,7 +158,7 @@
     auto Ignored = error_code();
     m_Socket.close(Ignored);
     if (const auto Exchange = m_Exchange.lock()) {
-      Exchange->abort();
+      Exchange->close();
     }
   }
 
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -170,7 +170,7 @@
     auto Ignored = error_code();
     m_Socket.close(Ignored);
     if (const auto Exchange = m_Exchange.lock()) {
-      Exchange->abort();
+      Exchange->close();
     }
     const auto Done = std::exchange(m_Done, {});
     Done(std::move(Result));
--- a/src/transport/internal/requestexchange.cpp
+++ b/src/transport/internal/requestexchange.cpp
@@ -47,7 +47,7 @@
 }
 
 auto RequestExchange::abort() -> void {
-  if (std::exchange(m_Handler, nullptr)) {
+  if (m_Handler) {
     auto Ignored = error_code();
     m_Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
   }
@@ -55,6 +55,7 @@
 }
 
 auto RequestExchange::close() -> void {
+  m_Handler.reset();
   auto Ignored = error_code();
   m_UploadCheck.cancel(Ignored);
   m_Socket.close(Ignored);
--- a/src/transport/requestexchange.h
+++ b/src/transport/requestexchange.h
@@ -40,8 +40,11 @@
   /// Pauses or resumes reading.
   auto pause(bool IsPaused) -> void;
 
-  /// Closes the connection; no call of the handler follows. If the exchange has not ended by
-  /// itself, what is not sent yet is discarded: behind a full link it would reach the peer later.
+  /// Closes the connection; no call of the handler follows. The system still sends what it has.
+  auto close() -> void;
+
+  /// As close(), but if the exchange has not ended by itself, what is not sent yet is discarded:
+  /// behind a full link it would reach the peer later.
   auto abort() -> void;
 
   /// Whether any byte of a response has arrived.
@@ -60,7 +63,6 @@
   auto onClosed() -> void;
   auto finish(bool IsReusable) -> void;
   auto fail(std::string_view Reason) -> void;
-  auto close() -> void;
 
   /// Whether the peer has not received the whole request yet.
   [[nodiscard]] auto isUploading() -> bool;
