One way to take a kept connection

The store's client and the calls of services through our own interface both looked for a kept connection without bytes on it; they share takeIdleConnection now.

--- a/src/targets/internal/httpexchange.cpp
+++ b/src/targets/internal/httpexchange.cpp
@@ -1,6 +1,7 @@
 #include "targets/internal/httpexchange.h"
 
 #include "targets/verdictrules.h"
+#include "transport/idleconnections.h"
 #include "transport/requestexchange.h"
 
 #include <absl/strings/numbers.h>
@@ -138,17 +139,11 @@
         m_IsHeadRequest(Request.m_Method == "HEAD") {}
 
   auto start() -> void {
-    auto &Idle = m_HttpClient->m_Idle;
-    while (!Idle.empty()) {
-      m_Socket = std::move(Idle.back());
-      Idle.pop_back();
-      // Bytes that have arrived already belong to no request.
-      auto Error = error_code();
-      if (m_Socket.available(Error) == 0 && !Error) {
-        m_IsReused = true;
-        send();
-        return;
-      }
+    if (auto Kept = transport::takeIdleConnection(m_HttpClient->m_Idle)) {
+      m_Socket = std::move(*Kept);
+      m_IsReused = true;
+      send();
+      return;
     }
     connect();
   }
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -1,5 +1,6 @@
 #include "transport/httpclient.h"
 
+#include "transport/idleconnections.h"
 #include "transport/requestexchange.h"
 
 #include <boost/asio/post.hpp>
@@ -71,17 +72,11 @@
                                        Self->m_Timer = 0;
                                        Self->fail();
                                      });
-    while (!m_Pool->m_Idle.empty()) {
-      m_Socket = std::move(m_Pool->m_Idle.back());
-      m_Pool->m_Idle.pop_back();
-      // Bytes that arrived on an idle connection, such as a second copy of an answer, would be
-      // taken for the answer to this call.
-      auto Error = error_code();
-      if (m_Socket.available(Error) == 0 && !Error) {
-        m_IsReused = true;
-        send();
-        return;
-      }
+    if (auto Kept = takeIdleConnection(m_Pool->m_Idle)) {
+      m_Socket = std::move(*Kept);
+      m_IsReused = true;
+      send();
+      return;
     }
     connect();
   }
