--- a/src/http1/tests/messageparser_test.cpp
+++ b/src/http1/tests/messageparser_test.cpp
@@ -192,10 +192,10 @@
   auto Parser = ResponseParser(MessageLimits{});
   cr_assert(Parser
                 .feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
-                      "Server-Signature: s\r\n\r\n")
+                      "Signature: s\r\n\r\n")
                 .ok());
   cr_assert(Parser.isDone());
-  cr_expect_not(Parser.head().m_Fields.has("Server-Signature"));
+  cr_expect_not(Parser.head().m_Fields.has("Signature"));
 }
 
 // Guards against a response whose header was cut off and that counts as complete at the close.
