Log what each request used of its budget, and what a restart writes off

The log could not tell tokens that were spent from tokens that died with a router: totals count both as used. request_ended now names the budget and the tokens charged to it, budget_written_off what a router counts as used of its predecessor's grant. With budget_transfer_* these account for every token of a budget.

--- a/src/budget/grantservice.h
+++ b/src/budget/grantservice.h
@@ -155,6 +155,10 @@
   auto applyLayout(const std::vector<keyvalue::KeyValue> &Items) -> void;
   auto applyPrepaid() -> void;
   auto read() -> void;
+
+  /// Logs which tokens of the former process on this VM count as used, although it did not report
+  /// their use.
+  auto logWriteOffs(const RouterGrants &Former) -> void;
   auto write() -> void;
   auto onWritten(const keyvalue::TransactionResult &Result) -> void;
   auto decode(const std::vector<keyvalue::KeyValue> &Items) -> Records;
--- a/src/budget/internal/grantservice.cpp
+++ b/src/budget/internal/grantservice.cpp
@@ -517,12 +517,28 @@
     if (!m_Allocator.hasReadRecords()) {
       m_Allocator.adoptOutage(Found.m_RouterGrants.m_Value.m_LastOutageMs, Now,
                               m_Clock.systemNow());
+      logWriteOffs(Found.m_RouterGrants.m_Value);
     }
     m_Allocator.onRecordsRead(Found.m_RouterGrants, Found.m_TotalsByBudget, Now);
     advance();
   });
 }
 
+auto GrantService::logWriteOffs(const RouterGrants &Former) -> void {
+  for (const auto &[Name, Granted] : Former.m_Granted) {
+    const auto Reported = Former.m_Settled.find(Name);
+    const auto Settled = Reported == Former.m_Settled.end() ? Tokens{0} : Reported->second;
+    if (Granted > Settled) {
+      m_Log.record(base::LogLevel::Info, "budget_written_off",
+                   {{"budget", Name},
+                    {"tokens", Granted - Settled},
+                    {"granted", Granted},
+                    {"settled", Settled},
+                    {"former_incarnation", Former.m_Incarnation}});
+    }
+  }
+}
+
 auto GrantService::write() -> void {
   const auto Write = m_Allocator.composeWrite(m_Clock.steadyNow());
   auto Request = keyvalue::Transaction();
--- a/src/forwarding/internal/forwardsession.cpp
+++ b/src/forwarding/internal/forwardsession.cpp
@@ -599,8 +599,9 @@
   }
   m_Context.m_Timers.cancel(std::exchange(m_DeadlineTimer, 0));
   m_Context.m_Timers.cancel(std::exchange(m_IdleTimer, 0));
+  const auto Used = m_Reserved > 0 ? usedTokens() : 0;
   if (m_Reserved > 0) {
-    m_Context.m_Budgets.settle(m_ReservationSource, std::exchange(m_Reserved, 0), usedTokens());
+    m_Context.m_Budgets.settle(m_ReservationSource, std::exchange(m_Reserved, 0), Used);
   }
   auto Outcome = RequestOutcome();
   if (m_Route != nullptr) {
@@ -621,6 +622,8 @@
                           {"sends", m_SendCount},
                           {"target_limit_per_s", m_NamedLimit},
                           {"events", m_EventsSent},
+                          {"budget", m_ReservationSource},
+                          {"used_tokens", Used},
                           {"first_byte_ms", Outcome.m_FirstByte.count()},
                           {"total_ms", Outcome.m_Total.count()}});
 }
