Streams go on only at the software version that began them

Cause: the version of a target was read nowhere, nor which request began a stream that is taken up. Change: a record in the store names, for each pool, the versions that streams may have begun on. A router begins streams on a version only once the record names it; a version leaves the record once no target has run it for longer than any stream may be taken up. With one version in the record (read anew for a take-up, so that no router relies on what it has not heard) every stream belongs to it, also after a kill of all routers; nothing is sent for single streams then. Unknown origins and versions that have left are refused at once (503, not run). Streams continue within an answer only at their version. Why it holds: a stream begins after its version is in the record, and a take-up reads the record after the stream began; with several versions only what was told of that stream counts.

--- a/src/forwarding/forwardingcontext.h
+++ b/src/forwarding/forwardingcontext.h
@@ -81,6 +81,7 @@
   IForwardingMetrics &m_Metrics;
   quarantine::IPromptQuarantine &m_Quarantine;
   ratelimits::ITargetLimits &m_Limits;
+  streamversions::IStreamVersions &m_StreamVersions;
   TargetTable &m_Targets;
   const Placement &m_Placement;
   TargetGate &m_Gate;
--- a/src/forwarding/forwardsession.h
+++ b/src/forwarding/forwardsession.h
@@ -42,6 +42,20 @@
 
   auto findRoute() -> std::optional<RefusalReason>;
   auto choosePool() -> void;
+  auto usePool(const std::string &Name) -> void;
+
+  /// Whether the request takes up a stream that another one has begun.
+  [[nodiscard]] auto takesUpStream() const -> bool;
+
+  /// Finds out which version began the stream that the request takes up, and goes on.
+  auto findStreamOrigin() -> void;
+  auto onStreamOrigin(const std::optional<streamversions::StreamOrigin> &Origin) -> void;
+
+  /// Identifies the stream that the request begins or takes up.
+  [[nodiscard]] auto streamKey() const -> streamversions::StreamKey;
+
+  /// Whether a target with the version of the stream is registered that is not leaving.
+  [[nodiscard]] auto hasTargetOfVersion() const -> bool;
   auto reserve() -> void;
   auto onReserved(const budget::Reservation &Outcome) -> void;
   auto sendToTarget() -> void;
@@ -150,6 +164,10 @@
   std::unique_ptr<ITargetAttempt> m_Attempt;
   std::string m_TargetId;
   std::int64_t m_TargetIncarnation = 0;
+  std::string m_TargetVersion;
+
+  /// The version at which the stream has begun; nothing before that.
+  std::optional<std::string> m_StreamVersion;
   std::set<std::string> m_TriedTargets;
   int m_PermitRequests = 0;
 
--- a/src/forwarding/internal/forwardsession.cpp
+++ b/src/forwarding/internal/forwardsession.cpp
@@ -92,9 +92,68 @@
   if (m_Fields.m_Prompt) {
     m_SharedParts = quarantine::hashParts(m_Fields.m_Prompt->sharedPartIds());
   }
-  if (!refuseIfQuarantined()) {
-    reserve();
+  if (refuseIfQuarantined()) {
+    return;
+  }
+  if (takesUpStream()) {
+    findStreamOrigin();
+    return;
   }
+  reserve();
+}
+
+auto ForwardSession::takesUpStream() const -> bool {
+  return m_Route->m_Kind == RequestKind::Streaming && m_Route->m_IsResumable &&
+         (!m_Fields.m_BegunBy.empty() || m_Fields.m_LastEventId.value_or(0) > 0);
+}
+
+auto ForwardSession::streamKey() const -> streamversions::StreamKey {
+  return streamversions::streamKey(m_Workspace == nullptr ? std::string_view()
+                                                          : m_Workspace->m_Name,
+                                   takesUpStream() ? m_Fields.m_BegunBy : m_Fields.m_RequestId);
+}
+
+auto ForwardSession::findStreamOrigin() -> void {
+  m_Context.m_StreamVersions.findOrigin(
+      streamKey(), m_Pool,
+      [Self = shared_from_this()](const std::optional<streamversions::StreamOrigin> &Origin) {
+        if (!Self->m_IsFinished) {
+          Self->onStreamOrigin(Origin);
+        }
+      });
+}
+
+auto ForwardSession::onStreamOrigin(const std::optional<streamversions::StreamOrigin> &Origin)
+    -> void {
+  m_Context.m_Log.record(base::LogLevel::Info, "stream_taken_up",
+                         {{"request", m_Fields.m_RequestId},
+                          {"begun_by", m_Fields.m_BegunBy},
+                          {"pool", Origin ? Origin->m_Pool : m_Pool},
+                          {"version", Origin ? Origin->m_Version : "unknown"},
+                          {"after_ms", elapsed().count()}});
+  if (!Origin) {
+    refuse(RefusalReason::StreamOriginUnknown);
+    return;
+  }
+  m_StreamVersion = Origin->m_Version;
+  const auto &Pools = m_Route->m_Pools;
+  if (Origin->m_Pool != m_Pool &&
+      std::any_of(Pools.begin(), Pools.end(),
+                  [&Origin](const auto &Item) { return Item.m_Pool == Origin->m_Pool; })) {
+    usePool(Origin->m_Pool);
+  }
+  if (!hasTargetOfVersion()) {
+    refuse(RefusalReason::StreamVersionGone);
+    return;
+  }
+  reserve();
+}
+
+auto ForwardSession::hasTargetOfVersion() const -> bool {
+  const auto Targets = m_Context.m_Targets.targetsOf(m_Pool);
+  return std::any_of(Targets.begin(), Targets.end(), [this](const auto *Target) {
+    return Target->record().m_Version == m_StreamVersion && !Target->record().m_IsLeaving;
+  });
 }
 
 auto ForwardSession::findRoute() -> std::optional<RefusalReason> {
@@ -135,7 +194,11 @@
     }
     Index = boost::random::discrete_distribution<std::size_t>(Weights)(m_Context.m_Random);
   }
-  m_Pool = Pools[Index].m_Pool;
+  usePool(Pools[Index].m_Pool);
+}
+
+auto ForwardSession::usePool(const std::string &Name) -> void {
+  m_Pool = Name;
   const auto *Pool = m_Table->findPool(m_Pool);
   if (Pool != nullptr && Pool->m_Engine) {
     m_Engine = &*Pool->m_Engine;
@@ -252,7 +315,10 @@
                      m_Workspace == nullptr ? nullptr : &m_Workspace->m_AllowedRegions};
   const auto Decision = m_Context.m_Placement.decide(
       m_Context.m_Targets, m_Context.m_Gate,
-      {m_Pool, Prompt, m_TriedTargets, Regions, m_Engine, m_Context.m_Random()}, now());
+      {m_Pool, Prompt, m_TriedTargets, Regions, m_Engine, m_Context.m_Random(),
+       RequestStream{m_Route->m_Kind == RequestKind::Streaming && m_Route->m_IsResumable,
+                     m_StreamVersion}},
+      now());
   const auto &Choice = Decision.m_Choice;
   if (Decision.m_Wanted && m_PermitRequests < m_Context.m_Options.m_MaxPermitRequests) {
     waitForPermit(Decision.m_Wanted->m_Key);
@@ -269,6 +335,7 @@
   const auto Target = m_Context.m_Targets.find(Choice->m_TargetId)->record();
   m_TargetId = Target.m_Id;
   m_TargetIncarnation = Target.m_Incarnation;
+  m_TargetVersion = Target.m_Version;
   m_ExpectedMs = Choice->m_ExpectedMs;
   m_TriedTargets.insert(m_TargetId);
   m_ResponseHead.reset();
--- a/src/forwarding/internal/forwardsessionanswer.cpp
+++ b/src/forwarding/internal/forwardsessionanswer.cpp
@@ -116,6 +116,10 @@
 
 auto ForwardSession::beginResponse() -> void {
   m_HasResponseBegun = true;
+  if (m_IsEventStream && m_Route->m_IsResumable) {
+    m_StreamVersion = m_TargetVersion;
+    m_Context.m_StreamVersions.onBegin(streamKey(), {m_Pool, m_TargetVersion});
+  }
   m_BegunStatus = m_ResponseHead->m_Status;
   m_BegunMediaType = mediaType(*m_ResponseHead);
   m_Caller->begin(*m_ResponseHead);
--- a/src/forwarding/internal/placement.cpp
+++ b/src/forwarding/internal/placement.cpp
@@ -196,6 +196,9 @@
     if (Request.m_Excluded.contains(Target->record().m_Id)) {
       continue;
     }
+    if (Gate.checkVersion(Target->record(), Request.m_Stream).m_Access == GateAccess::Closed) {
+      continue;
+    }
     const auto Checked = Gate.checkTarget(*Target, Request.m_Regions, Now);
     if (Checked.m_Access == GateAccess::Closed && !Checked.m_RetryAfter) {
       continue;
--- a/src/forwarding/internal/targetgate.cpp
+++ b/src/forwarding/internal/targetgate.cpp
@@ -52,6 +52,20 @@
           UntilTurn.count() > 0 ? std::optional(UntilTurn) : std::nullopt};
 }
 
+auto TargetGate::checkVersion(const TargetRecord &Target, const RequestStream &Stream) const
+    -> GateDecision {
+  if (Stream.m_Version) {
+    return Target.m_Version == *Stream.m_Version
+               ? GateDecision()
+               : GateDecision{GateAccess::Closed, false, GateReason::OtherVersion, std::nullopt};
+  }
+  if (Stream.m_IsResumable && m_StreamVersions != nullptr &&
+      !m_StreamVersions->mayBegin(Target.m_Pool, Target.m_Version)) {
+    return {GateAccess::Closed, false, GateReason::NewVersion, std::nullopt};
+  }
+  return {};
+}
+
 auto TargetGate::checkTarget(const TargetState &Target, const RequestRegions &Regions,
                              base::SteadyTime Now) const -> GateDecision {
   const auto &Record = Target.record();
--- a/src/forwarding/internal/targettable.cpp
+++ b/src/forwarding/internal/targettable.cpp
@@ -21,7 +21,7 @@
 auto isSameRecord(const TargetRecord &Left, const TargetRecord &Right) -> bool {
   return Left.m_Pool == Right.m_Pool && Left.m_Address == Right.m_Address &&
          Left.m_Port == Right.m_Port && Left.m_IsLeaving == Right.m_IsLeaving &&
-         Left.m_DataCentre == Right.m_DataCentre;
+         Left.m_DataCentre == Right.m_DataCentre && Left.m_Version == Right.m_Version;
 }
 
 } // namespace
--- a/src/forwarding/placement.h
+++ b/src/forwarding/placement.h
@@ -55,6 +55,9 @@
   /// same loads in hand do not all choose the same target. If it is 0, the shortest forecast
   /// counts.
   std::uint64_t m_Salt = 0;
+
+  /// What it asks of the target's software version.
+  RequestStream m_Stream = {};
 };
 
 /// The chosen target and its forecast.
--- a/src/forwarding/requesttypes.h
+++ b/src/forwarding/requesttypes.h
@@ -47,6 +47,10 @@
 
   /// ID of the last event that the caller has received, if it resumes a stream.
   std::optional<std::uint64_t> m_LastEventId;
+
+  /// ID of the request that began the stream that the caller takes up; empty if it takes up none or
+  /// does not say.
+  std::string m_BegunBy;
 };
 
 /// Header fields that the router adds to a request to a target.
--- a/src/forwarding/targetgate.h
+++ b/src/forwarding/targetgate.h
@@ -5,6 +5,7 @@
 #include "forwarding/uplinkguard.h"
 #include "quarantine/ipromptquarantine.h"
 #include "ratelimits/itargetlimits.h"
+#include "streamversions/istreamversions.h"
 
 #include <functional>
 
@@ -32,6 +33,10 @@
   Evacuated,
   /// The target is outside the regions of the request.
   OutsideRegions,
+  /// The target runs another software version than the stream that the request continues.
+  OtherVersion,
+  /// Streams may not begin on the target's software version yet.
+  NewVersion,
   /// This router reaches hardly any target.
   Unreachable,
 };
@@ -47,6 +52,8 @@
     base::NamedValue<GateReason>{GateReason::Cold, "cold"},
     base::NamedValue<GateReason>{GateReason::Evacuated, "evacuated"},
     base::NamedValue<GateReason>{GateReason::OutsideRegions, "outside_regions"},
+    base::NamedValue<GateReason>{GateReason::OtherVersion, "other_version"},
+    base::NamedValue<GateReason>{GateReason::NewVersion, "new_version"},
     base::NamedValue<GateReason>{GateReason::Unreachable, "unreachable"},
 };
 
@@ -95,6 +102,15 @@
   [[nodiscard]] auto allows(const std::string &Region) const -> bool;
 };
 
+/// What a request asks of its target's software version.
+struct RequestStream {
+  /// Whether the response is a stream that may be taken up at another target.
+  bool m_IsResumable = false;
+
+  /// The version that began the stream which the request continues; nothing for a new one.
+  std::optional<std::string> m_Version = std::nullopt;
+};
+
 /// Decides whether this router may send to a target now, and if not, why and until when. All ways
 /// to a target ask it: first attempts, retries and resumed streams. Does no input or output.
 class TargetGate {
@@ -116,6 +132,15 @@
     return m_Uplink.mayConnect(Now) ? GateReason::None : GateReason::Unreachable;
   }
 
+  /// Decides on the software version of one target.
+  [[nodiscard]] auto checkVersion(const TargetRecord &Target, const RequestStream &Stream) const
+      -> GateDecision;
+
+  /// Sets where to learn on which versions streams may begin; without it on all.
+  auto setStreamVersions(const streamversions::IStreamVersions &Versions) -> void {
+    m_StreamVersions = &Versions;
+  }
+
   /// Decides on requests to one target that may be served in the given regions.
   [[nodiscard]] auto checkTarget(const TargetState &Target, const RequestRegions &Regions,
                                  base::SteadyTime Now) const -> GateDecision;
@@ -160,6 +185,7 @@
   };
   ratelimits::ITargetLimits &m_Limits;
   quarantine::IPromptQuarantine &m_Quarantine;
+  const streamversions::IStreamVersions *m_StreamVersions = nullptr;
   std::set<std::string> m_Evacuated;
   UplinkGuard m_Uplink = UplinkGuard(UplinkGuardOptions());
 };
--- a/src/forwarding/targettable.h
+++ b/src/forwarding/targettable.h
@@ -24,6 +24,9 @@
   std::uint16_t m_Port = 0;
   std::string m_DataCentre;
 
+  /// Version of the target's software; empty if it does not say.
+  std::string m_Version = {};
+
   /// Whether the target has stopped accepting new requests.
   bool m_IsLeaving = false;
 
--- a/src/forwarding/tests/forwardingfakes.h
+++ b/src/forwarding/tests/forwardingfakes.h
@@ -131,6 +131,31 @@
   std::vector<std::pair<std::string, std::vector<quarantine::PartHash>>> m_Lost;
 };
 
+/// Stream versions by stream; all targets may begin streams.
+class FakeStreamVersions final : public streamversions::IStreamVersions {
+public:
+  [[nodiscard]] auto mayBegin(const std::string &, const std::string &Version) const
+      -> bool override {
+    return !m_NewVersions.contains(Version);
+  }
+  auto onBegin(streamversions::StreamKey Key, const streamversions::StreamOrigin &Origin)
+      -> void override {
+    m_Origins[Key] = Origin;
+  }
+  auto findOrigin(streamversions::StreamKey Key, const std::string &, OriginCallback Done)
+      -> void override {
+    const auto Found = m_Origins.find(Key);
+    Done(Found == m_Origins.end() ? m_Fallback : std::optional(Found->second));
+  }
+
+  std::set<std::string> m_NewVersions;
+  std::map<streamversions::StreamKey, streamversions::StreamOrigin> m_Origins;
+
+  /// The origin of streams that are not known, as if all targets ran one version.
+  std::optional<streamversions::StreamOrigin> m_Fallback =
+      streamversions::StreamOrigin{"engines", ""};
+};
+
 /// Limits by target key. Requests for permits wait until the test answers them.
 class FakeLimits final : public ratelimits::ITargetLimits {
 public:
@@ -181,6 +206,7 @@
     Fields.m_RequestId = Head.m_Fields.find("id").value_or("");
     Fields.m_Host = Head.m_Fields.find("host").value_or("");
     Fields.m_ApiKey = Head.m_Fields.find("key").value_or("");
+    Fields.m_BegunBy = Head.m_Fields.find("begun-by").value_or("");
     if (const auto Left = Head.m_Fields.find("left")) {
       Fields.m_TimeLeft = std::chrono::milliseconds(std::stoll(std::string(*Left)));
     }
@@ -234,12 +260,14 @@
                   m_Metrics,
                   m_Quarantine,
                   m_Limits,
+                  m_StreamVersions,
                   m_Targets,
                   m_Placement,
                   m_Gate,
                   ForwardingOptions(),
                   base::RandomEngine(7)} {
     m_Context.m_Table = table();
+    m_Gate.setStreamVersions(m_StreamVersions);
     for (const auto *Id : {"e1", "e2", "e3"}) {
       m_Targets.put(target(Id, "engines"));
     }
@@ -301,6 +329,19 @@
     m_Session->start();
   }
 
+  /// Starts a request that takes up the stream that another one has begun.
+  auto takeUp(const std::string &Path, const std::string &BegunBy) -> void {
+    auto Head = http1::RequestHead{"POST", Path, {}};
+    for (const auto &[Name, Value] : std::initializer_list<std::pair<const char *, std::string>>{
+             {"host", "h"}, {"id", "r1"}, {"key", "k"}, {"left", "2000"}, {"prompt", "500"},
+             {"begun-by", BegunBy}}) {
+      Head.m_Fields.add(Name, Value);
+    }
+    m_Caller = std::make_shared<FakeCaller>();
+    m_Session = std::make_shared<ForwardSession>(m_Context, Head, "body", m_Caller);
+    m_Session->start();
+  }
+
   [[nodiscard]] auto attempts() -> std::vector<std::shared_ptr<FakeAttempt>> & {
     return m_Connector.m_Attempts;
   }
@@ -335,6 +376,7 @@
   FakeMetrics m_Metrics;
   FakeQuarantine m_Quarantine;
   FakeLimits m_Limits;
+  FakeStreamVersions m_StreamVersions;
   TargetTable m_Targets;
   Placement m_Placement;
   TargetGate m_Gate{GateOptions(), m_Limits, m_Quarantine};
--- a/src/forwarding/tests/forwardsession_test.cpp
+++ b/src/forwarding/tests/forwardsession_test.cpp
@@ -186,6 +186,86 @@
   cr_assert_eq(Fixture.m_Caller->m_Body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
 }
 
+// Guards against texts joined from two versions of a target's software, in one answer.
+Test(forwardsession, brokenStreamResumesOnlyAtItsVersion) {
+  for (const auto HasOther : {false, true}) {
+    auto Fixture = ForwardingFixture();
+    for (const auto *Id : {"e1", "e2", "e3"}) {
+      auto Record = ForwardingFixture::target(Id, "engines");
+      Record.m_Version = *(Id + 1) == '1' || (HasOther && *(Id + 1) == '2') ? "v1" : "v2";
+      Fixture.m_Targets.put(Record);
+    }
+    Fixture.m_StreamVersions.m_NewVersions = {"v2"};
+    Fixture.request("/resumable/1", true);
+    Fixture.connect();
+    Fixture.answerHead(200, {"signed"});
+    Fixture.body("id: 1\ndata: a\n\n");
+    Fixture.m_StreamVersions.m_NewVersions.clear();
+    Fixture.fail(Verdict::MayHaveRun);
+    cr_assert_eq(Fixture.attempts().size(), HasOther ? 2U : 1U);
+    cr_expect_eq(Fixture.m_Caller->m_IsAborted, !HasOther);
+    if (HasOther) {
+      Fixture.connect();
+      Fixture.answerHead(200, {"signed"});
+      Fixture.body("id: 2\ndata: b\n\n");
+      Fixture.end();
+      cr_expect(Fixture.m_Caller->m_IsComplete);
+    }
+  }
+}
+
+// Guards against texts joined over several requests of a caller.
+Test(forwardsession, streamIsTakenUpOnlyAtItsVersion) {
+  for (const auto *Version : {"v1", "v2", "v3"}) {
+    auto Fixture = ForwardingFixture();
+    for (const auto *Id : {"e1", "e2", "e3"}) {
+      auto Record = ForwardingFixture::target(Id, "engines");
+      Record.m_Version = *(Id + 1) == '2' ? "v2" : "v1";
+      Fixture.m_Targets.put(Record);
+    }
+    Fixture.m_StreamVersions.m_Fallback.reset();
+    Fixture.m_StreamVersions.m_Origins[streamversions::streamKey("w", "r0")] = {"engines", Version};
+    Fixture.takeUp("/resumable/1", "r0");
+    if (std::string(Version) == "v3") {
+      cr_expect_eq(Fixture.m_Caller->m_Status, 503);
+      cr_expect_eq(Fixture.attempts().size(), 0U);
+      continue;
+    }
+    cr_assert_eq(Fixture.attempts().size(), 1U);
+    cr_expect_eq(Fixture.attempts()[0]->m_TargetId == "e2", std::string(Version) == "v2");
+    Fixture.connect();
+    Fixture.answerHead(200, {"signed"});
+    Fixture.body("id: 5\ndata: e\n\n");
+    Fixture.end();
+    cr_expect(Fixture.m_Caller->m_IsComplete);
+  }
+}
+
+Test(forwardsession, takeUpOfUnknownOriginIsRefusedAtOnce) {
+  auto Fixture = ForwardingFixture();
+  Fixture.m_StreamVersions.m_Fallback.reset();
+  Fixture.m_StreamVersions.m_Origins[streamversions::streamKey("other", "r0")] = {"engines", ""};
+  Fixture.takeUp("/resumable/1", "r0");
+  cr_expect_eq(Fixture.m_Caller->m_Status, 503);
+  cr_expect(Fixture.m_Log.has("request_refused", {"reason=stream_origin_unknown"}));
+  cr_expect_eq(Fixture.attempts().size(), 0U);
+  cr_expect_eq(Fixture.m_Budgets.m_Used, 0);
+}
+
+Test(forwardsession, streamsWaitForTheRecordOfANewVersion) {
+  auto Fixture = ForwardingFixture();
+  for (const auto *Id : {"e1", "e2", "e3"}) {
+    auto Record = ForwardingFixture::target(Id, "engines");
+    Record.m_Version = *(Id + 1) == '1' ? "v1" : "v2";
+    Fixture.m_Targets.put(Record);
+  }
+  Fixture.m_StreamVersions.m_NewVersions = {"v2"};
+  for (auto Number = 0; Number < 5; ++Number) {
+    Fixture.request("/resumable/1", true);
+    cr_expect_eq(Fixture.attempts().back()->m_TargetId, "e1");
+  }
+}
+
 // Guards against the text of an error, or its whole head, in the middle of a stream, and against a
 // stream that ends as if it were complete: the target that is to resume it answers with an error.
 Test(forwardsession, errorOfTheNextTargetIsNoPartOfTheStream) {
--- a/src/router/internal/peerlink.cpp
+++ b/src/router/internal/peerlink.cpp
@@ -18,6 +18,16 @@
   sendToNeighbours(LimitByte + ratelimits::encodeMessage(Update));
 }
 
+auto PeerLink::send(const std::string &Router, const streamversions::StreamMessage &Message)
+    -> void {
+  send(Router, StreamByte + encodeMessage(Message));
+}
+
+auto PeerLink::publish(const streamversions::RecordUpdate &Update, const std::string &Except)
+    -> void {
+  sendToNeighbours(StreamByte + streamversions::encodeMessage(Update), Except);
+}
+
 auto PeerLink::send(const std::string &Router, const mirror::MirrorRequest &Message) -> void {
   send(Router, MirrorRequestByte + encodeRequest(Message));
 }
--- a/src/router/internal/peerlink.h
+++ b/src/router/internal/peerlink.h
@@ -5,6 +5,7 @@
 #include "fleet/fleetexchange.h"
 #include "mirror/imirrorlink.h"
 #include "ratelimits/limitservice.h"
+#include "streamversions/istreamlink.h"
 #include "transport/datagramsocket.h"
 
 namespace geraniumlift::router {
@@ -16,10 +17,12 @@
 constexpr auto MirrorUpdateByte = 'U';
 constexpr auto QuarantineByte = 'C';
 constexpr auto LimitByte = 'L';
+constexpr auto StreamByte = 'V';
 
 /// Sends messages to the other routers as datagrams, which may be lost.
 class PeerLink final : public budget::ITransferLink,
                        public ratelimits::ILimitLink,
+                       public streamversions::IStreamLink,
                        public mirror::IMirrorLink {
 public:
   PeerLink(const fleet::PeerTable &Peers, const fleet::FleetExchange &Exchange,
@@ -33,6 +36,11 @@
   auto send(const std::string &Router, const ratelimits::LimitMessage &Message) -> void override;
   auto publish(const ratelimits::LimitUpdate &Update) -> void override;
 
+  auto send(const std::string &Router, const streamversions::StreamMessage &Message)
+      -> void override;
+  auto publish(const streamversions::RecordUpdate &Update, const std::string &Except)
+      -> void override;
+
   auto send(const std::string &Router, const mirror::MirrorRequest &Message) -> void override;
   auto send(const std::string &Router, const mirror::MirrorUpdate &Message) -> void override;
 
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -32,6 +32,12 @@
 /// Interval at which a stopping router checks how far it is.
 constexpr auto StopCheckInterval = 50ms;
 
+/// Shortest time for which the origins of streams are remembered.
+constexpr auto MinStreamLife = milliseconds(20000);
+
+/// Targets known as of this long ago count as current.
+constexpr auto MaxTargetAge = 1500ms;
+
 /// Delay before a failed registration is retried.
 constexpr auto RegistrationRetryDelay = 300ms;
 
@@ -90,8 +96,9 @@
 /// The part of a target's record that matters to routers; targets rewrite the rest all the time.
 auto meaningOf(const forwarding::TargetRecord &Record) -> std::string {
   const auto ColdSeconds = std::chrono::ceil<std::chrono::seconds>(Record.m_ColdTime).count();
-  return fmt::format("{} {} {}:{} {} {} {}", Record.m_Incarnation, Record.m_Pool, Record.m_Address,
-                     Record.m_Port, Record.m_DataCentre, Record.m_IsLeaving, ColdSeconds);
+  return fmt::format("{} {} {}:{} {} {} {} {}", Record.m_Incarnation, Record.m_Pool,
+                     Record.m_Address, Record.m_Port, Record.m_DataCentre, Record.m_IsLeaving,
+                     ColdSeconds, Record.m_Version);
 }
 
 auto seedOf(const RouterSettings &Settings, std::uint64_t Incarnation) -> std::uint64_t {
@@ -118,6 +125,13 @@
   return Options;
 }
 
+auto streamVersionOptions(const RouterSettings &Settings)
+    -> streamversions::StreamVersionOptions {
+  auto Options = streamversions::StreamVersionOptions();
+  Options.m_Router = Settings.m_Vm;
+  return Options;
+}
+
 auto healthOptions(const RouterSettings &Settings) -> forwarding::HealthOptions {
   auto Options = forwarding::HealthOptions();
   Options.m_IsPaced = Settings.m_IsPaced;
@@ -176,6 +190,18 @@
   return Options;
 }
 
+/// How long after its last event a stream may be taken up: a caller may take it up again and again,
+/// each time for as long as its route allows.
+auto streamLife(const std::vector<forwarding::Route> &Routes) -> milliseconds {
+  auto Longest = MinStreamLife;
+  for (const auto &Route : Routes) {
+    if (Route.m_Kind == forwarding::RequestKind::Streaming && Route.m_IsResumable) {
+      Longest = std::max(Longest, 2 * Route.m_Timeout);
+    }
+  }
+  return Longest;
+}
+
 auto incarnationOf(const base::IClock &Clock) -> std::uint64_t {
   return static_cast<std::uint64_t>(
       duration_cast<milliseconds>(Clock.systemNow().time_since_epoch()).count());
@@ -214,6 +240,8 @@
                    Dependencies.m_Log),
       m_Limits(m_Settings.m_Vm, m_PeerLink, Dependencies.m_Timers, Dependencies.m_Clock,
                Dependencies.m_Log),
+      m_StreamVersions(streamVersionOptions(m_Settings), Dependencies.m_Store, m_PeerLink,
+                       Dependencies.m_Timers, Dependencies.m_Clock, Dependencies.m_Log),
       m_Gate(gateOptions(m_Settings), m_Limits, m_Quarantine), m_TargetAccess(Dependencies.m_Log),
       m_Placement(placementOptions(m_Settings),
                   [this](const forwarding::TargetRecord &Target) {
@@ -229,6 +257,7 @@
                                                    m_Metrics,
                                                    m_Quarantine,
                                                    m_Limits,
+                                                   m_StreamVersions,
                                                    m_Targets,
                                                    m_Placement,
                                                    m_Gate,
@@ -244,6 +273,7 @@
       m_StoreMonitor(Dependencies.m_Store, Dependencies.m_Timers, Dependencies.m_Clock,
                      Dependencies.m_Log, [this](bool IsReachable) { onReachable(IsReachable); }) {
   m_StoreMonitor.setWitness([this] { return m_Subscription.storeAnsweredAt(); });
+  m_Gate.setStreamVersions(m_StreamVersions);
   m_Gate.setPeerLoad([this](const forwarding::TargetRecord &Target) {
     return m_Peers.peerLoad(Target.m_Id, now());
   });
@@ -488,6 +518,7 @@
     }
   }
   m_Grants.setPrepaid(Prepaid);
+  m_StreamVersions.setStreamLife(streamLife((*Table)->routes()));
   // Targets may have registered before the configuration said what cold ones tolerate.
   for (const auto &[Id, Target] : m_Targets.all()) {
     applyColdTime(Target.record());
@@ -501,6 +532,9 @@
     m_TargetDirectory.put(*Record, Item.m_ModRevision, now());
     m_ColdTimes.put(*Record, Item.m_ModRevision, now());
     applyColdTime(*Record);
+    if (!m_StreamVersions.mayBegin(Record->m_Pool, Record->m_Version)) {
+      advanceStreamVersions();
+    }
     return;
   }
   m_Dependencies.m_Log.record(
@@ -537,7 +571,8 @@
 }
 
 auto Router::isReady() const -> bool {
-  return m_Context.m_Table && m_HasTargetList && m_Grants.isReady() && !m_IsLeaving;
+  return m_Context.m_Table && m_HasTargetList && m_Grants.isReady() &&
+         m_StreamVersions.isReady() && !m_IsLeaving;
 }
 
 auto Router::handleReadinessRequest(const http1::RequestHead &Head) -> transport::DirectResponse {
@@ -599,6 +634,8 @@
   sendHeartbeats();
   advanceQuarantine();
   advanceLimits(AlivePeers);
+  m_StreamVersions.setRouters(AlivePeers);
+  advanceStreamVersions();
   reportTargetAccess();
   auto Candidates = m_Peers.addressCandidates(m_IsLeaving, now());
   m_AddressSelector.removeSilent(Candidates, m_IsStoreReachable, now());
@@ -611,6 +648,18 @@
   m_Dependencies.m_Timers.start(*m_TasksDueAt, [this] { runPeriodicTasks(); });
 }
 
+auto Router::advanceStreamVersions() -> void {
+  auto Situation = streamversions::StreamVersionService::Situation();
+  for (const auto &[Id, Target] : m_Targets.all()) {
+    Situation.m_VersionsByPool[Target.record().m_Pool].insert(Target.record().m_Version);
+  }
+  Situation.m_IsStoreReachable = m_IsStoreReachable;
+  Situation.m_IsCurrent = m_HasTargetList && m_Subscription.knowledgeAge() < MaxTargetAge;
+  m_StreamVersions.advance(Situation);
+  m_Dependencies.m_Metrics.gauge("geraniumlift_remembered_streams", {},
+                                 static_cast<double>(m_StreamVersions.rememberedStreams()));
+}
+
 auto Router::observeLoad() -> void {
   if (m_Settings.m_LinkMbps <= 0.0) {
     return;
--- a/src/router/internal/routermessages.cpp
+++ b/src/router/internal/routermessages.cpp
@@ -63,6 +63,8 @@
     onQuarantineUpdate(Bytes.substr(1));
   } else if (Bytes.starts_with(LimitByte)) {
     onLimitMessage(Bytes.substr(1));
+  } else if (Bytes.starts_with(StreamByte)) {
+    onStreamMessage(Bytes.substr(1));
   } else {
     logUnreadableDatagram("unknown datagram kind", Bytes.size());
   }
@@ -170,6 +172,15 @@
   }
 }
 
+auto Router::onStreamMessage(std::string_view Bytes) -> void {
+  const auto Message = streamversions::decodeMessage(Bytes);
+  if (!Message.ok()) {
+    logUnreadableDatagram(std::string(Message.status().message()), Bytes.size());
+    return;
+  }
+  m_StreamVersions.onMessage(*Message);
+}
+
 auto Router::logUnreadableDatagram(const std::string &Reason, std::size_t Size) -> void {
   m_Dependencies.m_Log.record(base::LogLevel::Warning, "datagram_unreadable",
                               {{"reason", Reason}, {"bytes", Size}});
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -17,6 +17,7 @@
 #include "transport/asiotimers.h"
 #include "transport/callerserver.h"
 #include "transport/datagramsocket.h"
+#include "streamversions/streamversionservice.h"
 #include "transport/listenercheck.h"
 #include "transport/targetconnector.h"
 
@@ -71,6 +72,10 @@
   auto advanceQuarantine() -> void;
   auto onQuarantineUpdate(std::string_view Bytes) -> void;
   auto onLimitMessage(std::string_view Bytes) -> void;
+  auto onStreamMessage(std::string_view Bytes) -> void;
+
+  /// Tells the stream versions of the targets, of the store and of the other routers.
+  auto advanceStreamVersions() -> void;
 
   /// Logs and counts what keeps requests from targets.
   auto reportTargetAccess() -> void;
@@ -139,6 +144,7 @@
   transport::ListenerCheck m_ListenerCheck;
   quarantine::QuarantineService m_Quarantine;
   ratelimits::LimitService m_Limits;
+  streamversions::StreamVersionService m_StreamVersions;
   EvacuationRecords m_Evacuations;
   ColdTimes m_ColdTimes;
   forwarding::TargetGate m_Gate;
--- a/testing/standins/platform/targetstandin.cpp
+++ b/testing/standins/platform/targetstandin.cpp
@@ -19,10 +19,10 @@
 } // namespace
 
 auto targetRegistration(const TargetRegistration &Registration) -> std::string {
-  return fmt::format(R"({{"service":"{}","address":"127.0.0.1:{}","zone":"{}","version":"v1",)"
+  return fmt::format(R"({{"service":"{}","address":"127.0.0.1:{}","zone":"{}","version":"{}",)"
                      R"("slots":{},"state":"{}","coldRemainingMs":{},"sequence":1,"born":5}})",
                      Registration.m_Pool, Registration.m_Port, Registration.m_DataCentre,
-                     Registration.m_Slots, Registration.m_State, Registration.m_ColdTime.count());
+                     Registration.m_Version, Registration.m_Slots, Registration.m_State, Registration.m_ColdTime.count());
 }
 
 TargetStandin::TargetStandin(boost::asio::io_context &Loop, StoreStandin &Store, std::string Id,
@@ -34,7 +34,7 @@
 
 auto TargetStandin::registerAs(const std::string &State) -> void {
   m_Store.put("servers/" + m_Id,
-              targetRegistration({m_Pool, m_Port, 4, State, m_DataCentre, m_ColdTime}));
+              targetRegistration({m_Pool, m_Port, 4, State, m_DataCentre, m_ColdTime, m_Version}));
 }
 
 auto TargetStandin::runs(const std::string &RequestId) -> int {
--- a/testing/standins/platform/targetstandin.h
+++ b/testing/standins/platform/targetstandin.h
@@ -27,6 +27,7 @@
   std::string m_State = "ready";
   std::string m_DataCentre = "a";
   std::chrono::milliseconds m_ColdTime{0};
+  std::string m_Version = "v1";
 };
 
 /// The text of a target's entry in the store.
@@ -57,6 +58,9 @@
   std::string m_DataCentre = "a";
   std::chrono::milliseconds m_ColdTime{0};
 
+  /// Software version of the next registration.
+  std::string m_Version = "v1";
+
   /// The target crashes whenever it runs a request with this part in its prompt, and is back a
   /// moment later under another ID. Set before the first request.
   std::string m_DeadlyPart;
