Origins of streams outlive a loss of all routers

Cause: which version began a stream was known to routers only, so that one loss of all left nothing of it. The routers that keep copies are chosen by part of the streams instead of by stream, so that one of them can do this. With one version nothing is written. Test: streamversions::streamsOfTwoVersionsAreKnownAfterAKillOfAllRouters failed before (unknown). The stand-in and the fake store answer calls for leases.

--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -125,10 +125,11 @@
   return Options;
 }
 
-auto streamVersionOptions(const RouterSettings &Settings)
+auto streamVersionOptions(const RouterSettings &Settings, std::uint64_t Incarnation)
     -> streamversions::StreamVersionOptions {
   auto Options = streamversions::StreamVersionOptions();
   Options.m_Router = Settings.m_Vm;
+  Options.m_Incarnation = Incarnation;
   return Options;
 }
 
@@ -240,7 +241,7 @@
                    Dependencies.m_Log),
       m_Limits(m_Settings.m_Vm, m_PeerLink, Dependencies.m_Timers, Dependencies.m_Clock,
                Dependencies.m_Log),
-      m_StreamVersions(streamVersionOptions(m_Settings), Dependencies.m_Store, m_PeerLink,
+      m_StreamVersions(streamVersionOptions(m_Settings, m_Incarnation), Dependencies.m_Store, m_PeerLink,
                        Dependencies.m_Timers, Dependencies.m_Clock, Dependencies.m_Log),
       m_Gate(gateOptions(m_Settings), m_Limits, m_Quarantine), m_TargetAccess(Dependencies.m_Log),
       m_Placement(placementOptions(m_Settings),
--- a/src/streamversions/internal/streamcodec.cpp
+++ b/src/streamversions/internal/streamcodec.cpp
@@ -4,6 +4,7 @@
 #include "streamversions/streamversiontypes.h"
 
 #include <array>
+#include <map>
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
@@ -122,6 +123,57 @@
   }
 }
 
+auto encodeOrigins(const std::vector<OriginReport> &Reports) -> std::string {
+  // Few pools and versions have many streams, so the keys are listed by pool and version.
+  auto ByOrigin = std::map<std::pair<std::string, std::string>, std::vector<StreamKey>>();
+  for (const auto &Item : Reports) {
+    ByOrigin[{Item.m_Origin.m_Pool, Item.m_Origin.m_Version}].push_back(Item.m_Key);
+  }
+  auto Buffer = rapidjson::StringBuffer();
+  auto Out = rapidjson::Writer<rapidjson::StringBuffer>(Buffer);
+  Out.StartArray();
+  for (const auto &[Origin, Keys] : ByOrigin) {
+    Out.StartObject();
+    Out.Key("pool");
+    Out.String(Origin.first.data(), static_cast<rapidjson::SizeType>(Origin.first.size()));
+    Out.Key("version");
+    Out.String(Origin.second.data(), static_cast<rapidjson::SizeType>(Origin.second.size()));
+    Out.Key("streams");
+    Out.StartArray();
+    for (const auto Key : Keys) {
+      Out.Uint64(Key);
+    }
+    Out.EndArray();
+    Out.EndObject();
+  }
+  Out.EndArray();
+  return {Buffer.GetString(), Buffer.GetSize()};
+}
+
+auto decodeOrigins(std::string_view Text) -> absl::StatusOr<std::vector<OriginReport>> {
+  auto Document = rapidjson::Document();
+  Document.Parse<rapidjson::kParseIterativeFlag>(Text.data(), Text.size());
+  if (Document.HasParseError() || !Document.IsArray()) {
+    return absl::InvalidArgumentError("not a JSON array");
+  }
+  auto Reports = std::vector<OriginReport>();
+  for (const auto &Group : Document.GetArray()) {
+    if (!Group.IsObject() || !Group.HasMember("pool") || !Group["pool"].IsString() ||
+        !Group.HasMember("version") || !Group["version"].IsString() ||
+        !Group.HasMember("streams") || !Group["streams"].IsArray()) {
+      return absl::InvalidArgumentError("no pool, version or streams");
+    }
+    const auto Origin = StreamOrigin{Group["pool"].GetString(), Group["version"].GetString()};
+    for (const auto &Key : Group["streams"].GetArray()) {
+      if (!Key.IsUint64()) {
+        return absl::InvalidArgumentError("a stream is no whole number");
+      }
+      Reports.push_back({Key.GetUint64(), Origin});
+    }
+  }
+  return Reports;
+}
+
 auto encodeVersions(const std::set<std::string> &Versions) -> std::string {
   auto Buffer = rapidjson::StringBuffer();
   auto Out = rapidjson::Writer<rapidjson::StringBuffer>(Buffer);
--- a/src/streamversions/internal/streamversionservice.cpp
+++ b/src/streamversions/internal/streamversionservice.cpp
@@ -3,6 +3,7 @@
 #include "base/rendezvous.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <limits>
 
 namespace geraniumlift::streamversions {
@@ -17,6 +18,9 @@
 constexpr auto ReportCopies = std::size_t{3};
 constexpr auto QueryCopies = std::size_t{5};
 
+/// Routers for which one router stores the origins of streams.
+constexpr auto RoutersPerBucket = std::size_t{64};
+
 /// Time after which queries are repeated, and after which a search ends without a result.
 constexpr auto QueryRepeatDelay = 30ms;
 constexpr auto QueryTimeout = 120ms;
@@ -45,12 +49,16 @@
                                            base::ITimers &Timers, const base::IClock &Clock,
                                            base::IEventLog &Log)
     : m_Options(std::move(Options)), m_Store(Store), m_Link(Link), m_Timers(Timers), m_Clock(Clock),
-      m_Log(Log), m_Records(m_Options.m_StreamLife + CloseMargin), m_Memory(m_Options.m_MaxStreams) {
+      m_Log(Log), m_Records(m_Options.m_StreamLife + CloseMargin), m_Memory(m_Options.m_MaxStreams),
+      m_OriginLog(fmt::format("{}/{}", m_Options.m_Router, m_Options.m_Incarnation), Store, Timers,
+                  Clock, Log) {
+  m_OriginLog.setLife(m_Options.m_StreamLife);
 }
 
 auto StreamVersionService::setStreamLife(milliseconds Life) -> void {
   m_Options.m_StreamLife = Life;
   m_Records.setCloseAfter(Life + CloseMargin);
+  m_OriginLog.setLife(Life);
 }
 
 auto StreamVersionService::mayBegin(const std::string &Pool, const std::string &Version) const
@@ -61,7 +69,7 @@
 auto StreamVersionService::onBegin(StreamKey Key, const StreamOrigin &Origin) -> void {
   m_Memory.put(Key, Origin, now() + m_Options.m_StreamLife);
   if (m_Records.isMixed(Origin.m_Pool)) {
-    report({{Key, Origin}});
+    spread({{Key, Origin}});
   }
 }
 
@@ -107,10 +115,10 @@
 auto StreamVersionService::keepersOf(StreamKey Key, std::size_t Most) const
     -> std::vector<std::string> {
   auto Ranked = std::vector<std::pair<std::uint64_t, std::string>>();
-  const auto Text = std::to_string(Key);
+  const auto Bucket = bucketOf(Key);
   for (const auto &Router : m_Routers) {
     if (Router != m_Options.m_Router) {
-      Ranked.emplace_back(base::rendezvousRank(Text, Router), Router);
+      Ranked.emplace_back(base::rendezvousRank(Bucket, Router), Router);
     }
   }
   const auto Count = std::min(Most, Ranked.size());
@@ -123,6 +131,27 @@
   return Result;
 }
 
+auto StreamVersionService::bucketOf(StreamKey Key) const -> std::string {
+  return std::to_string(Key % (1 + m_Routers.size() / RoutersPerBucket));
+}
+
+auto StreamVersionService::storesOriginOf(StreamKey Key) const -> bool {
+  const auto Bucket = bucketOf(Key);
+  const auto Own = base::rendezvousRank(Bucket, m_Options.m_Router);
+  return std::none_of(m_Routers.begin(), m_Routers.end(), [&](const auto &Router) {
+    return Router != m_Options.m_Router && base::rendezvousRank(Bucket, Router) > Own;
+  });
+}
+
+auto StreamVersionService::spread(const std::vector<OriginReport> &Reports) -> void {
+  report(Reports);
+  for (const auto &Item : Reports) {
+    if (storesOriginOf(Item.m_Key)) {
+      m_OriginLog.add(Item);
+    }
+  }
+}
+
 auto StreamVersionService::report(const std::vector<OriginReport> &Reports) -> void {
   auto ByRouter = std::map<std::string, OriginReports>();
   for (const auto &Item : Reports) {
@@ -200,6 +229,9 @@
 auto StreamVersionService::onReports(const OriginReports &Message) -> void {
   for (const auto &Item : Message.m_Reports) {
     m_Memory.put(Item.m_Key, Item.m_Origin, now() + m_Options.m_StreamLife);
+    if (storesOriginOf(Item.m_Key)) {
+      m_OriginLog.add(Item);
+    }
   }
 }
 
@@ -252,21 +284,43 @@
   m_Link.publish({m_Options.m_Router, Record}, From);
   if (!WasMixed && m_Records.isMixed(Record.m_Pool)) {
     // Streams that began before need a record from now on.
-    report(m_Memory.streamsOf(Record.m_Pool, MaxOldReports, now()));
+    spread(m_Memory.streamsOf(Record.m_Pool, MaxOldReports, now()));
   }
 }
 
 auto StreamVersionService::readRecords() -> void {
   m_IsReading = true;
   m_Store.list(std::string(VersionPrefix), [this](const absl::StatusOr<keyvalue::ListResult> &Result) {
-    m_IsReading = false;
     if (!Result.ok()) {
+      m_IsReading = false;
       m_NextRead = now() + RetryDelay;
       return;
     }
+    auto IsMixed = false;
     for (const auto &Item : Result->m_Items) {
       adoptItem(Item);
+      IsMixed |= m_Records.isMixed(Item.m_Key.substr(VersionPrefix.size()));
+    }
+    if (IsMixed) {
+      readOrigins();
+    } else {
+      m_IsReading = false;
+      m_Records.setAllKnown();
+    }
+  });
+}
+
+auto StreamVersionService::readOrigins() -> void {
+  m_OriginLog.read([this](const std::optional<std::vector<OriginReport>> &Reports) {
+    m_IsReading = false;
+    if (!Reports) {
+      m_NextRead = now() + RetryDelay;
+      return;
+    }
+    for (const auto &Item : *Reports) {
+      m_Memory.put(Item.m_Key, Item.m_Origin, now() + m_Options.m_StreamLife);
     }
+    m_Log.record(base::LogLevel::Info, "stream_origins_read", {{"streams", Reports->size()}});
     m_Records.setAllKnown();
   });
 }
@@ -284,6 +338,7 @@
 auto StreamVersionService::advance(const Situation &Situation) -> void {
   m_Memory.removeExpired(now());
   m_Records.setPresent(Situation.m_VersionsByPool, now());
+  m_OriginLog.setStoreReachable(Situation.m_IsStoreReachable);
   if (!Situation.m_IsStoreReachable) {
     return;
   }
--- a/src/streamversions/streamversionservice.h
+++ b/src/streamversions/streamversionservice.h
@@ -5,6 +5,7 @@
 #include "keyvalue/itransactionstore.h"
 #include "streamversions/istreamlink.h"
 #include "streamversions/istreamversions.h"
+#include "streamversions/originlog.h"
 #include "streamversions/originmemory.h"
 #include "streamversions/versionrecords.h"
 
@@ -18,6 +19,9 @@
   /// Name of this router.
   std::string m_Router;
 
+  /// Start of this router's process; differs from that of every other process on its VM.
+  std::uint64_t m_Incarnation = 0;
+
   /// How long after its last event a stream may be taken up. Longer than any request may last.
   std::chrono::milliseconds m_StreamLife{30000};
 
@@ -79,6 +83,18 @@
 
   auto readRecords() -> void;
 
+  /// Reads the stored origins of streams, unless no pool has several versions.
+  auto readOrigins() -> void;
+
+  /// Passes on where streams began, to the routers that keep it in memory and to the store.
+  auto spread(const std::vector<OriginReport> &Reports) -> void;
+
+  /// Whether this router stores the origin of the stream.
+  [[nodiscard]] auto storesOriginOf(StreamKey Key) const -> bool;
+
+  /// The part of the streams whose origins the same routers keep.
+  [[nodiscard]] auto bucketOf(StreamKey Key) const -> std::string;
+
   /// Writes the record of a pool, unless a call for it is in flight.
   auto writeRecord(const std::string &Pool, bool Closes) -> void;
   auto adopt(const VersionRecord &Record, const std::string &From) -> void;
@@ -111,6 +127,7 @@
   base::IEventLog &m_Log;
   VersionRecords m_Records;
   OriginMemory m_Memory;
+  OriginLog m_OriginLog;
   std::set<std::string> m_Routers;
   bool m_IsReading = false;
   base::SteadyTime m_NextRead;
--- a/src/streamversions/streamversiontypes.h
+++ b/src/streamversions/streamversiontypes.h
@@ -91,6 +91,12 @@
 /// InvalidArgument if the bytes are no such message. Accepts any input.
 auto decodeMessage(std::string_view Bytes) -> absl::StatusOr<StreamMessage>;
 
+/// Encodes origins of streams for the store.
+auto encodeOrigins(const std::vector<OriginReport> &Reports) -> std::string;
+
+/// InvalidArgument if the text holds no origins. Accepts any input.
+auto decodeOrigins(std::string_view Text) -> absl::StatusOr<std::vector<OriginReport>>;
+
 /// Encodes the versions of a record for the store.
 auto encodeVersions(const std::set<std::string> &Versions) -> std::string;
 
--- a/src/streamversions/tests/streamversionservice_test.cpp
+++ b/src/streamversions/tests/streamversionservice_test.cpp
@@ -36,6 +36,7 @@
   auto startRouter(const std::string &Name) -> void {
     auto Options = StreamVersionOptions();
     Options.m_Router = Name;
+    Options.m_Incarnation = ++m_Starts;
     m_Routers[Name] = std::make_unique<StreamVersionService>(std::move(Options), m_Store, m_Link,
                                                              m_Timers, m_Clock, m_Log);
   }
@@ -107,6 +108,7 @@
   /// Routers that reach neither the store nor other routers.
   std::set<std::string> m_Cut;
   int m_Messages = 0;
+  std::uint64_t m_Starts = 0;
 };
 
 auto FakeStreamLink::send(const std::string &Router, const StreamMessage &Message) -> void {
@@ -202,6 +204,28 @@
   cr_expect_not(Fleet.find("vm-2", 4), "a stream that nobody has begun");
 }
 
+// Guards against take-ups that are refused although the version of the stream still serves.
+Test(streamversions, streamsOfTwoVersionsAreKnownAfterAKillOfAllRouters) {
+  auto Fleet = TestFleet(5);
+  Fleet.runFor(1s);
+  cr_assert(Fleet.begin("vm-0", 1, "v1"));
+  Fleet.m_Versions = {"v1", "v2"};
+  Fleet.runFor(1s);
+  for (auto Key = StreamKey{2}; Key < 40; ++Key) {
+    cr_assert(Fleet.begin("vm-" + std::to_string(Key % 5), Key, Key % 3 == 0 ? "v1" : "v2"));
+  }
+  const auto Writes = Fleet.m_Store.m_Writes;
+  Fleet.runFor(500ms);
+  cr_expect_leq(Fleet.m_Store.m_Writes - Writes, 2, "one router stores them together");
+  Fleet.killAll();
+  Fleet.runFor(1s);
+  cr_expect(Fleet.find("vm-1", 1) == V1, "begun before the second version");
+  for (auto Key = StreamKey{2}; Key < 40; ++Key) {
+    cr_expect(Fleet.find("vm-3", Key) == (Key % 3 == 0 ? V1 : V2));
+  }
+  cr_expect_not(Fleet.find("vm-3", 40));
+}
+
 // Guards against joined texts when the last targets of the old version left just before the kill.
 Test(streamversions, streamsOfAVersionThatHasLeftAreNotTakenForOthersAfterAKillOfAll) {
   auto Fleet = TestFleet(4);
@@ -270,6 +294,12 @@
   cr_expect_not(decodeMessage(std::string(60, '\xff')).ok());
   cr_expect(*decodeVersions(encodeVersions({"v1", "v\"2"})) ==
             std::set<std::string>({"v1", "v\"2"}));
+  const auto Origins = std::vector<OriginReport>{{1, V1}, {3, V1}, {~StreamKey{0}, V2}};
+  cr_expect(*decodeOrigins(encodeOrigins(Origins)) == Origins);
+  for (const auto *Text : {"", "{}", "[1]", R"([{"pool":"p","version":"v"}])",
+                           R"([{"pool":"p","version":"v","streams":["x"]}])"}) {
+    cr_expect_not(decodeOrigins(Text).ok());
+  }
   for (const auto *Text : {"", "[]", "{}", R"({"versions":1})", R"({"versions":[1]})"}) {
     cr_expect_not(decodeVersions(Text).ok());
   }
--- a/testing/fakes/memorytransactionstore.h
+++ b/testing/fakes/memorytransactionstore.h
@@ -4,6 +4,7 @@
 #include "keyvalue/itransactionstore.h"
 
 #include <map>
+#include <set>
 
 namespace geraniumlift::fakes {
 
@@ -51,9 +52,18 @@
           Result.m_Current.push_back(Found->second);
         }
       }
+      for (const auto &Write : Request.m_Writes) {
+        if (Write.m_Lease && m_EndedLeases.contains(*Write.m_Lease)) {
+          Result.m_Outcome = keyvalue::TransactionOutcome::LeaseEnded;
+        }
+      }
       if (Result.m_Outcome == keyvalue::TransactionOutcome::Applied) {
         ++m_Revision;
         for (const auto &Write : Request.m_Writes) {
+          m_Leases.erase(Write.m_Key);
+          if (Write.m_Lease) {
+            m_Leases[Write.m_Key] = *Write.m_Lease;
+          }
           m_Keys[Write.m_Key] = {Write.m_Key, Write.m_Value, m_Revision, m_Revision};
         }
         Result.m_Revision = m_Revision;
@@ -117,13 +127,30 @@
     });
   }
 
-  auto grantLease(std::chrono::milliseconds, LeaseCallback Done) -> void override {
-    Done(absl::UnimplementedError("not used"));
+  auto grantLease(std::chrono::milliseconds TimeToLive, LeaseCallback Done) -> void override {
+    answer([this, TimeToLive, Done = std::move(Done)] {
+      if (m_IsAway) {
+        Done(absl::UnavailableError("away"));
+        return;
+      }
+      const auto Lease = ++m_LastLease;
+      m_Timers.start(m_Clock.steadyNow() + TimeToLive, [this, Lease] { endLease(Lease); });
+      Done(Lease);
+    });
   }
   auto keepAlive(keyvalue::LeaseId, StatusCallback Done) -> void override {
     Done(absl::UnimplementedError("not used"));
   }
 
+  /// Removes the keys of a lease.
+  auto endLease(keyvalue::LeaseId Lease) -> void {
+    m_EndedLeases.insert(Lease);
+    std::erase_if(m_Keys, [this, Lease](const auto &Item) {
+      const auto Found = m_Leases.find(Item.first);
+      return Found != m_Leases.end() && Found->second == Lease;
+    });
+  }
+
 private:
   auto answer(std::function<void()> Function) -> void {
     m_Timers.start(m_Clock.steadyNow() + std::chrono::milliseconds(1), std::move(Function));
@@ -131,6 +158,11 @@
 
   ManualTimers &m_Timers;
   const base::IClock &m_Clock;
+  keyvalue::LeaseId m_LastLease = 0;
+  std::set<keyvalue::LeaseId> m_EndedLeases;
+
+  /// Lease of a key, if it has one.
+  std::map<std::string, keyvalue::LeaseId> m_Leases;
 };
 
 } // namespace geraniumlift::fakes
--- a/testing/standins/platform/storestandin.cpp
+++ b/testing/standins/platform/storestandin.cpp
@@ -156,6 +156,12 @@
   if (Target.starts_with("/kv-txn")) {
     return transact(Request.m_Body);
   }
+  if (Target.starts_with("/kv-lease")) {
+    auto Document = rapidjson::Document();
+    Document.Parse(Request.m_Body.c_str());
+    return jsonReply(200, fmt::format(R"({{"lease":{},"ttlMs":{}}})", ++m_LastLease,
+                                      member(Document, "ttlMs").GetInt64()));
+  }
   return jsonReply(404, "{}");
 }
 
--- a/testing/standins/platform/storestandin.h
+++ b/testing/standins/platform/storestandin.h
@@ -8,7 +8,8 @@
 
 namespace geraniumlift::standins {
 
-/// The platform's metadata store, in memory. A watch answers at once, with or without changes.
+/// The platform's metadata store, in memory. A watch answers at once, with or without changes, and
+/// leases do not end.
 class StoreStandin {
 public:
   StoreStandin(boost::asio::io_context &Loop, int Port);
@@ -47,6 +48,7 @@
   standin::RevisionStore m_Store;
   std::vector<Event> m_Events;
   std::int64_t m_OldestKnown = 0;
+  std::int64_t m_LastLease = 0;
   ByteServer m_Server;
 };
 
