A restarted relay does not pass over removals that it has not heard of

Cause: a relay that had just started listed the store and told readers that it knew all changes since their revision. A key that was removed between the reader's revision and the listing was never told, and the reader, which believed to be current, did not ask the store. Change: a listing leaves a gap between what the relay knew before and the listing; a reader whose knowledge ends in a gap gets no update and follows the store itself. Test: mirror::restartedRelayDoesNotPassOverRemovals failed before.

--- a/src/mirror/internal/mirrorexchange.cpp
+++ b/src/mirror/internal/mirrorexchange.cpp
@@ -32,9 +32,10 @@
 
 auto MirrorExchange::onListed(std::string_view Prefix, const std::set<std::string> &Keys,
                               std::int64_t Revision, base::SteadyTime ConfirmedAt) -> void {
-  for (const auto &Mirrored : m_Prefixes) {
-    if (Mirrored.starts_with(Prefix)) {
-      m_Mirror.keepOnly(Mirrored, Keys, Revision, ConfirmedAt);
+  for (std::size_t Index = 0; Index < m_Prefixes.size(); ++Index) {
+    if (m_Prefixes[Index].starts_with(Prefix)) {
+      m_Mirror.keepOnly(m_Prefixes[Index], Keys, m_Reader.revisions()[Index], Revision,
+                        ConfirmedAt);
     }
   }
   onConfirmed(Prefix, Revision, ConfirmedAt);
--- a/src/mirror/internal/storemirror.cpp
+++ b/src/mirror/internal/storemirror.cpp
@@ -4,6 +4,14 @@
 
 namespace geraniumlift::mirror {
 
+namespace {
+
+/// Most gaps that are kept apart. A router lists when it starts and after the store has dropped its
+/// history.
+constexpr auto MaxGaps = std::size_t{8};
+
+} // namespace
+
 auto StoreMirror::put(const keyvalue::KeyValue &Item, std::string Meaning) -> void {
   auto &Entry = m_Entries[Item.m_Key];
   if (Item.m_ModRevision < Entry.m_LastWrite) {
@@ -31,7 +39,8 @@
 }
 
 auto StoreMirror::keepOnly(std::string_view Prefix, const std::set<std::string> &Keys,
-                           std::int64_t Revision, base::SteadyTime Now) -> void {
+                           std::int64_t KnownUntil, std::int64_t Revision, base::SteadyTime Now)
+    -> void {
   auto Gone = std::vector<std::string>();
   for (auto Item = m_Entries.lower_bound(std::string(Prefix));
        Item != m_Entries.end() && Item->first.starts_with(Prefix); ++Item) {
@@ -42,12 +51,28 @@
   for (const auto &Key : Gone) {
     remove(Key, Revision, Now);
   }
+  auto &Gaps = m_Gaps[std::string(Prefix)];
+  if (KnownUntil < Revision) {
+    Gaps.push_back({KnownUntil, Revision});
+  }
+  if (Gaps.size() > MaxGaps) {
+    Gaps = {{Gaps.front().m_After, Gaps.back().m_Until}};
+  }
+}
+
+auto StoreMirror::mayMissRemovals(std::string_view Prefix, std::int64_t After) const -> bool {
+  const auto Gaps = m_Gaps.find(Prefix);
+  return After < m_DroppedUntil ||
+         (Gaps != m_Gaps.end() &&
+          std::any_of(Gaps->second.begin(), Gaps->second.end(), [After](const Gap &Item) {
+            return Item.m_After < After && After < Item.m_Until;
+          }));
 }
 
 auto StoreMirror::changesAfter(std::string_view Prefix, std::int64_t After, std::int64_t KnownUntil,
                                std::size_t MaxBytes) const -> PrefixChanges {
   auto Result = PrefixChanges();
-  if (After < m_DroppedUntil || KnownUntil < After) {
+  if (KnownUntil < After || mayMissRemovals(Prefix, After)) {
     return Result;
   }
   auto Changed = std::vector<const Entry *>();
--- a/src/mirror/storemirror.h
+++ b/src/mirror/storemirror.h
@@ -20,13 +20,14 @@
   /// Records that a key was removed.
   auto remove(const std::string &Key, std::int64_t Revision, base::SteadyTime Now) -> void;
 
-  /// Records that all keys with the prefix but these were removed.
-  auto keepOnly(std::string_view Prefix, const std::set<std::string> &Keys, std::int64_t Revision,
-                base::SteadyTime Now) -> void;
+  /// Records a listing: all keys with the prefix but these were removed. KnownUntil is the revision
+  /// until which this router knew all before; keys that came and went since then are not known.
+  auto keepOnly(std::string_view Prefix, const std::set<std::string> &Keys, std::int64_t KnownUntil,
+                std::int64_t Revision, base::SteadyTime Now) -> void;
 
   /// Returns the changes of the keys with the prefix after a revision, up to the revision until
   /// which this router knows all. Ends earlier if the changes would exceed the size limit. Both
-  /// revisions of the result are 0 if the removals since then have been dropped.
+  /// revisions of the result are 0 if removals since then may be missing.
   [[nodiscard]] auto changesAfter(std::string_view Prefix, std::int64_t After,
                                   std::int64_t KnownUntil, std::size_t MaxBytes) const
       -> PrefixChanges;
@@ -52,6 +53,18 @@
 
   /// Revision of the newest removal that was dropped.
   std::int64_t m_DroppedUntil = 0;
+
+  /// Revisions between which a removal may be missing: those before and of a listing.
+  struct Gap {
+    std::int64_t m_After = 0;
+    std::int64_t m_Until = 0;
+  };
+
+  /// By prefix. A long series of listings makes one gap.
+  std::map<std::string, std::vector<Gap>, std::less<>> m_Gaps;
+
+  /// Whether a removal that a reader needs, whose knowledge ends at the revision, may be missing.
+  [[nodiscard]] auto mayMissRemovals(std::string_view Prefix, std::int64_t After) const -> bool;
 };
 
 } // namespace geraniumlift::mirror
--- a/src/mirror/tests/mirror_test.cpp
+++ b/src/mirror/tests/mirror_test.cpp
@@ -98,6 +98,27 @@
   cr_expect(Reader.reader().mustFollowStore(Start + 6500ms));
 }
 
+// Guards against a target that has left and is kept for good, because the relay was restarted in
+// between and has never heard of it (DRAIN).
+Test(mirror, restartedRelayDoesNotPassOverRemovals) {
+  auto Relay = exchange("relay");
+  auto Reader = exchange("reader");
+  Relay.put(item("targets/a", "ready", 5), "ready");
+  Relay.put(item("targets/b", "ready", 6), "ready");
+  confirm(Relay, 6, Start);
+  cr_assert_eq(update(Reader, Relay, Start).size(), 2U);
+  auto Restarted = exchange("relay");
+  Restarted.put(item("targets/b", "ready", 6), "ready");
+  Restarted.onListed("", {"targets/b"}, 12, Start + 1s);
+  update(Reader, Restarted, Start + 1s);
+  cr_expect_leq(Reader.revisionOf("targets/"), 6, "the removal of targets/a is still to come");
+  cr_expect(Reader.reader().mustFollowStore(Start + 3s));
+  Reader.onConfirmed("", 12, Start + 3s);
+  confirm(Restarted, 13, Start + 3s);
+  update(Reader, Restarted, Start + 3s);
+  cr_expect_not(Reader.reader().mustFollowStore(Start + 3s));
+}
+
 // Guards against a router that relies on a relay which is itself cut off from the store, or that
 // does not notice that its relay has died.
 Test(mirror, routerFollowsTheStoreWhenItsRelayIsLateOrSilent) {
