--- a/src/budget/internal/grantservice.cpp
+++ b/src/budget/internal/grantservice.cpp
@@ -240,16 +240,15 @@
     Done(Refused);
     return;
   }
-  withdraw(Request.m_Budget, Amount, Deadline,
-           [this, Request, Counted, Allowed,
-            Done = std::move(Done)](TokenExchange::Withdrawal Outcome) {
-             m_Planner.recordReport(Request.m_Budget, Request.m_From,
-                                    static_cast<double>(Request.m_TokensPerSecond),
-                                    Counted + Outcome.m_Tokens,
-                                    Request.m_Tokens - Outcome.m_Tokens, m_Clock.steadyNow());
-             Outcome.m_Allowed = Allowed;
-             Done(Outcome);
-           });
+  withdraw(
+      Request.m_Budget, Amount, Deadline,
+      [this, Request, Counted, Allowed, Done = std::move(Done)](TokenExchange::Withdrawal Outcome) {
+        m_Planner.recordReport(
+            Request.m_Budget, Request.m_From, static_cast<double>(Request.m_TokensPerSecond),
+            Counted + Outcome.m_Tokens, Request.m_Tokens - Outcome.m_Tokens, m_Clock.steadyNow());
+        Outcome.m_Allowed = Allowed;
+        Done(Outcome);
+      });
 }
 
 auto GrantService::updateDividedReserves() -> void {
--- a/src/budget/internal/transfercodec.cpp
+++ b/src/budget/internal/transfercodec.cpp
@@ -54,8 +54,8 @@
       base::readText(Data, Request.m_Budget, MaxNameBytes);
       Data(Request.m_Session, Request.m_Number, Request.m_Tokens, Request.m_IsAhead,
            Request.m_IsHome, Request.m_Held, Request.m_TokensPerSecond, Request.m_RequestTokens);
-      if (Request.m_Tokens < 0 || (Request.m_Tokens == 0 && !Request.m_IsAhead) || Request.m_Held < 0 || Request.m_TokensPerSecond < 0 ||
-          Request.m_RequestTokens < 0) {
+      if (Request.m_Tokens < 0 || (Request.m_Tokens == 0 && !Request.m_IsAhead) ||
+          Request.m_Held < 0 || Request.m_TokensPerSecond < 0 || Request.m_RequestTokens < 0) {
         return absl::InvalidArgumentError("the number of tokens is not positive");
       }
       return Request;
--- a/src/forwarding/tests/forwardingfakes.h
+++ b/src/forwarding/tests/forwardingfakes.h
@@ -332,9 +332,13 @@
   /// Starts a request that takes up the stream that another one has begun.
   auto takeUp(const std::string &Path, const std::string &BegunBy) -> void {
     auto Head = http1::RequestHead{"POST", Path, {}};
-    for (const auto &[Name, Value] : std::initializer_list<std::pair<const char *, std::string>>{
-             {"host", "h"}, {"id", "r1"}, {"key", "k"}, {"left", "2000"}, {"prompt", "500"},
-             {"begun-by", BegunBy}}) {
+    for (const auto &[Name, Value] :
+         std::initializer_list<std::pair<const char *, std::string>>{{"host", "h"},
+                                                                     {"id", "r1"},
+                                                                     {"key", "k"},
+                                                                     {"left", "2000"},
+                                                                     {"prompt", "500"},
+                                                                     {"begun-by", BegunBy}}) {
       Head.m_Fields.add(Name, Value);
     }
     m_Caller = std::make_shared<FakeCaller>();
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -241,8 +241,8 @@
                    Dependencies.m_Log),
       m_Limits(m_Settings.m_Vm, m_PeerLink, Dependencies.m_Timers, Dependencies.m_Clock,
                Dependencies.m_Log),
-      m_StreamVersions(streamVersionOptions(m_Settings, m_Incarnation), Dependencies.m_Store, m_PeerLink,
-                       Dependencies.m_Timers, Dependencies.m_Clock, Dependencies.m_Log),
+      m_StreamVersions(streamVersionOptions(m_Settings, m_Incarnation), Dependencies.m_Store,
+                       m_PeerLink, Dependencies.m_Timers, Dependencies.m_Clock, Dependencies.m_Log),
       m_Gate(gateOptions(m_Settings), m_Limits, m_Quarantine), m_TargetAccess(Dependencies.m_Log),
       m_Placement(placementOptions(m_Settings),
                   [this](const forwarding::TargetRecord &Target) {
@@ -572,8 +572,8 @@
 }
 
 auto Router::isReady() const -> bool {
-  return m_Context.m_Table && m_HasTargetList && m_Grants.isReady() &&
-         m_StreamVersions.isReady() && !m_IsLeaving;
+  return m_Context.m_Table && m_HasTargetList && m_Grants.isReady() && m_StreamVersions.isReady() &&
+         !m_IsLeaving;
 }
 
 auto Router::handleReadinessRequest(const http1::RequestHead &Head) -> transport::DirectResponse {
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -14,10 +14,10 @@
 #include "router/internal/storesubscription.h"
 #include "router/istoredocumentdecoder.h"
 #include "router/routersettings.h"
+#include "streamversions/streamversionservice.h"
 #include "transport/asiotimers.h"
 #include "transport/callerserver.h"
 #include "transport/datagramsocket.h"
-#include "streamversions/streamversionservice.h"
 #include "transport/listenercheck.h"
 #include "transport/targetconnector.h"
 
--- a/src/streamversions/internal/originlog.cpp
+++ b/src/streamversions/internal/originlog.cpp
@@ -106,25 +106,24 @@
 }
 
 auto OriginLog::read(std::function<void(std::optional<std::vector<OriginReport>>)> Done) -> void {
-  m_Store.list(std::string(OriginPrefix),
-               [this, Done = std::move(Done)](const absl::StatusOr<keyvalue::ListResult> &Result) {
-                 if (!Result.ok()) {
-                   Done(std::nullopt);
-                   return;
-                 }
-                 auto All = std::vector<OriginReport>();
-                 for (const auto &Item : Result->m_Items) {
-                   auto Part = decodeOrigins(Item.m_Value);
-                   if (Part.ok()) {
-                     All.insert(All.end(), Part->begin(), Part->end());
-                   } else {
-                     m_Log.record(base::LogLevel::Error, "stream_origins_unreadable",
-                                  {{"key", Item.m_Key},
-                                   {"reason", std::string(Part.status().message())}});
-                   }
-                 }
-                 Done(std::move(All));
-               });
+  m_Store.list(std::string(OriginPrefix), [this, Done = std::move(Done)](
+                                              const absl::StatusOr<keyvalue::ListResult> &Result) {
+    if (!Result.ok()) {
+      Done(std::nullopt);
+      return;
+    }
+    auto All = std::vector<OriginReport>();
+    for (const auto &Item : Result->m_Items) {
+      auto Part = decodeOrigins(Item.m_Value);
+      if (Part.ok()) {
+        All.insert(All.end(), Part->begin(), Part->end());
+      } else {
+        m_Log.record(base::LogLevel::Error, "stream_origins_unreadable",
+                     {{"key", Item.m_Key}, {"reason", std::string(Part.status().message())}});
+      }
+    }
+    Done(std::move(All));
+  });
 }
 
 } // namespace geraniumlift::streamversions
--- a/src/streamversions/internal/streamcodec.cpp
+++ b/src/streamversions/internal/streamcodec.cpp
@@ -4,10 +4,10 @@
 #include "streamversions/streamversiontypes.h"
 
 #include <array>
-#include <map>
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
+#include <map>
 #include <sstream>
 
 namespace geraniumlift::streamversions {
@@ -92,11 +92,8 @@
 
 auto streamKey(std::string_view Workspace, std::string_view RequestId) -> StreamKey {
   // The length keeps names and IDs apart that only join to the same text.
-  return base::hash64(std::to_string(Workspace.size())
-                          .append("/")
-                          .append(Workspace)
-                          .append("/")
-                          .append(RequestId));
+  return base::hash64(
+      std::to_string(Workspace.size()).append("/").append(Workspace).append("/").append(RequestId));
 }
 
 auto encodeMessage(const StreamMessage &Message) -> std::string {
--- a/src/streamversions/internal/streamversionservice.cpp
+++ b/src/streamversions/internal/streamversionservice.cpp
@@ -290,24 +290,25 @@
 
 auto StreamVersionService::readRecords() -> void {
   m_IsReading = true;
-  m_Store.list(std::string(VersionPrefix), [this](const absl::StatusOr<keyvalue::ListResult> &Result) {
-    if (!Result.ok()) {
-      m_IsReading = false;
-      m_NextRead = now() + RetryDelay;
-      return;
-    }
-    auto IsMixed = false;
-    for (const auto &Item : Result->m_Items) {
-      adoptItem(Item);
-      IsMixed |= m_Records.isMixed(Item.m_Key.substr(VersionPrefix.size()));
-    }
-    if (IsMixed) {
-      readOrigins();
-    } else {
-      m_IsReading = false;
-      m_Records.setAllKnown();
-    }
-  });
+  m_Store.list(std::string(VersionPrefix),
+               [this](const absl::StatusOr<keyvalue::ListResult> &Result) {
+                 if (!Result.ok()) {
+                   m_IsReading = false;
+                   m_NextRead = now() + RetryDelay;
+                   return;
+                 }
+                 auto IsMixed = false;
+                 for (const auto &Item : Result->m_Items) {
+                   adoptItem(Item);
+                   IsMixed |= m_Records.isMixed(Item.m_Key.substr(VersionPrefix.size()));
+                 }
+                 if (IsMixed) {
+                   readOrigins();
+                 } else {
+                   m_IsReading = false;
+                   m_Records.setAllKnown();
+                 }
+               });
 }
 
 auto StreamVersionService::readOrigins() -> void {
@@ -327,8 +328,7 @@
 
 auto StreamVersionService::writeDelay(const std::string &Pool) const -> milliseconds {
   constexpr auto Range = static_cast<double>(std::numeric_limits<std::uint64_t>::max());
-  const auto Share =
-      static_cast<double>(base::rendezvousRank(Pool, m_Options.m_Router)) / Range;
+  const auto Share = static_cast<double>(base::rendezvousRank(Pool, m_Options.m_Router)) / Range;
   // In a small fleet the first router's turn would come late.
   const auto Most = std::min<milliseconds>(
       MaxWriteDelay, milliseconds(20) * static_cast<std::int64_t>(m_Routers.size()));
--- a/src/streamversions/istreamversions.h
+++ b/src/streamversions/istreamversions.h
@@ -18,7 +18,8 @@
   [[nodiscard]] virtual auto mayBegin(const std::string &Pool, const std::string &Version) const
       -> bool = 0;
 
-  /// Records where a stream begins or continues. Must be called before its first event is passed on.
+  /// Records where a stream begins or continues. Must be called before its first event is passed
+  /// on.
   virtual auto onBegin(StreamKey Key, const StreamOrigin &Origin) -> void = 0;
 
   /// Finds where a stream of the pool began. The callback runs once, within the call or later, with
--- a/src/streamversions/originmemory.h
+++ b/src/streamversions/originmemory.h
@@ -21,8 +21,8 @@
   [[nodiscard]] auto find(StreamKey Key, base::SteadyTime Now) const -> std::optional<StreamOrigin>;
 
   /// Streams of the pool that are remembered, at most so many, the newest first.
-  [[nodiscard]] auto streamsOf(const std::string &Pool, std::size_t Most, base::SteadyTime Now) const
-      -> std::vector<OriginReport>;
+  [[nodiscard]] auto streamsOf(const std::string &Pool, std::size_t Most,
+                               base::SteadyTime Now) const -> std::vector<OriginReport>;
 
   auto removeExpired(base::SteadyTime Now) -> void;
 
--- a/src/streamversions/tests/originlog_test.cpp
+++ b/src/streamversions/tests/originlog_test.cpp
@@ -1,6 +1,6 @@
-#include "streamversions/originlog.h"
 #include "fakes/memoryeventlog.h"
 #include "fakes/memorytransactionstore.h"
+#include "streamversions/originlog.h"
 
 #include <criterion/criterion.h>
 
--- a/src/streamversions/tests/streamversionservice_test.cpp
+++ b/src/streamversions/tests/streamversionservice_test.cpp
@@ -1,6 +1,6 @@
-#include "streamversions/streamversionservice.h"
 #include "fakes/memoryeventlog.h"
 #include "fakes/memorytransactionstore.h"
+#include "streamversions/streamversionservice.h"
 
 #include <criterion/criterion.h>
 
@@ -64,7 +64,8 @@
         if (!m_Cut.contains(Name)) {
           m_Seen[Name] = m_Versions;
         }
-        Router->advance({{{"engines", m_Seen[Name]}}, !m_Cut.contains(Name), !m_Cut.contains(Name)});
+        Router->advance(
+            {{{"engines", m_Seen[Name]}}, !m_Cut.contains(Name), !m_Cut.contains(Name)});
       }
       m_Timers.runFor(100ms);
     }
@@ -256,7 +257,8 @@
   cr_expect_not(Fleet.router("vm-2").mayBegin("engines", "v1"));
 }
 
-// A write that takes the version out may be on its way, so that streams must wait for a newer record.
+// A write that takes the version out may be on its way, so that streams must wait for a newer
+// record.
 Test(streamversions, versionThatComesBackIsRecordedAnew) {
   auto Fleet = TestFleet(2);
   Fleet.m_Versions = {"v1", "v2"};
--- a/testing/standins/platform/targetstandin.cpp
+++ b/testing/standins/platform/targetstandin.cpp
@@ -22,7 +22,8 @@
   return fmt::format(R"({{"service":"{}","address":"127.0.0.1:{}","zone":"{}","version":"{}",)"
                      R"("slots":{},"state":"{}","coldRemainingMs":{},"sequence":1,"born":5}})",
                      Registration.m_Pool, Registration.m_Port, Registration.m_DataCentre,
-                     Registration.m_Version, Registration.m_Slots, Registration.m_State, Registration.m_ColdTime.count());
+                     Registration.m_Version, Registration.m_Slots, Registration.m_State,
+                     Registration.m_ColdTime.count());
 }
 
 TargetStandin::TargetStandin(boost::asio::io_context &Loop, StoreStandin &Store, std::string Id,
