Take-ups of streams that no router remembers are looked up in the store

What callers saw: nothing yet; with most routers killed at once and some left, those left know the origins that they were told of only. With three of five copies gone a take-up was refused although the store knows its version. Change: after the other routers a router asks the store, with one reading for all take-ups of a second. Test: streamversions::streamsAreKnownAfterAKillOfAllThatRememberThem failed before (unknown).

--- a/src/streamversions/internal/streamversionservice.cpp
+++ b/src/streamversions/internal/streamversionservice.cpp
@@ -25,6 +25,9 @@
 constexpr auto QueryRepeatDelay = 30ms;
 constexpr auto QueryTimeout = 120ms;
 
+/// Time between two readings of all stored origins.
+constexpr auto StoreSearchInterval = 1000ms;
+
 /// Pause after a call to the store that failed.
 constexpr auto RetryDelay = 300ms;
 
@@ -210,7 +213,40 @@
   const auto Ended = std::move(Found->second);
   m_Searches.erase(Found);
   m_Timers.cancel(Ended.m_Timer);
-  Ended.m_Done(Origin);
+  if (Origin) {
+    Ended.m_Done(Origin);
+  } else {
+    searchStore(Ended.m_Key, Ended.m_Done);
+  }
+}
+
+auto StreamVersionService::searchStore(StreamKey Key, OriginCallback Done) -> void {
+  // Readings are large. One of them serves all take-ups that come after a loss of routers.
+  const auto IsReading = !m_StoreSearches.empty();
+  if (!IsReading && (!m_IsStoreReachable || now() < m_NextStoreSearch)) {
+    Done(m_Memory.find(Key, now()));
+    return;
+  }
+  m_StoreSearches.emplace_back(
+      [this, Key, Done = std::move(Done)] { Done(m_Memory.find(Key, now())); });
+  if (IsReading) {
+    return;
+  }
+  m_NextStoreSearch = now() + StoreSearchInterval;
+  m_OriginLog.read([this](const std::optional<std::vector<OriginReport>> &Reports) {
+    if (Reports) {
+      remember(*Reports);
+    }
+    for (const auto &Callback : std::exchange(m_StoreSearches, {})) {
+      Callback();
+    }
+  });
+}
+
+auto StreamVersionService::remember(const std::vector<OriginReport> &Reports) -> void {
+  for (const auto &Item : Reports) {
+    m_Memory.put(Item.m_Key, Item.m_Origin, now() + m_Options.m_StreamLife);
+  }
 }
 
 auto StreamVersionService::onMessage(const StreamMessage &Message) -> void {
@@ -227,8 +263,8 @@
 }
 
 auto StreamVersionService::onReports(const OriginReports &Message) -> void {
+  remember(Message.m_Reports);
   for (const auto &Item : Message.m_Reports) {
-    m_Memory.put(Item.m_Key, Item.m_Origin, now() + m_Options.m_StreamLife);
     if (storesOriginOf(Item.m_Key)) {
       m_OriginLog.add(Item);
     }
@@ -318,9 +354,7 @@
       m_NextRead = now() + RetryDelay;
       return;
     }
-    for (const auto &Item : *Reports) {
-      m_Memory.put(Item.m_Key, Item.m_Origin, now() + m_Options.m_StreamLife);
-    }
+    remember(*Reports);
     m_Log.record(base::LogLevel::Info, "stream_origins_read", {{"streams", Reports->size()}});
     m_Records.setAllKnown();
   });
@@ -338,7 +372,8 @@
 auto StreamVersionService::advance(const Situation &Situation) -> void {
   m_Memory.removeExpired(now());
   m_Records.setPresent(Situation.m_VersionsByPool, now());
-  m_OriginLog.setStoreReachable(Situation.m_IsStoreReachable);
+  m_IsStoreReachable = Situation.m_IsStoreReachable;
+  m_OriginLog.setStoreReachable(m_IsStoreReachable);
   if (!Situation.m_IsStoreReachable) {
     return;
   }
--- a/src/streamversions/streamversionservice.h
+++ b/src/streamversions/streamversionservice.h
@@ -111,6 +111,10 @@
   auto askKeepers(StreamKey Key, const std::string &Pool, OriginCallback Done) -> void;
   auto sendQueries(std::uint64_t Id) -> void;
   auto endSearch(std::uint64_t Id, const std::optional<StreamOrigin> &Origin) -> void;
+
+  /// Looks for a stream that no router remembers among the stored origins.
+  auto searchStore(StreamKey Key, OriginCallback Done) -> void;
+  auto remember(const std::vector<OriginReport> &Reports) -> void;
   auto onReports(const OriginReports &Message) -> void;
   auto onQuery(const OriginQuery &Message) -> void;
   auto onReply(const OriginReply &Message) -> void;
@@ -138,6 +142,11 @@
   /// Callers that wait for one reading of a pool's record, by pool.
   std::map<std::string, std::vector<std::function<void(bool IsRead)>>> m_Confirmations;
   std::map<std::uint64_t, Search> m_Searches;
+
+  /// Callers that wait for one reading of the stored origins.
+  std::vector<std::function<void()>> m_StoreSearches;
+  base::SteadyTime m_NextStoreSearch;
+  bool m_IsStoreReachable = false;
   std::uint64_t m_LastSearch = 0;
 };
 
--- a/src/streamversions/tests/streamversionservice_test.cpp
+++ b/src/streamversions/tests/streamversionservice_test.cpp
@@ -205,6 +205,26 @@
   cr_expect_not(Fleet.find("vm-2", 4), "a stream that nobody has begun");
 }
 
+Test(streamversions, streamsAreKnownAfterAKillOfAllThatRememberThem) {
+  auto Fleet = TestFleet(8);
+  Fleet.m_Versions = {"v1", "v2"};
+  Fleet.runFor(1s);
+  for (auto Key = StreamKey{1}; Key <= 20; ++Key) {
+    cr_assert(Fleet.begin("vm-0", Key, Key % 2 == 0 ? "v1" : "v2"));
+  }
+  Fleet.runFor(500ms);
+  for (const auto *Name : {"vm-0", "vm-1", "vm-2", "vm-3", "vm-4", "vm-5", "vm-6"}) {
+    Fleet.kill(Name);
+  }
+  Fleet.runFor(200ms);
+  const auto Lists = Fleet.m_Store.m_Lists;
+  for (auto Key = StreamKey{1}; Key <= 20; ++Key) {
+    cr_expect(Fleet.find("vm-7", Key) == (Key % 2 == 0 ? V1 : V2));
+  }
+  cr_expect_not(Fleet.find("vm-7", 21));
+  cr_expect_leq(Fleet.m_Store.m_Lists - Lists, 3, "one reading serves many take-ups");
+}
+
 // Guards against take-ups that are refused although the version of the stream still serves.
 Test(streamversions, streamsOfTwoVersionsAreKnownAfterAKillOfAllRouters) {
   auto Fleet = TestFleet(5);
