Take-ups that name no stream are not remembered; a version record that was removed is written again

What callers saw: nothing yet; found by reading. A take-up without Resumes was remembered under an empty ID, so that the next one of its workspace would have been taken for the same stream, at the wrong version. And if somebody removed a version record, every router went on to write it on a condition that cannot hold, and streams never began. Tests: forwardsession::takeUpThatNamesNoStreamIsNotRemembered, streamversions::recordThatSomebodyRemovedIsWrittenAgain.

--- a/src/forwarding/internal/forwardsessionanswer.cpp
+++ b/src/forwarding/internal/forwardsessionanswer.cpp
@@ -118,6 +118,9 @@
   m_HasResponseBegun = true;
   if (m_IsEventStream && m_Route->m_IsResumable) {
     m_StreamVersion = m_TargetVersion;
+  }
+  // A caller that does not say which stream it takes up leaves nothing to remember it by.
+  if (m_StreamVersion && !(takesUpStream() && m_Fields.m_BegunBy.empty())) {
     m_Context.m_StreamVersions.onBegin(streamKey(), {m_Pool, m_TargetVersion});
   }
   m_BegunStatus = m_ResponseHead->m_Status;
--- a/src/forwarding/tests/forwardingfakes.h
+++ b/src/forwarding/tests/forwardingfakes.h
@@ -207,6 +207,9 @@
     Fields.m_Host = Head.m_Fields.find("host").value_or("");
     Fields.m_ApiKey = Head.m_Fields.find("key").value_or("");
     Fields.m_BegunBy = Head.m_Fields.find("begun-by").value_or("");
+    if (const auto Last = Head.m_Fields.find("last-event")) {
+      Fields.m_LastEventId = std::stoull(std::string(*Last));
+    }
     if (const auto Left = Head.m_Fields.find("left")) {
       Fields.m_TimeLeft = std::chrono::milliseconds(std::stoll(std::string(*Left)));
     }
@@ -330,7 +333,8 @@
   }
 
   /// Starts a request that takes up the stream that another one has begun.
-  auto takeUp(const std::string &Path, const std::string &BegunBy) -> void {
+  auto takeUp(const std::string &Path, const std::string &BegunBy,
+              const std::string &LastEventId = "0") -> void {
     auto Head = http1::RequestHead{"POST", Path, {}};
     for (const auto &[Name, Value] :
          std::initializer_list<std::pair<const char *, std::string>>{{"host", "h"},
@@ -338,7 +342,8 @@
                                                                      {"key", "k"},
                                                                      {"left", "2000"},
                                                                      {"prompt", "500"},
-                                                                     {"begun-by", BegunBy}}) {
+                                                                     {"begun-by", BegunBy},
+                                                                     {"last-event", LastEventId}}) {
       Head.m_Fields.add(Name, Value);
     }
     m_Caller = std::make_shared<FakeCaller>();
--- a/src/forwarding/tests/forwardsession_test.cpp
+++ b/src/forwarding/tests/forwardsession_test.cpp
@@ -252,6 +252,17 @@
   cr_expect_eq(Fixture.m_Budgets.m_Used, 0);
 }
 
+// Guards against one stream of a workspace that is taken for another one.
+Test(forwardsession, takeUpThatNamesNoStreamIsNotRemembered) {
+  auto Fixture = ForwardingFixture();
+  Fixture.takeUp("/resumable/1", "", "7");
+  Fixture.connect();
+  Fixture.answerHead(200, {"signed"});
+  Fixture.body("id: 8\ndata: h\n\n");
+  cr_expect_eq(Fixture.m_Caller->m_Status, 200);
+  cr_expect(Fixture.m_StreamVersions.m_Origins.empty());
+}
+
 Test(forwardsession, streamsWaitForTheRecordOfANewVersion) {
   auto Fixture = ForwardingFixture();
   for (const auto *Id : {"e1", "e2", "e3"}) {
--- a/src/streamversions/internal/streamversionservice.cpp
+++ b/src/streamversions/internal/streamversionservice.cpp
@@ -104,13 +104,15 @@
     return;
   }
   m_Store.list(recordKey(Pool), [this, Pool](const absl::StatusOr<keyvalue::ListResult> &Result) {
+    auto IsRead = false;
     if (Result.ok()) {
       for (const auto &Item : Result->m_Items) {
         adoptItem(Item);
+        IsRead |= Item.m_Key == recordKey(Pool);
       }
     }
     for (const auto &Callback : std::exchange(m_Confirmations[Pool], {})) {
-      Callback(Result.ok());
+      Callback(IsRead);
     }
   });
 }
@@ -420,6 +422,9 @@
       adopt({Record.m_Pool, Record.m_Versions, Result.m_Revision}, "");
       return;
     case keyvalue::TransactionOutcome::Conflict:
+      if (Result.m_Current.empty()) {
+        m_Records.forget(Record.m_Pool);
+      }
       for (const auto &Item : Result.m_Current) {
         adoptItem(Item);
       }
--- a/src/streamversions/internal/versionrecords.cpp
+++ b/src/streamversions/internal/versionrecords.cpp
@@ -14,6 +14,12 @@
   return true;
 }
 
+auto VersionRecords::forget(const std::string &Pool) -> void {
+  if (const auto Found = m_Pools.find(Pool); Found != m_Pools.end()) {
+    Found->second.m_Record = {Pool, {}, 0};
+  }
+}
+
 auto VersionRecords::setPresent(const std::map<std::string, std::set<std::string>> &VersionsByPool,
                                 base::SteadyTime Now) -> void {
   for (auto &[Pool, State] : m_Pools) {
--- a/src/streamversions/tests/streamversionservice_test.cpp
+++ b/src/streamversions/tests/streamversionservice_test.cpp
@@ -296,6 +296,19 @@
   cr_expect(Fleet.begin("vm-0", 1, "v1"));
 }
 
+Test(streamversions, recordThatSomebodyRemovedIsWrittenAgain) {
+  auto Fleet = TestFleet(3);
+  Fleet.runFor(1s);
+  Fleet.m_Store.m_Keys.clear();
+  cr_expect_not(Fleet.find("vm-1", 7), "the record does not prove anything");
+  Fleet.m_Versions = {"v1", "v2"};
+  Fleet.runFor(2s);
+  cr_expect(Fleet.begin("vm-0", 1, "v2"));
+  const auto Writes = Fleet.m_Store.m_Writes;
+  Fleet.runFor(5s);
+  cr_expect_leq(Fleet.m_Store.m_Writes - Writes, 2);
+}
+
 Test(streamversions, streamsOfOtherWorkspacesHaveOtherKeys) {
   cr_expect_neq(streamKey("a", "r"), streamKey("b", "r"));
   cr_expect_neq(streamKey("a/b", "r"), streamKey("a", "b/r"));
--- a/src/streamversions/versionrecords.h
+++ b/src/streamversions/versionrecords.h
@@ -25,6 +25,9 @@
   /// Takes over a record if it is newer. Returns whether it was.
   auto adopt(const VersionRecord &Record) -> bool;
 
+  /// Drops what is known of a record that is not in the store any more.
+  auto forget(const std::string &Pool) -> void;
+
   /// Sets the versions of the targets of each pool.
   auto setPresent(const std::map<std::string, std::set<std::string>> &VersionsByPool,
                   base::SteadyTime Now) -> void;
