--- a/src/streamversions/internal/streamcodec.cpp
+++ b/src/streamversions/internal/streamcodec.cpp
@@ -81,6 +81,15 @@
   }
 }
 
+/// Returns the member, or nullptr if the value is no object or has none of that name.
+auto findMember(const rapidjson::Value &Object, const char *Name) -> const rapidjson::Value * {
+  if (!Object.IsObject()) {
+    return nullptr;
+  }
+  const auto Found = Object.FindMember(Name);
+  return Found == Object.MemberEnd() ? nullptr : &Found->value;
+}
+
 template <typename Message>
 auto readMessage(InputArchive &Data, std::size_t Size) -> StreamMessage {
   auto Result = Message();
@@ -155,13 +164,15 @@
   }
   auto Reports = std::vector<OriginReport>();
   for (const auto &Group : Document.GetArray()) {
-    if (!Group.IsObject() || !Group.HasMember("pool") || !Group["pool"].IsString() ||
-        !Group.HasMember("version") || !Group["version"].IsString() ||
-        !Group.HasMember("streams") || !Group["streams"].IsArray()) {
+    const auto *Pool = findMember(Group, "pool");
+    const auto *Version = findMember(Group, "version");
+    const auto *Streams = findMember(Group, "streams");
+    if (Pool == nullptr || !Pool->IsString() || Version == nullptr || !Version->IsString() ||
+        Streams == nullptr || !Streams->IsArray()) {
       return absl::InvalidArgumentError("no pool, version or streams");
     }
-    const auto Origin = StreamOrigin{Group["pool"].GetString(), Group["version"].GetString()};
-    for (const auto &Key : Group["streams"].GetArray()) {
+    const auto Origin = StreamOrigin{Pool->GetString(), Version->GetString()};
+    for (const auto &Key : Streams->GetArray()) {
       if (!Key.IsUint64()) {
         return absl::InvalidArgumentError("a stream is no whole number");
       }
