Read again: one question for resumable streams, an unused field, a comment

Cause: the condition that a route's responses are resumable streams stood in five places, Route::isRetryable among them; a search for an origin kept a pool that nobody read; the comment on returned tokens did not say what happens to them. Change: Route::isResumableStream; the field and its parameter are gone. Behaviour is as it was.

--- a/src/budget/transfertypes.h
+++ b/src/budget/transfertypes.h
@@ -68,7 +68,7 @@
 };
 
 /// Gives tokens back that the sender does not need. The sender no longer holds them; the receiver
-/// takes back that they count as used.
+/// no longer counts them as used.
 struct TransferReturn {
   std::string m_From;
   std::uint64_t m_Session = 0;
--- a/src/forwarding/internal/forwardsession.cpp
+++ b/src/forwarding/internal/forwardsession.cpp
@@ -103,7 +103,7 @@
 }
 
 auto ForwardSession::takesUpStream() const -> bool {
-  return m_Route->m_Kind == RequestKind::Streaming && m_Route->m_IsResumable &&
+  return m_Route->isResumableStream() &&
          (!m_Fields.m_BegunBy.empty() || m_Fields.m_LastEventId.value_or(0) > 0);
 }
 
@@ -316,8 +316,7 @@
   const auto Decision = m_Context.m_Placement.decide(
       m_Context.m_Targets, m_Context.m_Gate,
       {m_Pool, Prompt, m_TriedTargets, Regions, m_Engine, m_Context.m_Random(),
-       RequestStream{m_Route->m_Kind == RequestKind::Streaming && m_Route->m_IsResumable,
-                     m_StreamVersion}},
+       RequestStream{m_Route->isResumableStream(), m_StreamVersion}},
       now());
   const auto &Choice = Decision.m_Choice;
   if (Decision.m_Wanted && m_PermitRequests < m_Context.m_Options.m_MaxPermitRequests) {
--- a/src/forwarding/internal/forwardsessionanswer.cpp
+++ b/src/forwarding/internal/forwardsessionanswer.cpp
@@ -116,7 +116,7 @@
 
 auto ForwardSession::beginResponse() -> void {
   m_HasResponseBegun = true;
-  if (m_IsEventStream && m_Route->m_IsResumable) {
+  if (m_IsEventStream && m_Route->isResumableStream()) {
     m_StreamVersion = m_TargetVersion;
   }
   // A caller that does not say which stream it takes up leaves nothing to remember it by.
--- a/src/forwarding/routetypes.h
+++ b/src/forwarding/routetypes.h
@@ -62,9 +62,14 @@
   /// Whether a broken stream may resume at another target after the last event that arrived.
   bool m_IsResumable = false;
 
+  /// Whether the responses are streams that may go on at another target.
+  [[nodiscard]] auto isResumableStream() const -> bool {
+    return m_Kind == RequestKind::Streaming && m_IsResumable;
+  }
+
   /// Whether a request may be retried although a target may have run it.
   [[nodiscard]] auto isRetryable() const -> bool {
-    return m_Kind == RequestKind::Idempotent || (m_Kind == RequestKind::Streaming && m_IsResumable);
+    return m_Kind == RequestKind::Idempotent || isResumableStream();
   }
 };
 
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -196,7 +196,7 @@
 auto streamLife(const std::vector<forwarding::Route> &Routes) -> milliseconds {
   auto Longest = MinStreamLife;
   for (const auto &Route : Routes) {
-    if (Route.m_Kind == forwarding::RequestKind::Streaming && Route.m_IsResumable) {
+    if (Route.isResumableStream()) {
       Longest = std::max(Longest, 2 * Route.m_Timeout);
     }
   }
--- a/src/streamversions/internal/streamversionservice.cpp
+++ b/src/streamversions/internal/streamversionservice.cpp
@@ -83,7 +83,7 @@
   } else if (m_Records.onlyVersion(Pool)) {
     confirmOnlyVersion(Key, Pool, std::move(Done));
   } else {
-    askKeepers(Key, Pool, std::move(Done));
+    askKeepers(Key, std::move(Done));
   }
 }
 
@@ -97,7 +97,7 @@
     if (IsRead && Only) {
       Done(StreamOrigin{Pool, *Only});
     } else {
-      askKeepers(Key, Pool, Done);
+      askKeepers(Key, Done);
     }
   });
   if (Waiting.size() > 1) {
@@ -175,12 +175,10 @@
   }
 }
 
-auto StreamVersionService::askKeepers(StreamKey Key, const std::string &Pool, OriginCallback Done)
-    -> void {
+auto StreamVersionService::askKeepers(StreamKey Key, OriginCallback Done) -> void {
   const auto Id = ++m_LastSearch;
   auto &Item = m_Searches[Id];
   Item.m_Key = Key;
-  Item.m_Pool = Pool;
   Item.m_Done = std::move(Done);
   for (auto &Router : keepersOf(Key, QueryCopies)) {
     Item.m_Asked.insert(std::move(Router));
--- a/src/streamversions/streamversionservice.h
+++ b/src/streamversions/streamversionservice.h
@@ -73,7 +73,6 @@
   /// A search for the origin of a stream.
   struct Search {
     StreamKey m_Key = 0;
-    std::string m_Pool;
     OriginCallback m_Done;
     base::TimerId m_Timer = 0;
     std::set<std::string> m_Asked;
@@ -108,7 +107,7 @@
 
   /// Makes sure that the record names only one version, and otherwise asks other routers.
   auto confirmOnlyVersion(StreamKey Key, const std::string &Pool, OriginCallback Done) -> void;
-  auto askKeepers(StreamKey Key, const std::string &Pool, OriginCallback Done) -> void;
+  auto askKeepers(StreamKey Key, OriginCallback Done) -> void;
   auto sendQueries(std::uint64_t Id) -> void;
   auto endSearch(std::uint64_t Id, const std::optional<StreamOrigin> &Origin) -> void;
 
