Log whose knowledge placed a request, and what a retry budget opens with

Nothing told how old the knowledge was by which a request was placed, who had passed it on, or the size of a new retry budget. request_placed, configuration_adopted, attempt_failed and retry_budget_opened tell it now.

--- a/src/forwarding/forwardingcontext.h
+++ b/src/forwarding/forwardingcontext.h
@@ -13,6 +13,8 @@
 #include "quarantine/ipromptquarantine.h"
 #include "retry/retrybudget.h"
 
+#include <functional>
+
 namespace geraniumlift::forwarding {
 
 /// Limits and timeouts of request forwarding.
@@ -70,6 +72,15 @@
   retry::RetryOptions m_Retry;
 };
 
+/// How old a router's knowledge of targets and configuration is, and where it comes from.
+struct KnowledgeOrigin {
+  /// Time since the store confirmed the knowledge.
+  std::chrono::milliseconds m_Age{0};
+
+  /// Name of the relay that passed the knowledge on; empty if the store told this router itself.
+  std::string m_Relay;
+};
+
 /// State shared by all sessions of one router. Not thread-safe: everything runs on one thread.
 struct ForwardingContext {
   const base::IClock &m_Clock;
@@ -94,6 +105,9 @@
   /// Whether the router refuses new requests because it is stopping.
   bool m_IsStopping = false;
 
+  /// Tells the origin of what is known, for the log.
+  std::function<KnowledgeOrigin()> m_KnowledgeOrigin = [] { return KnowledgeOrigin(); };
+
   /// Retry budgets by pool name.
   std::map<std::string, retry::RetryBudget> m_RetryBudgets = {};
 
@@ -107,7 +121,14 @@
 
   /// Returns the pool's retry budget and creates it on first use.
   auto retryBudget(const std::string &Pool) -> retry::RetryBudget & {
-    return m_RetryBudgets.try_emplace(Pool, m_Options.m_Retry).first->second;
+    const auto [Found, IsNew] = m_RetryBudgets.try_emplace(Pool, m_Options.m_Retry);
+    if (IsNew) {
+      m_Log.record(base::LogLevel::Info, "retry_budget_opened",
+                   {{"pool", Pool},
+                    {"share", m_Options.m_Retry.m_Share},
+                    {"burst", m_Options.m_Retry.m_Burst}});
+    }
+    return Found->second;
   }
 };
 
--- a/src/forwarding/internal/forwardsession.cpp
+++ b/src/forwarding/internal/forwardsession.cpp
@@ -346,10 +346,13 @@
   m_UncachedTokens = Prompt == nullptr ? 0 : Prompt->m_PromptTokens - Choice->m_CachedTokens;
   m_Context.m_Limits.onSend(m_Context.m_Targets.find(m_TargetId)->limitKey());
   m_Context.m_Targets.recordSent(m_TargetId, Prompt, m_UncachedTokens, now());
+  const auto Knowledge = m_Context.m_KnowledgeOrigin();
   m_Context.m_Log.record(base::LogLevel::Debug, "request_placed",
                          {{"request", m_Fields.m_RequestId},
                           {"route", m_Route->m_Name},
                           {"config", m_Table->version()},
+                          {"knowledge_ms", Knowledge.m_Age.count()},
+                          {"knowledge_from", Knowledge.m_Relay.empty() ? "store" : Knowledge.m_Relay},
                           {"workspace", m_Workspace == nullptr ? "" : m_Workspace->m_Name},
                           {"pool", m_Pool},
                           {"target", m_TargetId},
@@ -550,6 +553,7 @@
                           {"events", m_EventsSent},
                           {"after_ms", elapsed().count()},
                           {"shared_parts", formatSharedParts(m_Fields.m_Prompt)},
+                          {"retries_left", m_Context.retryBudget(m_Pool).available()},
                           {"repeats", WillRetry}});
   // The target that resumes the stream sends a partial event again in full.
   m_Events.takePartialEvent();
--- a/src/mirror/internal/mirrorreader.cpp
+++ b/src/mirror/internal/mirrorreader.cpp
@@ -52,7 +52,10 @@
     // The relay told the age after the request was sent, and the answer may have been on its way
     // for long.
     const auto ConfirmedAt = Request->m_SentAt - Age;
-    m_ConfirmedAt = std::max(m_ConfirmedAt.value_or(ConfirmedAt), ConfirmedAt);
+    if (!m_ConfirmedAt || ConfirmedAt > *m_ConfirmedAt) {
+      m_ConfirmedAt = ConfirmedAt;
+      m_ConfirmedBy = Message.m_Relay;
+    }
   }
   return Result;
 }
--- a/src/mirror/mirrorreader.h
+++ b/src/mirror/mirrorreader.h
@@ -44,6 +44,9 @@
     return m_ConfirmedAt;
   }
 
+  /// Name of the relay that passed that on; empty before the first complete update.
+  [[nodiscard]] auto confirmedBy() const -> const std::string & { return m_ConfirmedBy; }
+
   /// Whether this router must follow the store itself.
   [[nodiscard]] auto mustFollowStore(base::SteadyTime Now) const -> bool;
 
@@ -65,6 +68,7 @@
   std::uint32_t m_LastNumber = 0;
   bool m_HasMore = false;
   std::optional<base::SteadyTime> m_ConfirmedAt;
+  std::string m_ConfirmedBy;
 };
 
 } // namespace geraniumlift::mirror
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -274,6 +274,10 @@
       m_StoreMonitor(Dependencies.m_Store, Dependencies.m_Timers, Dependencies.m_Clock,
                      Dependencies.m_Log, [this](bool IsReachable) { onReachable(IsReachable); }) {
   m_StoreMonitor.setWitness([this] { return m_Subscription.storeAnsweredAt(); });
+  m_Context.m_KnowledgeOrigin = [this] {
+    return forwarding::KnowledgeOrigin{m_Subscription.knowledgeAge(),
+                                       m_Subscription.knowledgeRelay()};
+  };
   m_Gate.setStreamVersions(m_StreamVersions);
   m_Gate.setPeerLoad([this](const forwarding::TargetRecord &Target) {
     return m_Peers.peerLoad(Target.m_Id, now());
@@ -510,6 +514,8 @@
                               {{"config", (*Table)->version()},
                                {"before", m_Context.m_Table ? m_Context.m_Table->version() : -1},
                                {"revision", Item.m_ModRevision},
+                               {"knowledge_ms", m_Subscription.knowledgeAge().count()},
+                               {"bytes", Item.m_Value.size()},
                                {"routes", (*Table)->routes().size()}});
   m_Context.m_Table = *Table;
   auto Prepaid = std::map<std::string, base::Tokens>();
--- a/src/router/internal/storesubscription.cpp
+++ b/src/router/internal/storesubscription.cpp
@@ -180,4 +180,9 @@
   return ageAt(std::max(m_Mirror.confirmedAt(), m_Mirror.reader().confirmedAt()));
 }
 
+auto StoreSubscription::knowledgeRelay() const -> std::string {
+  const auto &Reader = m_Mirror.reader();
+  return Reader.confirmedAt() > m_Mirror.confirmedAt() ? Reader.confirmedBy() : std::string();
+}
+
 } // namespace geraniumlift::router
--- a/src/router/internal/storesubscription.h
+++ b/src/router/internal/storesubscription.h
@@ -90,6 +90,9 @@
   /// relay; the largest duration while some are not known at all.
   [[nodiscard]] auto knowledgeAge() const -> std::chrono::milliseconds;
 
+  /// Name of the relay that this router's knowledge comes from; empty if it is the store.
+  [[nodiscard]] auto knowledgeRelay() const -> std::string;
+
 private:
   auto onList(std::string_view Prefix, const keyvalue::ListResult &Result,
               base::SteadyTime ConfirmedAt) -> void override;
