What a process said of itself outlives its registration

Statements and a reported leaving are now kept by ID and incarnation, 1,024 processes at most; another process under the ID starts without them. The three tests of it failed before. A log line tells of each statement now.

--- a/src/forwarding/internal/forwardsessionanswer.cpp
+++ b/src/forwarding/internal/forwardsessionanswer.cpp
@@ -92,6 +92,23 @@
   if (const auto *Target = m_Context.m_Targets.find(m_TargetId)) {
     m_Context.m_Limits.onAnswer(Target->limitKey(), Metadata.m_RequestsPerSecond);
   }
+  if (Metadata.m_IsLeaving || Metadata.m_Pause) {
+    const auto *Target = m_Context.m_Targets.find(m_TargetId);
+    const auto IsKnown = Target != nullptr && Target->record().m_Incarnation == m_TargetIncarnation;
+    m_Context.m_Log.record(
+        base::LogLevel::Debug, "target_statement",
+        {{"request", m_Fields.m_RequestId},
+         {"target", m_TargetId},
+         {"incarnation", m_TargetIncarnation},
+         {"registered", IsKnown},
+         {"leaving", Metadata.m_IsLeaving},
+         {"pause_ms", Metadata.m_Pause ? Metadata.m_Pause->count() : -1},
+         {"leaving_for_ms", IsKnown && Target->statements().m_LeavingSince
+                                ? std::chrono::duration_cast<std::chrono::milliseconds>(
+                                      now() - *Target->statements().m_LeavingSince)
+                                      .count()
+                                : -1}});
+  }
   if (Metadata.m_IsLeaving) {
     m_Context.m_Targets.recordLeaving(m_TargetId, m_TargetIncarnation, now());
   }
--- a/src/forwarding/internal/targettable.cpp
+++ b/src/forwarding/internal/targettable.cpp
@@ -43,6 +43,7 @@
   const auto Found = m_Targets.find(Record.m_Id);
   if (Found == m_Targets.end()) {
     const auto Added = m_Targets.emplace(Record.m_Id, TargetState(Record)).first;
+    restoreStatements(Added->second);
     if (IsPoolInUse && m_Options.m_IsPaced) {
       Added->second.m_Pace.begin(Now);
     }
@@ -53,7 +54,10 @@
     // Requests sent to the previous process are still to end; their load counts until then.
     const auto OwnLoad = State.m_OwnLoad;
     const auto HeldTokens = State.m_HeldTokens;
+    const auto Before = std::move(State);
     State = TargetState(Record);
+    remember(Before);
+    restoreStatements(State);
     State.m_OwnLoad = OwnLoad;
     State.m_HeldTokens = HeldTokens;
     if (IsPoolInUse && m_Options.m_IsPaced) {
@@ -72,13 +76,60 @@
     return false;
   }
   const auto Pool = Found->second.m_Record.m_Pool;
+  const auto State = std::move(Found->second);
   m_Targets.erase(Found);
+  remember(State);
   if (targetsOf(Pool).empty()) {
     m_Pools.erase(Pool);
   }
   return true;
 }
 
+auto TargetTable::remember(const TargetState &State) -> void {
+  const auto &Record = State.m_Record;
+  const auto HasSaidNothing = !Record.m_IsLeaving && !State.m_Statements.m_LeavingSince &&
+                              State.m_Statements.m_PausedUntil == base::SteadyTime();
+  if (HasSaidNothing || !isIdentified(Record.m_Id, Record.m_Incarnation)) {
+    return;
+  }
+  statementsOf(Record.m_Id, Record.m_Incarnation) = State.m_Statements;
+  findFormer(Record.m_Id, Record.m_Incarnation)->m_IsLeaving |= Record.m_IsLeaving;
+}
+
+auto TargetTable::isIdentified(const std::string &Id, std::int64_t Incarnation) -> bool {
+  return Incarnation != 0 || findProcess(Id, Incarnation) != nullptr;
+}
+
+auto TargetTable::findFormer(const std::string &Id, std::int64_t Incarnation) -> FormerTarget * {
+  const auto Found =
+      std::find_if(m_FormerTargets.rbegin(), m_FormerTargets.rend(), [&](const FormerTarget &Item) {
+        return Item.m_Id == Id && Item.m_Incarnation == Incarnation;
+      });
+  return Found == m_FormerTargets.rend() ? nullptr : &*Found;
+}
+
+auto TargetTable::restoreStatements(TargetState &State) -> void {
+  auto &Record = State.m_Record;
+  if (const auto *Former = findFormer(Record.m_Id, Record.m_Incarnation)) {
+    Record.m_IsLeaving |= Former->m_IsLeaving;
+    State.m_Statements = Former->m_Statements;
+  }
+}
+
+auto TargetTable::statementsOf(const std::string &Id, std::int64_t Incarnation)
+    -> TargetStatements & {
+  if (auto *State = findProcess(Id, Incarnation)) {
+    return State->m_Statements;
+  }
+  if (auto *Former = findFormer(Id, Incarnation)) {
+    return Former->m_Statements;
+  }
+  if (m_FormerTargets.size() >= MaxFormerTargets) {
+    m_FormerTargets.pop_front();
+  }
+  return m_FormerTargets.emplace_back(FormerTarget{Id, Incarnation, false, {}}).m_Statements;
+}
+
 auto TargetTable::find(const std::string &Id) const -> const TargetState * {
   const auto Found = m_Targets.find(Id);
   return Found == m_Targets.end() ? nullptr : &Found->second;
@@ -231,16 +282,21 @@
 
 auto TargetTable::recordLeaving(const std::string &Id, std::int64_t Incarnation,
                                 base::SteadyTime Now) -> void {
-  if (auto *State = findProcess(Id, Incarnation)) {
-    State->m_Statements.m_LeavingSince = State->m_Statements.m_LeavingSince.value_or(Now);
+  if (!isIdentified(Id, Incarnation)) {
+    return;
   }
+  auto &Statements = statementsOf(Id, Incarnation);
+  Statements.m_LeavingSince = Statements.m_LeavingSince.value_or(Now);
 }
 
 auto TargetTable::recordPause(const std::string &Id, std::int64_t Incarnation,
                               std::chrono::milliseconds Pause, base::SteadyTime Now) -> void {
+  if (!isIdentified(Id, Incarnation)) {
+    return;
+  }
+  auto &Statements = statementsOf(Id, Incarnation);
+  Statements.m_PausedUntil = std::max(Statements.m_PausedUntil, Now + Pause);
   if (auto *State = findProcess(Id, Incarnation)) {
-    auto &Statements = State->m_Statements;
-    Statements.m_PausedUntil = std::max(Statements.m_PausedUntil, Now + Pause);
     State->m_Pace.begin(Statements.m_PausedUntil);
   }
 }
--- a/src/forwarding/targettable.h
+++ b/src/forwarding/targettable.h
@@ -7,6 +7,7 @@
 #include "ratelimits/limittypes.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <deque>
 #include <map>
 #include <set>
 
@@ -82,6 +83,14 @@
   std::int64_t m_Unreadable = 0;
 };
 
+/// What is remembered of a process that is not registered.
+struct FormerTarget {
+  std::string m_Id;
+  std::int64_t m_Incarnation = 0;
+  bool m_IsLeaving = false;
+  TargetStatements m_Statements;
+};
+
 /// A target's registration, load and health as seen by this router.
 class TargetState {
 public:
@@ -162,6 +171,7 @@
   explicit TargetTable(HealthOptions Options) : m_Options(Options) {}
 
   /// Adds a target or updates its registration. A new incarnation resets everything but the load.
+  /// A process that left and is registered once more is still leaving.
   /// Returns whether the target is new or restarted, or its registration has changed. A new or
   /// restarted target is paced if its pool has answered this router before; what a router finds
   /// when it starts itself is not new.
@@ -220,7 +230,7 @@
   auto recordResult(const std::string &Id, AttemptResult Result, base::SteadyTime Now) -> void;
 
   /// Records that a process of the target has said that it is leaving, or has asked for a pause.
-  /// Ignored if another process runs under the ID by now.
+  /// It counts whenever that process is registered.
   auto recordLeaving(const std::string &Id, std::int64_t Incarnation, base::SteadyTime Now) -> void;
   auto recordPause(const std::string &Id, std::int64_t Incarnation, std::chrono::milliseconds Pause,
                    base::SteadyTime Now) -> void;
@@ -229,12 +239,32 @@
   auto countUnreadableStatement(const std::string &Id) -> std::int64_t;
 
 private:
+  /// Processes that are remembered after their removal, the newest ones.
+  static constexpr auto MaxFormerTargets = std::size_t{1024};
+
+  /// Remembers what a process has said that is no longer registered.
+  auto remember(const TargetState &State) -> void;
+  auto findFormer(const std::string &Id, std::int64_t Incarnation) -> FormerTarget *;
+
+  /// Gives a target back what its process had said before it was removed.
+  auto restoreStatements(TargetState &State) -> void;
+
   /// Returns the state of the target's process, or nullptr if it is not the current one.
   auto findProcess(const std::string &Id, std::int64_t Incarnation) -> TargetState *;
 
+  /// Whether the process can be told from others under its ID: it is registered, or its incarnation
+  /// is known.
+  auto isIdentified(const std::string &Id, std::int64_t Incarnation) -> bool;
+
+  /// Returns what a process has said, whether or not it is registered.
+  auto statementsOf(const std::string &Id, std::int64_t Incarnation) -> TargetStatements &;
+
   HealthOptions m_Options;
   std::map<std::string, TargetState> m_Targets;
 
+  /// In the order of their removal.
+  std::deque<FormerTarget> m_FormerTargets;
+
   /// By name; a pool is dropped with its last target.
   std::map<std::string, PoolSpeed> m_Pools;
 };
--- a/src/forwarding/tests/placement_test.cpp
+++ b/src/forwarding/tests/placement_test.cpp
@@ -251,6 +251,61 @@
   cr_assert_eq(openTargets(Targets), 1U);
 }
 
+// Guards against requests to a process that has said that it leaves or pauses, after its
+// registration lapsed and came back.
+Test(targetdirectory, statementsOutliveTheRegistration) {
+  auto Targets = table(0);
+  auto Log = fakes::MemoryEventLog();
+  auto Directory = TargetDirectory(Targets, Log);
+  auto Record = record(0);
+  Record.m_Incarnation = 5;
+  Directory.put(Record, 1);
+  Targets.recordLeaving("t0", 5, Start);
+  Targets.recordPause("t0", 5, 3000ms, Start);
+  Directory.remove("t0", 2);
+  Directory.applyRemovals(Start + 1s);
+  Directory.put(Record, 3);
+  cr_expect(Targets.find("t0")->statements().m_LeavingSince == std::optional(Start));
+  cr_expect(Targets.find("t0")->statements().m_PausedUntil == Start + 3s);
+  Directory.remove("t0", 4);
+  Directory.applyRemovals(Start + 2s);
+  Record.m_Incarnation = 6;
+  Directory.put(Record, 5);
+  cr_expect_not(Targets.find("t0")->statements().m_LeavingSince.has_value(),
+                "another process has said nothing");
+}
+
+// Guards against a statement that is lost because it arrives while the target is not registered.
+Test(targetdirectory, statementOfAnUnregisteredProcessIsKept) {
+  auto Targets = table(0);
+  Targets.recordLeaving("t0", 5, Start);
+  Targets.recordLeaving("t0", 5, Start + 1s);
+  Targets.recordPause("t0", 5, 3000ms, Start + 1s);
+  auto Record = record(0);
+  Record.m_Incarnation = 5;
+  Targets.put(Record, Start + 2s);
+  cr_expect(Targets.find("t0")->statements().m_LeavingSince == std::optional(Start));
+  cr_expect(Targets.find("t0")->statements().m_PausedUntil == Start + 4s);
+}
+
+// Guards against a process that reported its leaving in the store and is used again as its record
+// comes back.
+Test(targetdirectory, leavingStateOutlivesTheRegistration) {
+  auto Targets = table(0);
+  auto Log = fakes::MemoryEventLog();
+  auto Directory = TargetDirectory(Targets, Log);
+  auto Record = record(0);
+  Record.m_Incarnation = 5;
+  Record.m_IsLeaving = true;
+  Directory.put(Record, 1);
+  Directory.remove("t0", 2);
+  Directory.applyRemovals(Start);
+  Record.m_IsLeaving = false;
+  Directory.put(Record, 3);
+  Directory.put(Record, 4);
+  cr_assert(openTargets(Targets) == 0);
+}
+
 // Answers a load in which some targets name limits: they get what they take, the others the rest.
 Test(placement, targetWithALimitNeedsAPermit) {
   auto Targets = table(2);
