Large configurations reach readers behind slow links in time

A record above 40 KiB is not passed on, and nothing told the reader that there is one, so it waited until its knowledge was 1.4 to 1.8 s old. Its watch then got every version since, 380 KB each, on a link of 10 Mbit/s; the call ended after 1.8 s whatever was arriving, and the next one had more to fetch. The probe behind that transfer failed (26.4 s, store_lost), calls were suspended until 32.2 s, and version 34 was adopted at 34.0 s.

A relay now says that a record is too large, and the reader reads the prefix at once, in its present state only. A call to the store fails when nothing arrives for its timeout, not while parts of the answer come in, and a store whose answer is arriving counts as reachable. A prefix that is being read counts as known, so that the reader does not watch all prefixes besides.

--- a/src/keyvalue/internal/storemonitor.cpp
+++ b/src/keyvalue/internal/storemonitor.cpp
@@ -42,12 +42,15 @@
   m_Store.readStale(ProbeKey, [this, Started = m_Clock.steadyNow()](
                                   const absl::StatusOr<std::optional<KeyValue>> &Result) {
     m_IsProbing = false;
-    if (Result.ok()) {
+    // The answer to a probe may wait behind a large one on a slow link.
+    const auto IsHeard = !Result.ok() && m_Store.lastHeardAt() >= std::optional(Started);
+    const auto IsAnswered = Result.ok() || IsHeard;
+    if (IsAnswered) {
       m_LastAnswered = Started;
     }
-    onResult(Result.status());
+    onResult(IsAnswered ? absl::OkStatus() : Result.status());
     m_Timer =
-        m_Timers.start(m_Clock.steadyNow() + (Result.ok() ? ProbeInterval : RetryInterval), [this] {
+        m_Timers.start(m_Clock.steadyNow() + (IsAnswered ? ProbeInterval : RetryInterval), [this] {
           m_Timer = 0;
           probeIfDue();
         });
--- a/src/keyvalue/itransactionstore.h
+++ b/src/keyvalue/itransactionstore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/iclock.h"
 #include "keyvalue/transactiontypes.h"
 
 #include <absl/status/statusor.h>
@@ -42,6 +43,12 @@
   /// Opens a lease that ends after the time to live unless it is kept alive.
   virtual auto grantLease(std::chrono::milliseconds TimeToLive, LeaseCallback Done) -> void = 0;
 
+  /// When a part of a successful answer last arrived, of a call that may still be under way;
+  /// nothing if that is not known.
+  [[nodiscard]] virtual auto lastHeardAt() const -> std::optional<base::SteadyTime> {
+    return std::nullopt;
+  }
+
   /// Renews a lease. NotFound means that it has ended.
   virtual auto keepAlive(LeaseId Lease, StatusCallback Done) -> void = 0;
 };
--- a/src/keyvalue/tests/storemonitor_test.cpp
+++ b/src/keyvalue/tests/storemonitor_test.cpp
@@ -83,3 +83,16 @@
   Fixture.m_Timers.runFor(10s);
   cr_expect_leq(Fixture.m_Store.m_StaleReads, 11);
 }
+
+// Guards against a router that gives up the store while a large answer fills its link.
+Test(storemonitor, storeWhoseAnswerIsArrivingIsReachable) {
+  auto Fixture = MonitorFixture();
+  Fixture.m_Monitor.start();
+  Fixture.m_Timers.runFor(3s);
+  Fixture.m_Store.m_IsAway = true;
+  Fixture.m_Store.m_LastHeardAt = Fixture.m_Clock.steadyNow() + 5s;
+  Fixture.m_Timers.runFor(5s);
+  cr_assert(Fixture.m_Changes == std::vector<bool>({true}));
+  Fixture.m_Timers.runFor(3s);
+  cr_assert(Fixture.m_Changes == std::vector<bool>({true, false}));
+}
--- a/src/mirror/internal/mirrorcodec.cpp
+++ b/src/mirror/internal/mirrorcodec.cpp
@@ -23,7 +23,8 @@
 }
 
 auto readChanges(InputArchive &Data, PrefixChanges &Changes, std::size_t MaxText) -> void {
-  Data(Changes.m_After, Changes.m_Until, Changes.m_AgeMs, Changes.m_IsComplete);
+  Data(Changes.m_After, Changes.m_Until, Changes.m_AgeMs, Changes.m_IsComplete,
+       Changes.m_IsTooLarge);
   Changes.m_Events.resize(base::readSize(Data, MaxEntries));
   for (auto &Event : Changes.m_Events) {
     base::readText(Data, Event.m_Item.m_Key, MaxText);
@@ -47,7 +48,8 @@
   Data(Message.m_Relay, Message.m_RequestNumber);
   writeSize(Data, Message.m_Prefixes.size());
   for (const auto &Changes : Message.m_Prefixes) {
-    Data(Changes.m_After, Changes.m_Until, Changes.m_AgeMs, Changes.m_IsComplete);
+    Data(Changes.m_After, Changes.m_Until, Changes.m_AgeMs, Changes.m_IsComplete,
+         Changes.m_IsTooLarge);
     writeSize(Data, Changes.m_Events.size());
     for (const auto &Event : Changes.m_Events) {
       Data(Event.m_Item.m_Key, Event.m_Item.m_Value, Event.m_Item.m_CreateRevision,
--- a/src/mirror/internal/mirrorexchange.cpp
+++ b/src/mirror/internal/mirrorexchange.cpp
@@ -50,6 +50,14 @@
   return Least;
 }
 
+auto MirrorExchange::knownAt() const -> std::optional<base::SteadyTime> {
+  auto Least = std::optional(base::SteadyTime::max());
+  for (std::size_t Index = 0; Index < m_Prefixes.size(); ++Index) {
+    Least = std::min(Least, std::max(confirmedAt(Index), m_Reader.confirmedAt(Index)));
+  }
+  return Least;
+}
+
 auto MirrorExchange::confirmedAt(std::size_t Index) const -> std::optional<base::SteadyTime> {
   const auto Found = m_AgeAllowances.find(m_Prefixes[Index]);
   if (!m_ConfirmedAt[Index] || Found == m_AgeAllowances.end()) {
@@ -91,6 +99,7 @@
       };
       if (std::any_of(Changes.m_Events.begin(), Changes.m_Events.end(), IsTooLarge)) {
         Changes = PrefixChanges();
+        Changes.m_IsTooLarge = true;
       }
       const auto Age =
           std::chrono::duration_cast<std::chrono::milliseconds>(Now - *confirmedAt(Index));
--- a/src/mirror/mirrorexchange.h
+++ b/src/mirror/mirrorexchange.h
@@ -44,11 +44,16 @@
 
   /// The decisions that the updates lead to.
   [[nodiscard]] auto reader() const -> const MirrorReader & { return m_Reader; }
+  [[nodiscard]] auto reader() -> MirrorReader & { return m_Reader; }
 
   /// Time at which the store last confirmed all that this router knows of every prefix, to this
   /// router itself, later by the allowances; nothing if it has not confirmed each prefix.
   [[nodiscard]] auto confirmedAt() const -> std::optional<base::SteadyTime>;
 
+  /// As of when this router knows all prefixes, whether from the store or from a relay; nothing if
+  /// it does not know each.
+  [[nodiscard]] auto knownAt() const -> std::optional<base::SteadyTime>;
+
   /// Drops what is no longer needed.
   auto removeExpired(base::SteadyTime Now) -> void { m_Mirror.dropOldRemovals(Now); }
 
@@ -61,7 +66,7 @@
   static constexpr auto MaxUpdateBytes = std::size_t{8} * 1024;
 
   /// Size of a record in bytes above which it is not passed on, since an update must fit into one
-  /// datagram. Its readers follow the store themselves.
+  /// datagram. Its readers are told to read it from the store.
   static constexpr auto MaxRecordBytes = std::size_t{40} * 1024;
 
   std::string m_Self;
--- a/src/mirror/mirrorreader.h
+++ b/src/mirror/mirrorreader.h
@@ -22,7 +22,8 @@
 class MirrorReader {
 public:
   MirrorReader(std::size_t PrefixCount, ReaderOptions Options)
-      : m_Options(Options), m_Revisions(PrefixCount) {}
+      : m_Options(Options), m_Revisions(PrefixCount), m_ConfirmedAt(PrefixCount),
+        m_ReadAt(PrefixCount) {}
 
   /// Records that this router knows all changes of a prefix up to a revision.
   auto advanceTo(std::size_t Prefix, std::int64_t Revision) -> void;
@@ -35,14 +36,23 @@
   /// Empty unless the update continues where this router's knowledge ends.
   auto apply(const MirrorUpdate &Message) -> std::vector<std::vector<keyvalue::WatchEvent>>;
 
+  /// The prefixes of which the last update left out a record that is too large to be passed on.
+  [[nodiscard]] auto tooLarge() const -> const std::vector<std::size_t> & { return m_TooLarge; }
+
   /// Whether the last update left out changes for the next one.
   [[nodiscard]] auto hasMore() const -> bool { return m_HasMore; }
 
-  /// Time at which the store last confirmed to a relay all that this router knows from it; nothing
-  /// before the first complete update.
-  [[nodiscard]] auto confirmedAt() const -> std::optional<base::SteadyTime> {
-    return m_ConfirmedAt;
+  /// Records that this router has begun to read all keys of a prefix from the store itself, because
+  /// a relay has too large a record. Until the read fails, the prefix counts as known as of now.
+  auto onReadBegun(std::size_t Prefix, base::SteadyTime Now) -> void { m_ReadAt[Prefix] = Now; }
+  auto onReadFailed(std::size_t Prefix) -> void { m_ReadAt[Prefix].reset(); }
+
+  /// Time at which the store last confirmed to a relay all that this router knows from it, of one
+  /// prefix or of all; nothing before the first complete update.
+  [[nodiscard]] auto confirmedAt(std::size_t Prefix) const -> std::optional<base::SteadyTime> {
+    return m_ConfirmedAt[Prefix];
   }
+  [[nodiscard]] auto confirmedAt() const -> std::optional<base::SteadyTime>;
 
   /// Name of the relay that passed that on; empty before the first complete update.
   [[nodiscard]] auto confirmedBy() const -> const std::string & { return m_ConfirmedBy; }
@@ -57,6 +67,9 @@
   /// Requests whose answers can still confirm anything. Older ones are past any maximum age.
   static constexpr auto MaxOpenRequests = std::size_t{64};
 
+  /// Time as of which the prefix about which least is known is known.
+  [[nodiscard]] auto knownAt() const -> std::optional<base::SteadyTime>;
+
   struct SentRequest {
     std::uint32_t m_Number = 0;
     base::SteadyTime m_SentAt;
@@ -67,7 +80,10 @@
   std::deque<SentRequest> m_Requests;
   std::uint32_t m_LastNumber = 0;
   bool m_HasMore = false;
-  std::optional<base::SteadyTime> m_ConfirmedAt;
+  std::vector<std::size_t> m_TooLarge;
+  /// By prefix.
+  std::vector<std::optional<base::SteadyTime>> m_ConfirmedAt;
+  std::vector<std::optional<base::SteadyTime>> m_ReadAt;
   std::string m_ConfirmedBy;
 };
 
--- a/src/mirror/mirrortypes.h
+++ b/src/mirror/mirrortypes.h
@@ -34,6 +34,10 @@
   /// Milliseconds since the store confirmed to the relay that there are no further changes.
   std::uint32_t m_AgeMs = 0;
 
+  /// Whether a record has changed that is too large to be passed on, so that the reader must read
+  /// the keys with the prefix from the store. There are no events then.
+  bool m_IsTooLarge = false;
+
   /// Whether these are all changes that the relay knows of; otherwise the next request gets more.
   bool m_IsComplete = true;
 
--- a/src/router/internal/storesubscription.cpp
+++ b/src/router/internal/storesubscription.cpp
@@ -111,9 +111,40 @@
   if (m_Mirror.reader().hasMore() && !Events.empty()) {
     requestChanges();
   }
+  for (const auto Index : m_Mirror.reader().tooLarge()) {
+    readPrefix(Index);
+  }
   updateFollowers();
 }
 
+auto StoreSubscription::readPrefix(std::size_t Index) -> void {
+  const auto Started = m_Clock.steadyNow();
+  const auto Last = m_ReadAt.find(Index);
+  const auto IsRecent =
+      Last != m_ReadAt.end() && Started - Last->second < m_Options.m_Times.m_RelayWatchInterval;
+  if (!m_IsStoreReachable || IsRecent || !m_Reading.insert(Index).second) {
+    return;
+  }
+  m_ReadAt[Index] = Started;
+  m_Mirror.reader().onReadBegun(Index, Started);
+  const auto &Prefix = m_Mirror.prefixes()[Index];
+  m_Store.list(Prefix, [this, Index, Started](const absl::StatusOr<keyvalue::ListResult> &Result) {
+    m_Reading.erase(Index);
+    const auto &Name = m_Mirror.prefixes()[Index];
+    m_Log.record(base::LogLevel::Info, "prefix_read",
+                 {{"prefix", Name},
+                  {"outcome", Result.ok() ? "ok" : std::string(Result.status().message())},
+                  {"revision", Result.ok() ? Result->m_Revision : 0},
+                  {"took_ms", duration_cast<milliseconds>(m_Clock.steadyNow() - Started).count()}});
+    if (Result.ok()) {
+      onList(Name, *Result, Started);
+    } else {
+      m_Mirror.reader().onReadFailed(Index);
+    }
+    updateFollowers();
+  });
+}
+
 auto StoreSubscription::onList(std::string_view Prefix, const keyvalue::ListResult &Result,
                                base::SteadyTime ConfirmedAt) -> void {
   m_LastAnswered = std::max(m_LastAnswered.value_or(ConfirmedAt), ConfirmedAt);
@@ -176,9 +207,7 @@
   return ageAt(std::max(m_Mirror.confirmedAt(), std::optional(m_RelaySince)));
 }
 
-auto StoreSubscription::knowledgeAge() const -> milliseconds {
-  return ageAt(std::max(m_Mirror.confirmedAt(), m_Mirror.reader().confirmedAt()));
-}
+auto StoreSubscription::knowledgeAge() const -> milliseconds { return ageAt(m_Mirror.knownAt()); }
 
 auto StoreSubscription::knowledgeRelay() const -> std::string {
   const auto &Reader = m_Mirror.reader();
--- a/src/router/internal/storesubscription.h
+++ b/src/router/internal/storesubscription.h
@@ -103,6 +103,10 @@
   auto follow(const std::string &Prefix, std::int64_t KnownRevision) -> void;
   auto requestChanges() -> void;
 
+  /// Reads all keys with a mirrored prefix from the store, unless that was begun shortly before. A
+  /// watch would send each version of a large record that has come in between.
+  auto readPrefix(std::size_t Index) -> void;
+
   /// Makes the followers follow the store, or not, and sets the timer for the next decision.
   auto updateFollowers() -> void;
   [[nodiscard]] auto followerOptions(const std::string &Prefix) const
@@ -129,6 +133,10 @@
   fleet::FleetRole m_Role = fleet::FleetRole::Direct;
   std::vector<std::string> m_Relays;
 
+  /// By index of the mirrored prefix, when its last read from the store began.
+  std::map<std::size_t, base::SteadyTime> m_ReadAt;
+  std::set<std::size_t> m_Reading;
+
   /// When this router last became a relay.
   base::SteadyTime m_RelaySince;
 
--- a/src/router/tests/playedstore.h
+++ b/src/router/tests/playedstore.h
@@ -72,6 +72,9 @@
     }
   }
 
+  /// Bytes a millisecond that this VM's link carries; 0 if the size does not matter.
+  std::int64_t m_BytesPerMs = 0;
+
   /// Calls but stale reads, and stale reads, which cost a tenth.
   int m_Calls = 0;
   int m_StaleReads = 0;
@@ -119,7 +122,41 @@
   auto grantLease(std::chrono::milliseconds, LeaseCallback) -> void override {}
   auto keepAlive(keyvalue::LeaseId, StatusCallback) -> void override {}
 
+  [[nodiscard]] auto lastHeardAt() const -> std::optional<base::SteadyTime> override {
+    return m_Clock.steadyNow() < m_LinkFreeAt ? m_Clock.steadyNow() : m_LastHeardAt;
+  }
+
 private:
+  static auto sizeOf(const keyvalue::ListResult &Result) -> std::size_t {
+    auto Bytes = std::size_t{0};
+    for (const auto &Item : Result.m_Items) {
+      Bytes += Item.m_Value.size();
+    }
+    return Bytes;
+  }
+  static auto sizeOf(const keyvalue::WatchResult &Result) -> std::size_t {
+    auto Bytes = std::size_t{0};
+    for (const auto &Event : Result.m_Events) {
+      Bytes += Event.m_Item.m_Value.size();
+    }
+    return Bytes;
+  }
+  static auto sizeOf(const std::optional<keyvalue::KeyValue> &) -> std::size_t { return 0; }
+
+  /// When an answer has come through the link, behind those before it.
+  auto arrivalOf(std::size_t Bytes) -> base::SteadyTime {
+    auto Arrival = m_Clock.steadyNow() + Latency;
+    if (m_BytesPerMs > 0) {
+      const auto Time = std::chrono::milliseconds(static_cast<std::int64_t>(Bytes) / m_BytesPerMs);
+      m_LinkFreeAt = std::max(m_LinkFreeAt, m_Clock.steadyNow()) + Time;
+      Arrival = std::max(Arrival, m_LinkFreeAt);
+    }
+    return Arrival;
+  }
+
+  base::SteadyTime m_LinkFreeAt;
+  std::optional<base::SteadyTime> m_LastHeardAt;
+
   static constexpr auto Latency = std::chrono::milliseconds(2);
   static constexpr auto Timeout = std::chrono::milliseconds(800);
 
@@ -133,6 +170,7 @@
     struct Call {
       std::function<void(absl::StatusOr<Result>)> m_Done;
       bool m_IsAnswered = false;
+      bool m_IsArriving = false;
     };
     auto Item = std::make_shared<Call>();
     Item->m_Done = std::move(Done);
@@ -143,7 +181,13 @@
       }
     };
     const auto Fail = [Finish] { Finish(absl::UnavailableError("no response")); };
-    m_Timers.start(m_Clock.steadyNow() + Wait + Timeout, Fail);
+    // As long as parts of the answer arrive, the call goes on.
+    const auto FailUnanswered = [this, Fail, Item] {
+      if (!Item->m_IsArriving || m_Access == StoreAccess::Silent) {
+        Fail();
+      }
+    };
+    m_Timers.start(m_Clock.steadyNow() + Wait + Timeout, FailUnanswered);
     if (m_Access == StoreAccess::Reset || m_Access == StoreAccess::TurnedAway) {
       m_Timers.start(m_Clock.steadyNow() + Latency, Fail);
       return;
@@ -158,7 +202,10 @@
       }
       auto Value = Compute();
       if (Value) {
-        m_Timers.start(m_Clock.steadyNow() + Latency, [this, Finish, Value = std::move(*Value)] {
+        const auto Arrival = arrivalOf(sizeOf(*Value));
+        Item->m_IsArriving = Arrival > m_Clock.steadyNow() + Latency;
+        m_Timers.start(Arrival, [this, Finish, Value = std::move(*Value)] {
+          m_LastHeardAt = m_Clock.steadyNow();
           if (m_Access != StoreAccess::Silent) {
             Finish(Value);
           }
--- a/src/router/tests/storesubscription_test.cpp
+++ b/src/router/tests/storesubscription_test.cpp
@@ -212,7 +212,8 @@
 
   auto writeConfiguration() -> void {
     m_WrittenAt.push_back(m_Clock.steadyNow());
-    m_Store.put(ConfigurationKey, std::to_string(m_WrittenAt.size()));
+    m_Store.put(ConfigurationKey,
+                std::to_string(m_WrittenAt.size()) + std::string(m_ConfigurationPadding, ' '));
   }
 
   auto sinceWritten(int Version) const -> milliseconds {
@@ -266,6 +267,8 @@
                    });
   }
 
+  /// Blanks that make the configuration large.
+  std::size_t m_ConfigurationPadding = 0;
   base::ManualClock m_Clock;
   fakes::ManualTimers m_Timers{m_Clock};
   PlayedStore m_Store;
@@ -441,3 +444,28 @@
   cr_expect_eq(Members, 72, "there is one relay in each data centre");
   cr_expect_leq(Calls, 500, "%d calls", Calls);
 }
+
+// Guards against readers behind slow links that fall further and further behind a large
+// configuration which changes often, since each interrupted watch is followed by a larger one.
+Test(storesubscription, largeConfigurationsReachReadersBehindSlowLinksInTime) {
+  constexpr auto ChangeTime = 3000ms;
+  auto Fleet = SubscribedFleet(20, ChangeTime);
+  Fleet.run(8s);
+  for (const auto &Item : Fleet.m_Nodes) {
+    Item->m_LongestDelay = 0ms;
+    // 10 Mbit/s, of which callers take a part. The largest VMs relay.
+    Item->m_Client.m_BytesPerMs = Item->m_Peers.role() == fleet::FleetRole::Relay ? 10000 : 800;
+  }
+  // The JSON of 1,450 routes in base64.
+  Fleet.m_ConfigurationPadding = 380000;
+  for (auto Change = 0; Change < 12; ++Change) {
+    Fleet.writeConfiguration();
+    Fleet.run(330ms);
+  }
+  Fleet.run(ChangeTime);
+  for (const auto &Item : Fleet.m_Nodes) {
+    cr_expect_eq(Item->m_Version, 13, "%s at %d", Item->m_Name.c_str(), Item->m_Version);
+    cr_expect_leq(Item->m_LongestDelay.count(), ChangeTime.count(), "%s: %ld ms",
+                  Item->m_Name.c_str(), Item->m_LongestDelay.count());
+  }
+}
--- a/src/transport/httpclient.h
+++ b/src/transport/httpclient.h
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace geraniumlift::transport {
 
@@ -38,8 +39,13 @@
   /// Sent as JSON if not empty.
   std::string m_Body;
 
-  /// Time from the start of the call to the complete response, connecting included.
+  /// Time without progress after which the call fails: from its start until the response begins,
+  /// connecting included, and then from one part of the response to the next. A large response
+  /// behind a slow link takes its time.
   std::chrono::milliseconds m_Timeout{1000};
+
+  /// Time from the start of the call after which it fails whatever arrives.
+  std::chrono::milliseconds m_MaxTime{10000};
 };
 
 /// Client of one HTTP service. Connections are reused between calls. A connection on which a call
@@ -58,6 +64,9 @@
   /// Sends the request. The callback runs exactly once, after this function has returned.
   auto call(CallRequest Request, Callback Done) -> void;
 
+  /// When the last part of a successful response arrived; nothing before the first one.
+  [[nodiscard]] auto lastHeardAt() const -> std::optional<base::SteadyTime>;
+
 private:
   struct State;
   std::shared_ptr<State> m_State;
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -48,6 +48,7 @@
   std::string m_Address;
   std::uint16_t m_Port;
   std::vector<tcp::socket> m_Idle = {};
+  std::optional<base::SteadyTime> m_LastHeardAt = {};
 };
 
 /// One call. Its timer keeps it alive until it ends.
@@ -67,11 +68,8 @@
     m_HeadText = formatRequestHead(Head, HasBody ? http1::Framing::Length : http1::Framing::None,
                                    m_Request.m_Body.size());
     m_Body = std::make_shared<const std::string>(std::move(m_Request.m_Body));
-    m_Timer = m_Pool->m_Timers.start(base::SteadyTime::clock::now() + m_Request.m_Timeout,
-                                     [Self = shared_from_this()] {
-                                       Self->m_Timer = 0;
-                                       Self->fail();
-                                     });
+    m_EndsBy = base::SteadyTime::clock::now() + m_Request.m_MaxTime;
+    restartTimer();
     if (auto Kept = takeIdleConnection(m_Pool->m_Idle)) {
       m_Socket = std::move(*Kept);
       m_IsReused = true;
@@ -82,6 +80,17 @@
   }
 
 private:
+  /// Begins to wait for the next progress.
+  auto restartTimer() -> void {
+    m_Pool->m_Timers.cancel(m_Timer);
+    m_Timer = m_Pool->m_Timers.start(
+        std::min(base::SteadyTime::clock::now() + m_Request.m_Timeout, m_EndsBy),
+        [Self = shared_from_this()] {
+          Self->m_Timer = 0;
+          Self->fail();
+        });
+  }
+
   auto connect() -> void {
     auto Error = error_code();
     const auto Ip = asio::ip::make_address_v4(m_Pool->m_Address, Error);
@@ -118,9 +127,23 @@
     Exchange->start(m_HeadText, m_Body);
   }
 
-  auto onHead(http1::ResponseHead &Head) -> void override { m_Response->m_Status = Head.m_Status; }
+  auto onHead(http1::ResponseHead &Head) -> void override {
+    m_Response->m_Status = Head.m_Status;
+    onProgress();
+  }
+
+  auto onProgress() -> void {
+    if (!m_Done) {
+      return;
+    }
+    restartTimer();
+    if (m_Response->m_Status >= 200 && m_Response->m_Status < 300) {
+      m_Pool->m_LastHeardAt = base::SteadyTime::clock::now();
+    }
+  }
 
   auto onBody(std::string Bytes) -> void override {
+    onProgress();
     auto &Body = m_Response->m_Body;
     if (Body.empty()) {
       Body = std::move(Bytes);
@@ -182,6 +205,7 @@
   std::weak_ptr<RequestExchange> m_Exchange;
   std::optional<CallResponse> m_Response;
   base::TimerId m_Timer = 0;
+  base::SteadyTime m_EndsBy;
   bool m_IsReused = false;
   bool m_IsSent = false;
 };
@@ -200,4 +224,8 @@
   std::make_shared<Call>(m_State, std::move(Request), std::move(Done))->start();
 }
 
+auto HttpClient::lastHeardAt() const -> std::optional<base::SteadyTime> {
+  return m_State->m_LastHeardAt;
+}
+
 } // namespace geraniumlift::transport
--- a/src/transport/tests/httpclient_test.cpp
+++ b/src/transport/tests/httpclient_test.cpp
@@ -71,8 +71,67 @@
   int m_Answers = 0;
 };
 
+/// A service that answers one call in parts.
+class SlowService {
+public:
+  SlowService(boost::asio::io_context &Loop, AsioTimers &Timers, int Parts, int SentParts)
+      : m_Timers(Timers), m_Parts(Parts), m_SentParts(SentParts), m_Socket(Loop),
+        m_Acceptor(Loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)) {
+    m_Acceptor.async_accept(m_Socket, [this](const error_code &) {
+      write(fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", m_Parts));
+      sendPart();
+    });
+  }
+
+  [[nodiscard]] auto port() const -> std::uint16_t { return m_Acceptor.local_endpoint().port(); }
+
+private:
+  auto write(const std::string &Text) -> void {
+    auto Ignored = error_code();
+    boost::asio::write(m_Socket, boost::asio::buffer(Text), Ignored);
+  }
+
+  auto sendPart() -> void {
+    if (m_SentParts-- > 0) {
+      write("x");
+      m_Timers.start(base::SteadyTime::clock::now() + 30ms, [this] { sendPart(); });
+    }
+  }
+
+  AsioTimers &m_Timers;
+  int m_Parts;
+  int m_SentParts;
+  tcp::socket m_Socket;
+  tcp::acceptor m_Acceptor;
+};
+
+/// Plays a call of which so many parts arrive. Returns the length of the answer, or nothing if the
+/// call failed, and -1 if it did not end.
+auto playSlowCall(int SentParts) -> std::optional<int> {
+  constexpr auto Parts = 20;
+  auto Loop = boost::asio::io_context();
+  auto Timers = AsioTimers(Loop);
+  auto Service = SlowService(Loop, Timers, Parts, SentParts);
+  auto Client = HttpClient(Loop, Timers, "127.0.0.1", Service.port());
+  auto Result = std::optional(-1);
+  Client.call({"GET", "/", "", 250ms}, [&Result](const CallResult &Outcome) {
+    Result = Outcome.m_Response ? std::optional(static_cast<int>(Outcome.m_Response->m_Body.size()))
+                                : std::nullopt;
+  });
+  Loop.run_for(1500ms);
+  cr_expect_eq(Client.lastHeardAt().has_value(), SentParts > 0);
+  return Result;
+}
+
 } // namespace
 
+// Guards against large answers that never arrive behind a slow link, because a call ends while
+// parts of its answer come in, and the next one begins anew.
+Test(httpclient, callGoesOnWhilePartsOfItsAnswerArrive) {
+  cr_expect(playSlowCall(20) == std::optional(20));
+  cr_expect(playSlowCall(3) == std::nullopt, "no part arrives any more");
+}
+
 // Guards against a caller that gets the answer of an earlier call, because the service sent a
 // second copy of it on a connection that was kept.
 Test(httpclient, lateCopyOfAnAnswerIsNotTakenForTheNextOne) {
--- a/testing/fakes/memorytransactionstore.h
+++ b/testing/fakes/memorytransactionstore.h
@@ -22,6 +22,9 @@
 
   /// While set, watches report that the history is gone.
   bool m_HistoryGone = false;
+
+  /// When a part of an answer last arrived.
+  std::optional<base::SteadyTime> m_LastHeardAt;
   int m_Lists = 0;
   int m_StaleReads = 0;
   int m_Watches = 0;
@@ -127,6 +130,10 @@
     });
   }
 
+  [[nodiscard]] auto lastHeardAt() const -> std::optional<base::SteadyTime> override {
+    return m_LastHeardAt;
+  }
+
   auto grantLease(std::chrono::milliseconds TimeToLive, LeaseCallback Done) -> void override {
     answer([this, TimeToLive, Done = std::move(Done)] {
       if (m_IsAway) {
