A router that is cut off from all targets has another one carry its connections

Cause: a router had one way to targets, its own links, and took their failures for those of targets (hanging ones also for a full uplink): it ejected targets and refused.

Now three targets in a row that cannot be reached, or all of a pool, mean that the router is cut off, whether connecting hangs (it counts after 120 ms), is refused or reset; open connections say nothing. It then sends each request as before, with its own decisions, budget and repeats, on a connection that another router carries to the target (TunnelServer, on the peer port). The target's bytes come back in chunks, so that the end of the target's connection differs from that of the other router; a request is written only when the target is connected, so that a failure before that still proves that it did not run. Routers tell in heartbeats that they are cut off, and carry nothing then. Two targets are tried every 0.4 s; one that is reached ends the cut. Routers that are too slow to carry mean that the own link is full: then all is as before.

--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -76,6 +76,9 @@
 
   /// Whether the router is past its capacity. See OverloadDetector.
   bool m_IsOverloaded = false;
+
+  /// Whether the router reaches no target itself. See forwarding::TargetReach.
+  bool m_IsCutOff = false;
 };
 
 /// A heartbeat that another router passes on.
@@ -122,6 +125,9 @@
 
   /// hashName() of the routers that are past their capacity.
   std::vector<std::uint32_t> m_Overloaded;
+
+  /// hashName() of the routers that reach no target themselves.
+  std::vector<std::uint32_t> m_CutOff;
 };
 
 using FleetMessage = std::variant<Heartbeat, HeartbeatBatch, FleetDigest>;
--- a/src/fleet/internal/fleetcodec.cpp
+++ b/src/fleet/internal/fleetcodec.cpp
@@ -67,8 +67,8 @@
 
 auto write(OutputArchive &Data, const Heartbeat &Message) -> void {
   Data(Message.m_Router, Message.m_Incarnation, Message.m_Sequence, Message.m_IsLeaving,
-       Message.m_WantsDigest, Message.m_StoreAgeMs, Message.m_IsOverloaded, Message.m_Loads,
-       Message.m_Budgets);
+       Message.m_WantsDigest, Message.m_StoreAgeMs, Message.m_IsOverloaded, Message.m_IsCutOff,
+       Message.m_Loads, Message.m_Budgets);
 }
 
 auto write(OutputArchive &Data, const HeartbeatBatch &Message) -> void {
@@ -83,13 +83,13 @@
 auto write(OutputArchive &Data, const FleetDigest &Message) -> void {
   Data(Message.m_Relay, Message.m_Incarnation, Message.m_Sequence, Message.m_IsResigning,
        Message.m_StoreAgeMs, Message.m_Silent, Message.m_Leaving, Message.m_Loads,
-       Message.m_Overloaded);
+       Message.m_Overloaded, Message.m_CutOff);
 }
 
 auto read(InputArchive &Data, Heartbeat &Message, std::size_t Size) -> void {
   base::readText(Data, Message.m_Router, Size);
   Data(Message.m_Incarnation, Message.m_Sequence, Message.m_IsLeaving, Message.m_WantsDigest,
-       Message.m_StoreAgeMs, Message.m_IsOverloaded);
+       Message.m_StoreAgeMs, Message.m_IsOverloaded, Message.m_IsCutOff);
   base::readEntries(Data, Message.m_Loads, MaxEntries);
   base::readEntries(Data, Message.m_Budgets, MaxEntries);
 }
@@ -111,6 +111,7 @@
   base::readEntries(Data, Message.m_Leaving, MaxEntries);
   base::readEntries(Data, Message.m_Loads, MaxEntries);
   base::readEntries(Data, Message.m_Overloaded, MaxEntries);
+  base::readEntries(Data, Message.m_CutOff, MaxEntries);
 }
 
 /// Reads the alternative of FleetMessage with the index of KindBytes.
--- a/src/fleet/internal/peertable.cpp
+++ b/src/fleet/internal/peertable.cpp
@@ -59,6 +59,7 @@
     m_SilentHashes.clear();
     m_LeavingHashes.clear();
     m_OverloadedHashes.clear();
+    m_CutOffHashes.clear();
     for (const auto &[Name, Item] : m_Peers) {
       if (Name == m_Options.m_Self) {
         continue;
@@ -161,6 +162,7 @@
   m_SilentHashes = {Message.m_Silent.begin(), Message.m_Silent.end()};
   m_LeavingHashes = {Message.m_Leaving.begin(), Message.m_Leaving.end()};
   m_OverloadedHashes = {Message.m_Overloaded.begin(), Message.m_Overloaded.end()};
+  m_CutOffHashes = {Message.m_CutOff.begin(), Message.m_CutOff.end()};
   m_DigestLoads.clear();
   for (const auto &Load : Message.m_Loads) {
     m_DigestLoads[Load.m_TargetHash] += toTargetLoad(Load);
@@ -193,10 +195,16 @@
   if (Own.m_IsOverloaded) {
     Into.m_Overloaded.push_back(hashName(m_Options.m_Self));
   }
+  if (Own.m_IsCutOff) {
+    Into.m_CutOff.push_back(hashName(m_Options.m_Self));
+  }
   for (const auto &[Name, Item] : m_Peers) {
     if (!Item.m_HasRecord || Name == m_Options.m_Self) {
       continue;
     }
+    if (isCutOff(Item, Now)) {
+      Into.m_CutOff.push_back(Item.m_NameHash);
+    }
     if (!isAlive(Item, Now)) {
       Into.m_Silent.push_back(Item.m_NameHash);
     } else if (isLeaving(Item)) {
@@ -250,6 +258,25 @@
          Now - Item.m_HeartbeatAt <= m_Options.m_HeartbeatTimeout;
 }
 
+auto PeerTable::isCutOff(const Peer &Item, base::SteadyTime Now) const -> bool {
+  if (m_Role == FleetRole::Member) {
+    return Now - m_DigestAt <= m_Options.m_HeartbeatTimeout &&
+           m_CutOffHashes.contains(Item.m_NameHash);
+  }
+  return Item.m_Heartbeat.m_IsCutOff && Now - Item.m_HeartbeatAt <= m_Options.m_HeartbeatTimeout;
+}
+
+auto PeerTable::carriers(base::SteadyTime Now) const -> std::vector<RouterRecord> {
+  auto Result = std::vector<RouterRecord>();
+  auto Overloaded = std::vector<RouterRecord>();
+  for (const auto &[Name, Item] : m_Peers) {
+    if (isAlivePeer(Name, Item, Now) && !isCutOff(Item, Now)) {
+      (isOverloaded(Item, Now) ? Overloaded : Result).push_back(Item.m_Record);
+    }
+  }
+  return Result.empty() ? Overloaded : Result;
+}
+
 auto PeerTable::peerLoad(std::string_view TargetId, base::SteadyTime Now)
     -> forwarding::TargetLoad {
   const auto Hash = hashName(TargetId);
--- a/src/fleet/peertable.h
+++ b/src/fleet/peertable.h
@@ -47,6 +47,11 @@
   /// Records whether this router is past its capacity.
   auto setSelfOverloaded(bool IsOverloaded) -> void { m_IsSelfOverloaded = IsOverloaded; }
 
+  /// Returns the records of the other routers that may carry connections to targets for this one:
+  /// those that are alive, are not leaving and reach targets, without those past their capacity if
+  /// there are others.
+  [[nodiscard]] auto carriers(base::SteadyTime Now) const -> std::vector<RouterRecord>;
+
   /// Removes a router whose record was deleted.
   auto remove(const std::string &Name) -> void;
 
@@ -135,6 +140,9 @@
   /// Whether another router has lately said that it is past its capacity.
   [[nodiscard]] auto isOverloaded(const Peer &Item, base::SteadyTime Now) const -> bool;
 
+  /// Whether another router has lately said that it reaches no target.
+  [[nodiscard]] auto isCutOff(const Peer &Item, base::SteadyTime Now) const -> bool;
+
   /// Whether the router is not this one, has a record, is alive and is not leaving.
   [[nodiscard]] auto isAlivePeer(const std::string &Name, const Peer &Item,
                                  base::SteadyTime Now) const -> bool;
@@ -162,6 +170,7 @@
   absl::flat_hash_set<std::uint32_t> m_SilentHashes;
   absl::flat_hash_set<std::uint32_t> m_LeavingHashes;
   absl::flat_hash_set<std::uint32_t> m_OverloadedHashes;
+  absl::flat_hash_set<std::uint32_t> m_CutOffHashes;
   absl::flat_hash_map<std::uint32_t, forwarding::TargetLoad> m_DigestLoads;
   base::SteadyTime m_DigestAt;
   std::string m_DigestRelay;
--- a/src/forwarding/forwardingcontext.h
+++ b/src/forwarding/forwardingcontext.h
@@ -48,6 +48,13 @@
   /// Permits that one request asks for, one after the other, until one is granted.
   int m_MaxPermitRequests = 3;
 
+  /// Attempts to connect that may fail before a request that was never sent is refused.
+  int m_MaxConnectFailures = 4;
+
+  /// As above, for attempts that failed because of this router's links or of the router that was to
+  /// carry the connection. Of a data centre that is cut off, each router is asked once.
+  int m_MaxPathFailures = 8;
+
   /// Maximum body size of a response that is buffered before it is sent to the caller.
   std::size_t m_MaxBufferedResponseBytes = std::size_t{4} * 1024 * 1024;
 
--- a/src/forwarding/forwardingtypes.h
+++ b/src/forwarding/forwardingtypes.h
@@ -123,6 +123,10 @@
 /// Reason of onFailed() if the target did not answer to the attempt to connect.
 inline constexpr auto ConnectTimeoutReason = std::string_view("connect_timeout");
 
+/// Reason of onFailed() if the target was not reached because of this router's links or of the
+/// router that was to carry the connection. It tells nothing of the target.
+inline constexpr auto RouterCutOffReason = std::string_view("router_cut_off");
+
 /// Receives the events of one attempt at a target. onEnd or onFailed is the last event.
 class ITargetEventHandler {
 public:
@@ -152,11 +156,13 @@
 public:
   virtual ~ITargetConnector() = default;
 
-  /// Sends the request on a new connection. Events are delivered after the call has returned, never
-  /// from within it. Events must outlive the returned attempt.
+  /// Sends the request on a new connection; TimeLeft is the time until its deadline. Events are
+  /// delivered after the call has returned, never from within it. Events must outlive the returned
+  /// attempt.
   virtual auto send(const TargetRecord &Target, std::string Head,
                     std::shared_ptr<const std::string> Body, bool IsHeadMethod,
-                    ITargetEventHandler &Events) -> std::unique_ptr<ITargetAttempt> = 0;
+                    std::chrono::milliseconds TimeLeft, ITargetEventHandler &Events)
+      -> std::unique_ptr<ITargetAttempt> = 0;
 };
 
 } // namespace geraniumlift::forwarding
--- a/src/forwarding/forwardsession.h
+++ b/src/forwarding/forwardsession.h
@@ -112,6 +112,9 @@
   /// part of the response was sent.
   auto attemptFailed(base::Verdict Outcome, AttemptResult Result, std::string_view Reason) -> void;
   [[nodiscard]] auto mayRetry(base::Verdict Outcome) -> bool;
+
+  /// Counts a failure to connect. Returns whether another target may be tried.
+  auto mayConnectAgain(std::string_view Reason) -> bool;
   auto endAttempt(AttemptResult Result) -> void;
   auto recordFirstByte() -> void;
 
@@ -171,6 +174,11 @@
   std::set<std::string> m_TriedTargets;
   int m_PermitRequests = 0;
 
+  /// Attempts that failed before the request was sent to any target, because of the target and
+  /// because of the way to it.
+  int m_ConnectFailures = 0;
+  int m_PathFailures = 0;
+
   /// Time until a target may open, if the gate keeps the request from all targets.
   std::optional<std::chrono::milliseconds> m_GateWait;
   std::int64_t m_SendCount = 0;
--- a/src/forwarding/internal/forwardsession.cpp
+++ b/src/forwarding/internal/forwardsession.cpp
@@ -347,24 +347,25 @@
   m_Context.m_Limits.onSend(m_Context.m_Targets.find(m_TargetId)->limitKey());
   m_Context.m_Targets.recordSent(m_TargetId, Prompt, m_UncachedTokens, now());
   const auto Knowledge = m_Context.m_KnowledgeOrigin();
-  m_Context.m_Log.record(base::LogLevel::Debug, "request_placed",
-                         {{"request", m_Fields.m_RequestId},
-                          {"route", m_Route->m_Name},
-                          {"config", m_Table->version()},
-                          {"knowledge_ms", Knowledge.m_Age.count()},
-                          {"knowledge_from", Knowledge.m_Relay.empty() ? "store" : Knowledge.m_Relay},
-                          {"workspace", m_Workspace == nullptr ? "" : m_Workspace->m_Name},
-                          {"pool", m_Pool},
-                          {"target", m_TargetId},
-                          {"send", m_SendCount + 1},
-                          {"expected_ms", static_cast<std::int64_t>(Choice->m_FirstEventMs)},
-                          {"kept_tokens", Choice->m_CachedTokens},
-                          {"shared_parts", formatSharedParts(m_Fields.m_Prompt)},
-                          {"left_ms", timeLeft().count()}});
+  m_Context.m_Log.record(
+      base::LogLevel::Debug, "request_placed",
+      {{"request", m_Fields.m_RequestId},
+       {"route", m_Route->m_Name},
+       {"config", m_Table->version()},
+       {"knowledge_ms", Knowledge.m_Age.count()},
+       {"knowledge_from", Knowledge.m_Relay.empty() ? "store" : Knowledge.m_Relay},
+       {"workspace", m_Workspace == nullptr ? "" : m_Workspace->m_Name},
+       {"pool", m_Pool},
+       {"target", m_TargetId},
+       {"send", m_SendCount + 1},
+       {"expected_ms", static_cast<std::int64_t>(Choice->m_FirstEventMs)},
+       {"kept_tokens", Choice->m_CachedTokens},
+       {"shared_parts", formatSharedParts(m_Fields.m_Prompt)},
+       {"left_ms", timeLeft().count()}});
   m_IsConnecting = true;
   m_Context.m_Gate.uplink().onConnecting();
   m_Attempt = m_Context.m_Connector.send(Target, formatTargetHead(Target), m_Body,
-                                         m_Head.m_Method == "HEAD", *this);
+                                         m_Head.m_Method == "HEAD", timeLeft(), *this);
 }
 
 auto ForwardSession::priority() const -> std::int64_t {
@@ -488,12 +489,17 @@
 }
 
 auto ForwardSession::onFailed(base::Verdict Outcome, std::string_view Reason) -> void {
-  recordConnectEnd(Reason == ConnectTimeoutReason);
+  recordConnectEnd(Reason == ConnectTimeoutReason || Reason == RouterCutOffReason);
   if (Outcome != base::Verdict::DidNotRun) {
     reportLostConnection();
   }
-  const auto Result =
-      Outcome == base::Verdict::DidNotRun ? AttemptResult::Unresponsive : AttemptResult::Failed;
+  auto Result = AttemptResult::Failed;
+  if (Reason == RouterCutOffReason) {
+    Result = AttemptResult::Unknown;
+    m_TriedTargets.erase(m_TargetId);
+  } else if (Outcome == base::Verdict::DidNotRun) {
+    Result = AttemptResult::Unresponsive;
+  }
   attemptFailed(Outcome, Result, Reason);
 }
 
@@ -503,6 +509,14 @@
          m_Context.retryBudget(m_Pool).available() >= 1.0;
 }
 
+auto ForwardSession::mayConnectAgain(std::string_view Reason) -> bool {
+  const auto &Options = m_Context.m_Options;
+  const auto IsRouterCutOff = Reason == RouterCutOffReason;
+  ++(IsRouterCutOff ? m_PathFailures : m_ConnectFailures);
+  return m_ConnectFailures < Options.m_MaxConnectFailures &&
+         m_PathFailures < Options.m_MaxPathFailures && timeLeft() > 0ms;
+}
+
 auto ForwardSession::endAttempt(AttemptResult Result) -> void {
   m_Context.m_Timers.cancel(std::exchange(m_IdleTimer, 0));
   if (!m_Attempt) {
@@ -540,8 +554,7 @@
     m_MayHaveRun = true;
   }
   const auto IsUnsent = m_SendCount == 0;
-  const auto WillRetry =
-      IsUnsent ? m_TriedTargets.size() < 4 && timeLeft() > 0ms : mayRetry(Outcome);
+  const auto WillRetry = IsUnsent ? mayConnectAgain(Reason) : mayRetry(Outcome);
   m_Context.m_Log.record(base::LogLevel::Warning, "attempt_failed",
                          {{"request", m_Fields.m_RequestId},
                           {"route", m_Route->m_Name},
--- a/src/forwarding/internal/targettable.cpp
+++ b/src/forwarding/internal/targettable.cpp
@@ -273,6 +273,14 @@
   }
 }
 
+auto TargetTable::pardon(const std::string &Id) -> void {
+  const auto Found = m_Targets.find(Id);
+  if (Found != m_Targets.end()) {
+    Found->second.m_EjectedUntil = base::SteadyTime();
+    Found->second.m_ConsecutiveFailures = 0;
+  }
+}
+
 auto TargetTable::findProcess(const std::string &Id, std::int64_t Incarnation) -> TargetState * {
   const auto Found = m_Targets.find(Id);
   return Found == m_Targets.end() || Found->second.m_Record.m_Incarnation != Incarnation
--- a/src/forwarding/targettable.h
+++ b/src/forwarding/targettable.h
@@ -229,6 +229,9 @@
   /// unhealthy. Unknown results are ignored.
   auto recordResult(const std::string &Id, AttemptResult Result, base::SteadyTime Now) -> void;
 
+  /// Ends the target's ejection and forgets its failures in a row, because they were not its own.
+  auto pardon(const std::string &Id) -> void;
+
   /// Records that a process of the target has said that it is leaving, or has asked for a pause.
   /// It counts whenever that process is registered.
   auto recordLeaving(const std::string &Id, std::int64_t Incarnation, base::SteadyTime Now) -> void;
--- a/src/forwarding/tests/forwardingfakes.h
+++ b/src/forwarding/tests/forwardingfakes.h
@@ -48,7 +48,8 @@
 class FakeConnector final : public ITargetConnector {
 public:
   auto send(const TargetRecord &Target, std::string Head, std::shared_ptr<const std::string>, bool,
-            ITargetEventHandler &Events) -> std::unique_ptr<ITargetAttempt> override {
+            std::chrono::milliseconds, ITargetEventHandler &Events)
+      -> std::unique_ptr<ITargetAttempt> override {
     auto Attempt = std::make_shared<FakeAttempt>();
     Attempt->m_TargetId = Target.m_Id;
     Attempt->m_Head = std::move(Head);
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -15,6 +15,11 @@
 /// rest allows for three lost packets.
 constexpr auto ConnectTimeout = 400ms;
 
+/// Memory of a tunnel with its buffers, and the part of the memory limit that tunnels may use, as a
+/// divisor.
+constexpr auto TunnelBytes = std::size_t{48} * 1024;
+constexpr auto TunnelMemoryDivisor = std::size_t{16};
+
 /// Share of the fleet's retry allowance that the routers use. The rest covers retries that a router
 /// cannot know of, such as those of a killed process.
 constexpr auto UsableRetryShare = 0.6;
@@ -203,6 +208,13 @@
   return Longest;
 }
 
+auto tunnelOptions(const RouterSettings &Settings) -> transport::TunnelOptions {
+  auto Options = transport::TunnelOptions();
+  Options.m_MaxTunnels =
+      std::max<std::size_t>(32, memoryBytes(Settings) / TunnelMemoryDivisor / TunnelBytes);
+  return Options;
+}
+
 auto incarnationOf(const base::IClock &Clock) -> std::uint64_t {
   return static_cast<std::uint64_t>(
       duration_cast<milliseconds>(Clock.systemNow().time_since_epoch()).count());
@@ -248,7 +260,18 @@
                   [this](const forwarding::TargetRecord &Target) {
                     return m_Peers.peerLoad(Target.m_Id, now());
                   }),
+      m_TargetPath(m_Settings.m_DataCentre, seedOf(m_Settings, m_Incarnation), m_Peers, m_Targets,
+                   m_ListenerCheck, Dependencies.m_Clock, Dependencies.m_Log),
       m_Connector(Dependencies.m_Loop, Dependencies.m_Timers, Dependencies.m_Clock, ConnectTimeout),
+      m_TunnelServer(
+          Dependencies.m_Loop, Dependencies.m_Timers, Dependencies.m_Clock,
+          tunnelOptions(m_Settings),
+          [this](const std::string &Id, std::int64_t Incarnation) {
+            return findTunnelTarget(Id, Incarnation);
+          },
+          [this](const std::string &Id, bool IsConnected) {
+            m_TargetPath.onDirectConnect(Id, IsConnected);
+          }),
       m_Metrics(Dependencies.m_Metrics), m_Context{Dependencies.m_Clock,
                                                    Dependencies.m_Timers,
                                                    Dependencies.m_Dialect,
@@ -273,6 +296,7 @@
                         directOptions(512)),
       m_StoreMonitor(Dependencies.m_Store, Dependencies.m_Timers, Dependencies.m_Clock,
                      Dependencies.m_Log, [this](bool IsReachable) { onReachable(IsReachable); }) {
+  m_Connector.setPath(m_TargetPath);
   m_StoreMonitor.setWitness([this] { return m_Subscription.storeAnsweredAt(); });
   m_Context.m_KnowledgeOrigin = [this] {
     return forwarding::KnowledgeOrigin{m_Subscription.knowledgeAge(),
@@ -300,7 +324,8 @@
        {m_CallerServer.listen(Settings.m_Callers.m_Ip, Settings.m_Callers.m_Port, m_Context),
         m_ReadinessServer.listen(Settings.m_Readiness.m_Ip, Settings.m_Readiness.m_Port, Readiness),
         m_DirectoryServer.listen(Settings.m_Directory.m_Ip, Settings.m_Directory.m_Port, Directory),
-        m_PeerSocket.open(Settings.m_Peers.m_Ip, Settings.m_Peers.m_Port)}) {
+        m_PeerSocket.open(Settings.m_Peers.m_Ip, Settings.m_Peers.m_Port),
+        m_TunnelServer.listen(Settings.m_Peers.m_Ip, Settings.m_Peers.m_Port)}) {
     if (!Status.ok()) {
       return Status;
     }
@@ -637,6 +662,7 @@
   m_Placement.setRouterCount(AlivePeers.size() + 1);
   m_Gate.setRouterCount(static_cast<std::int64_t>(AlivePeers.size()) + 1);
   updateRetryBudgets();
+  advanceTargetPath();
   m_TargetDirectory.removeExpired(now());
   if (m_Subscription.followsBudgets() && m_Grants.shardCount() > 1) {
     m_Subscription.stopFollowingBudgets();
@@ -671,6 +697,26 @@
                                  static_cast<double>(m_StreamVersions.rememberedStreams()));
 }
 
+auto Router::findTunnelTarget(const std::string &Id, std::int64_t Incarnation) const
+    -> std::optional<transport::TunnelTarget> {
+  const auto *Target = m_Targets.find(Id);
+  if (Target == nullptr || Target->record().m_Incarnation != Incarnation ||
+      m_TargetPath.isCutOff()) {
+    return std::nullopt;
+  }
+  return transport::TunnelTarget{Target->record().m_Address, Target->record().m_Port};
+}
+
+auto Router::advanceTargetPath() -> void {
+  m_TargetPath.advance();
+  auto &Metrics = m_Dependencies.m_Metrics;
+  Metrics.gauge("geraniumlift_router_cut_off", {}, m_TargetPath.isCutOff() ? 1.0 : 0.0);
+  Metrics.gauge("geraniumlift_tunnels_open", {}, static_cast<double>(m_TunnelServer.tunnels()));
+  const auto Opened = m_TunnelServer.openedTunnels();
+  Metrics.count("geraniumlift_tunnels_opened_total", {},
+                static_cast<double>(Opened - std::exchange(m_ReportedTunnels, Opened)));
+}
+
 auto Router::observeLoad() -> void {
   if (m_Settings.m_LinkMbps <= 0.0) {
     return;
@@ -781,7 +827,8 @@
                                 {{"sessions", m_Context.m_SessionCount}});
     m_CallerServer.answerBeforeStop();
   }
-  const auto IsDone = m_IsDrainingGrants && m_Context.m_SessionCount == 0 && m_Grants.isDrained();
+  const auto IsDone = m_IsDrainingGrants && m_Context.m_SessionCount == 0 &&
+                      m_TunnelServer.tunnels() == 0 && m_Grants.isDrained();
   if (IsDone || Since >= StopTime - ForcedExitMargin) {
     m_Dependencies.m_Log.record(
         base::LogLevel::Warning, "router_stopped",
--- a/src/router/internal/routermessages.cpp
+++ b/src/router/internal/routermessages.cpp
@@ -18,6 +18,7 @@
   Message.m_Sequence = ++m_HeartbeatSequence;
   Message.m_IsLeaving = m_IsLeaving;
   Message.m_IsOverloaded = m_Overload.isOverloaded();
+  Message.m_IsCutOff = m_TargetPath.isCutOff();
   for (const auto &[Id, State] : m_Targets.all()) {
     const auto &Load = State.ownLoad();
     if (Load.m_ActiveRequests > 0) {
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -12,6 +12,7 @@
 #include "router/internal/peerlink.h"
 #include "router/internal/requestmetrics.h"
 #include "router/internal/storesubscription.h"
+#include "router/internal/targetpath.h"
 #include "router/istoredocumentdecoder.h"
 #include "router/routersettings.h"
 #include "streamversions/streamversionservice.h"
@@ -20,6 +21,7 @@
 #include "transport/datagramsocket.h"
 #include "transport/listenercheck.h"
 #include "transport/targetconnector.h"
+#include "transport/tunnelserver.h"
 
 #include <memory>
 #include <vector>
@@ -118,6 +120,13 @@
   [[nodiscard]] auto isReady() const -> bool;
   auto updateRetryBudgets() -> void;
 
+  /// Tries targets if this router is cut off from them, and reports on tunnels.
+  auto advanceTargetPath() -> void;
+
+  /// Returns the address of a target's process for a tunnel of another router.
+  [[nodiscard]] auto findTunnelTarget(const std::string &Id, std::int64_t Incarnation) const
+      -> std::optional<transport::TunnelTarget>;
+
   /// Reports what callers and responses hold, and how much gave way since the last report.
   auto reportHeldMemory() -> void;
 
@@ -150,7 +159,12 @@
   forwarding::TargetGate m_Gate;
   forwarding::TargetAccessLog m_TargetAccess;
   forwarding::Placement m_Placement;
+  TargetPath m_TargetPath;
   transport::TargetConnector m_Connector;
+
+  /// Carries connections for routers that reach no target themselves.
+  transport::TunnelServer m_TunnelServer;
+  std::uint64_t m_ReportedTunnels = 0;
   RequestMetrics m_Metrics;
   forwarding::ForwardingContext m_Context;
   transport::CallerServer m_CallerServer;
--- a/src/transport/internal/requestexchange.cpp
+++ b/src/transport/internal/requestexchange.cpp
@@ -1,8 +1,8 @@
 #include "transport/requestexchange.h"
 
+#include "transport/internal/socketstate.h"
+
 #include <boost/asio/write.hpp>
-#include <linux/sockios.h>
-#include <sys/ioctl.h>
 
 namespace geraniumlift::transport {
 
@@ -84,7 +84,8 @@
   if (!m_Handler) {
     return;
   }
-  if (Error == asio::error::eof) {
+  // The end of a tunnel itself says nothing of the peer behind it.
+  if (Error == asio::error::eof && !m_Tunnel) {
     onClosed();
     return;
   }
@@ -92,7 +93,24 @@
     fail("reset");
     return;
   }
-  auto Bytes = std::string_view(m_Buffer.data(), Size);
+  const auto Bytes = std::string_view(m_Buffer.data(), Size);
+  if (!m_Tunnel) {
+    parse(Bytes);
+  } else if (!m_Tunnel->feed(Bytes).ok()) {
+    fail("not_http");
+  } else {
+    parse(std::exchange(m_Tunnel->body(), {}));
+    if (m_Handler && m_Tunnel->isDone()) {
+      onClosed();
+      return;
+    }
+  }
+  if (m_Handler) {
+    read();
+  }
+}
+
+auto RequestExchange::parse(std::string_view Bytes) -> void {
   while (!Bytes.empty() && m_Handler) {
     const auto Used = m_Parser.feed(Bytes);
     if (!Used.ok()) {
@@ -103,13 +121,10 @@
     deliver();
     if (m_Parser.isDone() && !skipInterimResponse()) {
       // The peer may still expect the rest of a request that it has answered early.
-      finish(Bytes.empty() && m_Parser.keepsConnection() && m_Upload == Upload::Done);
+      finish(Bytes.empty() && !m_Tunnel && m_Parser.keepsConnection() && m_Upload == Upload::Done);
       return;
     }
   }
-  if (m_Handler) {
-    read();
-  }
 }
 
 auto RequestExchange::deliver() -> void {
@@ -147,29 +162,26 @@
 }
 
 auto RequestExchange::isUploading() -> bool {
-  auto Unacknowledged = 0;
-  return m_Upload == Upload::Writing ||
-         (::ioctl(m_Socket.native_handle(), SIOCOUTQ, &Unacknowledged) == 0 && Unacknowledged > 0);
+  return m_Upload == Upload::Writing || hasUnacknowledgedBytes(m_Socket);
 }
 
 auto RequestExchange::isReset() -> bool {
-  auto Pending = asio::detail::socket_option::integer<SOL_SOCKET, SO_ERROR>();
-  auto Error = error_code();
-  m_Socket.get_option(Pending, Error);
-  return m_Upload == Upload::Failed || Error || Pending.value() != 0;
+  return m_Upload == Upload::Failed || hasPendingError(m_Socket);
 }
 
 auto RequestExchange::onClosed() -> void {
   if (!m_Handler) {
     return;
   }
-  if (m_Parser.endsAtClose() && isReset()) {
+  // The other end of a tunnel has checked its connection to the peer.
+  const auto MayBeReset = m_Parser.endsAtClose() && !m_Tunnel;
+  if (MayBeReset && isReset()) {
     fail("reset");
     return;
   }
   // A peer that has ended only its own side reads the rest of the request. One that has ended
   // resets the connection instead.
-  if (m_Parser.endsAtClose() && isUploading()) {
+  if (MayBeReset && isUploading()) {
     m_UploadCheck.expires_after(UploadCheckPeriod);
     m_UploadCheck.async_wait([Self = shared_from_this()](const error_code &) { Self->onClosed(); });
     return;
--- a/src/transport/requestexchange.h
+++ b/src/transport/requestexchange.h
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
+#include <optional>
 
 namespace geraniumlift::transport {
 
@@ -34,6 +35,10 @@
   RequestExchange(boost::asio::ip::tcp::socket Socket, const http1::MessageLimits &Limits,
                   bool IsHeadMethod, std::shared_ptr<IResponseHandler> Handler);
 
+  /// Sets the parser of the tunnel through which the peer is reached. It has read the head of the
+  /// tunnel's answer; the peer's bytes are its body. To be called before start().
+  auto setTunnel(http1::ResponseParser Tunnel) -> void { m_Tunnel = std::move(Tunnel); }
+
   /// Sends the request. The handler is called after this function has returned.
   auto start(std::string Head, std::shared_ptr<const std::string> Body) -> void;
 
@@ -59,7 +64,10 @@
 
   auto read() -> void;
   auto onRead(const boost::system::error_code &Error, std::size_t Size) -> void;
+  auto parse(std::string_view Bytes) -> void;
   auto deliver() -> void;
+
+  /// Handles the regular end of the connection to the peer.
   auto onClosed() -> void;
   auto finish(bool IsReusable) -> void;
   auto fail(std::string_view Reason) -> void;
@@ -67,8 +75,7 @@
   /// Whether the peer has not received the whole request yet.
   [[nodiscard]] auto isUploading() -> bool;
 
-  /// Whether the connection was reset. The system reports that only once, and if a write gets the
-  /// error, the next read sees a regular end.
+  /// Whether the connection was reset.
   [[nodiscard]] auto isReset() -> bool;
 
   /// Prepares for the next response if the one that has ended is an interim (1xx) one. Returns
@@ -80,6 +87,7 @@
   http1::MessageLimits m_Limits;
   bool m_IsHeadMethod;
   http1::ResponseParser m_Parser;
+  std::optional<http1::ResponseParser> m_Tunnel;
   std::shared_ptr<IResponseHandler> m_Handler;
   std::string m_Head;
   std::shared_ptr<const std::string> m_Body;
--- a/src/transport/tests/targetconnector_test.cpp
+++ b/src/transport/tests/targetconnector_test.cpp
@@ -96,7 +96,7 @@
   auto Events = Recorder();
   const auto Attempt = Connector.send(
       Target, fmt::format("POST / HTTP/1.1\r\nContent-Length: {}\r\n\r\n", BodyBytes),
-      std::make_shared<const std::string>(BodyBytes, 'x'), false, Events);
+      std::make_shared<const std::string>(BodyBytes, 'x'), false, 5000ms, Events);
   const auto End = Clock.steadyNow() + 5s;
   while (!Events.m_HasEnded && !Events.m_Verdict && Clock.steadyNow() < End) {
     Loop.run_one_for(100ms);
@@ -108,8 +108,9 @@
 struct Play {
   Play(const std::string &Start, const std::string &Endless) : m_Target(m_Loop, Start, Endless) {
     auto Connector = TargetConnector(m_Loop, m_Timers, m_Clock, 400ms);
-    const auto Attempt = Connector.send(m_Target.record(), "GET / HTTP/1.1\r\n\r\n",
-                                        std::make_shared<const std::string>(), false, m_Events);
+    const auto Attempt =
+        Connector.send(m_Target.record(), "GET / HTTP/1.1\r\n\r\n",
+                       std::make_shared<const std::string>(), false, 5000ms, m_Events);
     const auto End = m_Clock.steadyNow() + 5s;
     while (!m_Events.m_HasEnded && !m_Events.m_Verdict && m_Clock.steadyNow() < End) {
       m_Loop.run_one_for(100ms);
@@ -151,7 +152,7 @@
   auto Connector = TargetConnector(Loop, Timers, Clock, 400ms);
   auto Events = Recorder();
   const auto Body = std::make_shared<const std::string>(std::size_t{256} * 1024, 'x');
-  auto Attempt = Connector.send(Target, "POST / HTTP/1.1\r\n\r\n", Body, false, Events);
+  auto Attempt = Connector.send(Target, "POST / HTTP/1.1\r\n\r\n", Body, false, 5000ms, Events);
   auto Peer = Acceptor.accept();
   Loop.run_for(100ms);
   Attempt.reset();
