The fleet keeps together to what brittle targets can turn away

Callers saw them fall one after the other, each fall breaking off what ran there.

Cause: each router takes a full target's refusals for its own business and tries the next one, so that the refusals of a target are the sum of what all routers try.

The bound is kept as that of Server-Limit: one router keeps a target's permits, and gives one out only while the rejections of the last second and the permits that may still end in one are within 0.75 N. Outcomes are reported by datagram; a permit without one counts as taken after 100 ms. A keeper that takes over begins with one permit at a time, and a process that comes back is taken to be as brittle as the others of its pool. A request that gets no permit in three tries is refused with the time of the next one.

Without brittle targets nothing is sent or kept.

--- a/src/forwarding/internal/forwardsessionanswer.cpp
+++ b/src/forwarding/internal/forwardsessionanswer.cpp
@@ -90,7 +90,9 @@
 
 auto ForwardSession::recordStatements(const ResponseMetadata &Metadata) -> void {
   if (const auto *Target = m_Context.m_Targets.find(m_TargetId)) {
-    m_Context.m_Limits.onAnswer(Target->limitKey(), Metadata.m_RequestsPerSecond);
+    m_Context.m_Limits.onAnswer(Target->limitKey(),
+                                {Metadata.m_RequestsPerSecond, Metadata.m_MaxRejections});
+    m_Context.m_Limits.onOutcome(Target->limitKey(), Metadata.m_DidNotRun);
   }
   if (Metadata.m_IsLeaving || Metadata.m_Pause) {
     const auto *Target = m_Context.m_Targets.find(m_TargetId);
--- a/src/forwarding/requesttypes.h
+++ b/src/forwarding/requesttypes.h
@@ -86,6 +86,10 @@
   /// Requests a second that the target takes from all routers together, if it names a limit.
   std::optional<double> m_RequestsPerSecond;
 
+  /// Requests that the target can turn away within a second without falling over, if it says that
+  /// it is brittle.
+  std::optional<double> m_MaxRejections;
+
   /// The target states that it is leaving.
   bool m_IsLeaving = false;
 
--- a/src/forwarding/tests/forwardingfakes.h
+++ b/src/forwarding/tests/forwardingfakes.h
@@ -172,8 +172,13 @@
     return m_Cold.contains(Target);
   }
   auto onSend(ratelimits::TargetKey Target) -> void override { m_Permits.erase(Target); }
-  auto onAnswer(ratelimits::TargetKey Target, std::optional<double> PerSecond) -> void override {
-    m_Stated[Target] = PerSecond;
+  auto onAnswer(ratelimits::TargetKey Target, const ratelimits::TargetNeeds &Needs)
+      -> void override {
+    m_Stated[Target] = Needs.m_PerSecond;
+    m_Brittle[Target] = Needs.m_MaxRejections;
+  }
+  auto onOutcome(ratelimits::TargetKey Target, bool IsRejected) -> void override {
+    m_Outcomes.emplace_back(Target, IsRejected);
   }
   auto requestPermit(ratelimits::TargetKey Target,
                      std::function<void(ratelimits::PermitOutcome)> Done) -> void override {
@@ -193,13 +198,15 @@
   std::set<ratelimits::TargetKey> m_Permits;
   std::set<ratelimits::TargetKey> m_Refused;
   std::map<ratelimits::TargetKey, std::optional<double>> m_Stated;
+  std::map<ratelimits::TargetKey, std::optional<double>> m_Brittle;
+  std::vector<std::pair<ratelimits::TargetKey, bool>> m_Outcomes;
   std::deque<std::pair<ratelimits::TargetKey, std::function<void(ratelimits::PermitOutcome)>>>
       m_Requests;
 };
 
 /// A protocol with the header fields `id`, `host`, `key`, `left` and `prompt` from callers,
 /// `target`, `left-now` and `after` to targets, and `id`, `signed`, `not-run`, `limited`,
-/// `leaving`, `pause` (3 s) and `odd` from targets.
+/// `brittle` (3), `leaving`, `pause` (3 s) and `odd` from targets.
 class FakeHeaderCodec final : public IHeaderCodec {
 public:
   [[nodiscard]] auto decodeRequest(const http1::RequestHead &Head) const -> RequestFields override {
@@ -238,6 +245,9 @@
     if (Head.m_Fields.has("limited")) {
       Metadata.m_RequestsPerSecond = 2.0;
     }
+    if (Head.m_Fields.has("brittle")) {
+      Metadata.m_MaxRejections = 3.0;
+    }
     Metadata.m_IsLeaving = Head.m_Fields.has("leaving");
     Metadata.m_HasUnreadableSignal = Head.m_Fields.has("odd");
     if (Head.m_Fields.has("pause")) {
--- a/src/forwarding/tests/forwardsession_test.cpp
+++ b/src/forwarding/tests/forwardsession_test.cpp
@@ -588,6 +588,23 @@
                     .has_value());
 }
 
+// Guards against a fleet that does not learn what brittle targets turn away.
+Test(forwardsession, needsAndRejectionsOfBrittleTargetsAreRecorded) {
+  auto Fixture = ForwardingFixture();
+  Fixture.request("/stream/1", true);
+  Fixture.connect();
+  const auto First = Fixture.m_Targets.find(Fixture.attempts()[0]->m_TargetId)->limitKey();
+  Fixture.answerHead(503, {"not-run", "brittle"});
+  cr_expect(Fixture.m_Limits.m_Brittle[First] == std::optional(3.0));
+  cr_assert_eq(Fixture.m_Limits.m_Outcomes.size(), 1U);
+  cr_expect(Fixture.m_Limits.m_Outcomes[0] == std::pair(First, true));
+  Fixture.request("/look/1");
+  Fixture.connect();
+  Fixture.answerHead(200, {"signed"});
+  cr_assert_eq(Fixture.m_Limits.m_Outcomes.size(), 2U);
+  cr_expect_not(Fixture.m_Limits.m_Outcomes[1].second);
+}
+
 // Guards against requests that wait behind the full link of their VM until their callers have left.
 Test(forwardsession, requestIsRefusedAtOnceWhileHardlyAnyTargetIsReached) {
   auto Fixture = ForwardingFixture();
--- a/src/ratelimits/internal/limitcodec.cpp
+++ b/src/ratelimits/internal/limitcodec.cpp
@@ -29,35 +29,46 @@
 constexpr auto MaxEntries = std::size_t{4096};
 
 /// First byte of an encoded message, in the order of the alternatives of LimitMessage.
-constexpr auto KindBytes = std::string_view("UQR");
+constexpr auto KindBytes = std::string_view("UQRO");
 
 using InputArchive = cereal::PortableBinaryInputArchive;
 using OutputArchive = cereal::PortableBinaryOutputArchive;
 
 auto write(OutputArchive &Data, const LimitUpdate &Message) -> void {
-  Data(Message.m_Router, Message.m_Limits);
+  Data(Message.m_Router, Message.m_Limits, Message.m_Brittle);
 }
 
 auto write(OutputArchive &Data, const PermitRequest &Message) -> void {
-  Data(Message.m_Router, Message.m_Id, Message.m_Limit, Message.m_Cold);
+  Data(Message.m_Router, Message.m_Id, Message.m_Limit, Message.m_Cold, Message.m_Brittle);
 }
 
 auto write(OutputArchive &Data, const PermitReply &Message) -> void {
-  Data(Message.m_Id, Message.m_IsGranted, Message.m_RetryAfterMs, Message.m_Limit);
+  Data(Message.m_Id, Message.m_IsGranted, Message.m_RetryAfterMs, Message.m_Limit,
+       Message.m_Brittle);
+}
+
+auto write(OutputArchive &Data, const OutcomeReport &Message) -> void {
+  Data(Message.m_Target, Message.m_IsRejected);
 }
 
 auto read(InputArchive &Data, LimitUpdate &Message, std::size_t Size) -> void {
   base::readText(Data, Message.m_Router, Size);
   base::readEntries(Data, Message.m_Limits, MaxEntries);
+  base::readEntries(Data, Message.m_Brittle, MaxEntries);
 }
 
 auto read(InputArchive &Data, PermitRequest &Message, std::size_t Size) -> void {
   base::readText(Data, Message.m_Router, Size);
-  Data(Message.m_Id, Message.m_Limit, Message.m_Cold);
+  Data(Message.m_Id, Message.m_Limit, Message.m_Cold, Message.m_Brittle);
 }
 
 auto read(InputArchive &Data, PermitReply &Message, std::size_t /*Size*/) -> void {
-  Data(Message.m_Id, Message.m_IsGranted, Message.m_RetryAfterMs, Message.m_Limit);
+  Data(Message.m_Id, Message.m_IsGranted, Message.m_RetryAfterMs, Message.m_Limit,
+       Message.m_Brittle);
+}
+
+auto read(InputArchive &Data, OutcomeReport &Message, std::size_t /*Size*/) -> void {
+  Data(Message.m_Target, Message.m_IsRejected);
 }
 
 template <typename Message>
@@ -98,7 +109,7 @@
     auto Stream = std::istringstream(std::string(Bytes.substr(1)));
     auto Data = InputArchive(Stream);
     constexpr auto Readers = std::array{&readMessage<LimitUpdate>, &readMessage<PermitRequest>,
-                                        &readMessage<PermitReply>};
+                                        &readMessage<PermitReply>, &readMessage<OutcomeReport>};
     return Readers[Kind](Data, Bytes.size());
   } catch (const std::exception &Error) {
     return absl::InvalidArgumentError(Error.what());
--- a/src/ratelimits/internal/limitservice.cpp
+++ b/src/ratelimits/internal/limitservice.cpp
@@ -38,7 +38,7 @@
   if (isCold(Target)) {
     return m_IsInContact && m_Pool.has(Target, now());
   }
-  return !m_Table.limitOf(Target) || m_Pool.has(Target, now());
+  return !needsPermit(Target) || m_Pool.has(Target, now());
 }
 
 auto LimitService::findCold(TargetKey Target) const -> const ColdAllowance * {
@@ -98,15 +98,54 @@
 }
 
 auto LimitService::onSend(TargetKey Target) -> void {
-  if (m_Table.limitOf(Target) || isCold(Target)) {
+  if (needsPermit(Target)) {
     m_Pool.take(Target, now());
   }
 }
 
-auto LimitService::onAnswer(TargetKey Target, std::optional<double> PerSecond) -> void {
-  if (addStatement(Target, {PerSecond, now()})) {
-    m_Link.publish({m_Router, {m_Table.toReport(Target, now())}});
+auto LimitService::onAnswer(TargetKey Target, const TargetNeeds &Needs) -> void {
+  auto Update = LimitUpdate{m_Router, {}};
+  if (addStatement(Target, {Needs.m_PerSecond, now()})) {
+    Update.m_Limits.push_back(m_Table.toReport(Target, now()));
   }
+  if (addBrittleness(Target, {Needs.m_MaxRejections, now()})) {
+    Update.m_Brittle.push_back(m_Brittle.toReport(Target, now()));
+  }
+  if (!Update.isEmpty()) {
+    m_Link.publish(Update);
+  }
+}
+
+auto LimitService::onOutcome(TargetKey Target, bool IsRejected) -> void {
+  if (!isBrittle(Target)) {
+    return;
+  }
+  const auto &Keeper = keeperOf(Target);
+  if (Keeper == m_Router) {
+    m_Rejections.onOutcome(Target, IsRejected, now());
+  } else {
+    m_Link.send(Keeper, OutcomeReport{Target, IsRejected});
+  }
+}
+
+auto LimitService::inheritBrittleness(TargetKey New, TargetKey Sibling) -> void {
+  const auto Known = m_Brittle.toReport(Sibling, now());
+  if (isBrittle(Sibling) && !isBrittle(New)) {
+    addBrittleness(New, LimitTable::fromReport(Known, now()));
+  }
+}
+
+auto LimitService::addBrittleness(TargetKey Target, const LimitStatement &Statement) -> bool {
+  if (!m_Brittle.add(Target, Statement)) {
+    return false;
+  }
+  m_RefusedUntil.erase(Target);
+  m_Log.record(base::LogLevel::Info, "target_brittleness_changed",
+               {{"target", fmt::format("{:016x}", Target)},
+                {"max_rejections",
+                 Statement.m_PerSecond ? fmt::format("{:.2f}", *Statement.m_PerSecond) : "none"},
+                {"age_ms", duration_cast<milliseconds>(now() - Statement.m_StatedAt).count()}});
+  return true;
 }
 
 auto LimitService::addStatement(TargetKey Target, const LimitStatement &Statement) -> bool {
@@ -145,6 +184,22 @@
 }
 
 auto LimitService::decide(TargetKey Target) -> PermitDecision {
+  const auto MaxRejections = m_Brittle.limitOf(Target);
+  if (!MaxRejections) {
+    return decideRate(Target);
+  }
+  const auto Check = m_Rejections.check(Target, *MaxRejections, now());
+  if (!Check.m_IsGranted) {
+    return Check;
+  }
+  const auto Decision = decideRate(Target);
+  if (Decision.m_IsGranted) {
+    m_Rejections.onGranted(Target, now());
+  }
+  return Decision;
+}
+
+auto LimitService::decideRate(TargetKey Target) -> PermitDecision {
   const auto Limit = m_Table.limitOf(Target);
   const auto *Cold = findCold(Target);
   if (Cold == nullptr) {
@@ -174,8 +229,8 @@
     return;
   }
   Pending.m_Timer = m_Timers.start(now() + ReplyTimeout, [this, Id] { finishRequest(Id, {}); });
-  m_Link.send(Keeper,
-              PermitRequest{m_Router, Id, m_Table.toReport(Target, now()), reportCold(Target)});
+  m_Link.send(Keeper, PermitRequest{m_Router, Id, m_Table.toReport(Target, now()),
+                                    reportCold(Target), m_Brittle.toReport(Target, now())});
 }
 
 auto LimitService::finishRequest(std::uint32_t Id, const PermitOutcome &Outcome) -> void {
@@ -201,6 +256,8 @@
   }
   if (const auto *Request = std::get_if<PermitRequest>(&Message)) {
     onPermitRequest(*Request);
+  } else if (const auto *Outcome = std::get_if<OutcomeReport>(&Message)) {
+    m_Rejections.onOutcome(Outcome->m_Target, Outcome->m_IsRejected, now());
   } else {
     onPermitReply(std::get<PermitReply>(Message));
   }
@@ -214,12 +271,18 @@
       New.m_Limits.push_back(Item);
     }
   }
+  for (const auto &Item : Update.m_Brittle) {
+    if (addBrittleness(Item.m_Target, LimitTable::fromReport(Item, now()))) {
+      New.m_Brittle.push_back(Item);
+    }
+  }
   return New;
 }
 
 auto LimitService::onPermitRequest(const PermitRequest &Request) -> void {
   const auto Target = Request.m_Limit.m_Target;
   addStatement(Target, LimitTable::fromReport(Request.m_Limit, now()));
+  addBrittleness(Target, LimitTable::fromReport(Request.m_Brittle, now()));
   applyReportedCold(Target, Request.m_Cold);
   auto Reply = PermitReply();
   Reply.m_Id = Request.m_Id;
@@ -231,11 +294,13 @@
     Reply.m_RetryAfterMs = static_cast<std::uint32_t>(Decision.m_RetryAfter.count());
   }
   Reply.m_Limit = m_Table.toReport(Target, now());
+  Reply.m_Brittle = m_Brittle.toReport(Target, now());
   m_Link.send(Request.m_Router, Reply);
 }
 
 auto LimitService::onPermitReply(const PermitReply &Reply) -> void {
   addStatement(Reply.m_Limit.m_Target, LimitTable::fromReport(Reply.m_Limit, now()));
+  addBrittleness(Reply.m_Brittle.m_Target, LimitTable::fromReport(Reply.m_Brittle, now()));
   finishRequest(Reply.m_Id, {Reply.m_IsGranted, milliseconds(Reply.m_RetryAfterMs)});
 }
 
@@ -246,11 +311,13 @@
   }
   m_LastReport = now();
   m_Table.removeExpired(now());
+  m_Brittle.removeExpired(now());
   m_Issuer.removeExpired(now());
+  m_Rejections.removeExpired(now());
   absl::erase_if(m_Cold, [this](const auto &Item) { return Item.second.m_Until <= now(); });
   absl::erase_if(m_RefusedUntil, [this](const auto &Item) { return Item.second <= now(); });
-  auto Update = LimitUpdate{m_Router, m_Table.reportAll(now())};
-  if (!Update.m_Limits.empty()) {
+  const auto Update = LimitUpdate{m_Router, m_Table.reportAll(now()), m_Brittle.reportAll(now())};
+  if (!Update.isEmpty()) {
     m_Link.publish(Update);
   }
 }
--- a/src/ratelimits/itargetlimits.h
+++ b/src/ratelimits/itargetlimits.h
@@ -14,9 +14,9 @@
   std::chrono::milliseconds m_RetryAfter{0};
 };
 
-/// Tells which targets may get requests now, where targets name limits or are cold. Forwarding
-/// reports what targets say and takes a permit for each request that it sends to a target with a
-/// limit.
+/// Tells which targets may get requests now, where targets name limits, are brittle or are cold.
+/// Forwarding reports what targets say and takes a permit for each request that it sends to such a
+/// target.
 class ITargetLimits {
 public:
   virtual ~ITargetLimits() = default;
@@ -34,8 +34,11 @@
   /// Takes the permit for a request that is being sent.
   virtual auto onSend(TargetKey Target) -> void = 0;
 
-  /// Records whether the target's answer names a limit.
-  virtual auto onAnswer(TargetKey Target, std::optional<double> PerSecond) -> void = 0;
+  /// Records what the target's answer says of its needs.
+  virtual auto onAnswer(TargetKey Target, const TargetNeeds &Needs) -> void = 0;
+
+  /// Records whether the target turned a request away or took it.
+  virtual auto onOutcome(TargetKey Target, bool IsRejected) -> void = 0;
 
   /// Requests a permit. The callback runs once, after the call has returned.
   virtual auto requestPermit(TargetKey Target, std::function<void(PermitOutcome)> Done) -> void = 0;
--- a/src/ratelimits/limitservice.h
+++ b/src/ratelimits/limitservice.h
@@ -6,6 +6,7 @@
 #include "ratelimits/limittable.h"
 #include "ratelimits/permitissuer.h"
 #include "ratelimits/permitpool.h"
+#include "ratelimits/rejectionissuer.h"
 
 #include <map>
 #include <set>
@@ -36,7 +37,8 @@
       -> std::optional<std::chrono::milliseconds> override;
   [[nodiscard]] auto isCold(TargetKey Target) const -> bool override;
   auto onSend(TargetKey Target) -> void override;
-  auto onAnswer(TargetKey Target, std::optional<double> PerSecond) -> void override;
+  auto onAnswer(TargetKey Target, const TargetNeeds &Needs) -> void override;
+  auto onOutcome(TargetKey Target, bool IsRejected) -> void override;
   auto requestPermit(TargetKey Target, std::function<void(PermitOutcome)> Done) -> void override;
 
   /// Applies another router's message. Returns what of an update was new, for routers that pass
@@ -46,6 +48,13 @@
   /// Sets the routers that may keep permits: all that are alive and not leaving.
   auto setRouters(const std::set<std::string> &Routers) -> void;
 
+  /// Assumes that a new process is as brittle as another target of its pool, until it says so or
+  /// not itself. It comes back while requests wait for room.
+  auto inheritBrittleness(TargetKey New, TargetKey Sibling) -> void;
+  [[nodiscard]] auto isBrittle(TargetKey Target) const -> bool {
+    return m_Brittle.limitOf(Target).has_value();
+  }
+
   /// Sets what a cold target tolerates, unless it is known to be cold for longer.
   auto setCold(TargetKey Target, const ColdAllowance &Allowance) -> void;
 
@@ -60,6 +69,7 @@
   /// Number of targets that are known to be cold.
   [[nodiscard]] auto coldTargets() const -> std::size_t;
   [[nodiscard]] auto limitedTargets() const -> std::size_t { return m_Table.limitedTargets(); }
+  [[nodiscard]] auto brittleTargets() const -> std::size_t { return m_Brittle.limitedTargets(); }
 
 private:
   struct PendingRequest {
@@ -72,6 +82,13 @@
   auto onPermitRequest(const PermitRequest &Request) -> void;
   auto onPermitReply(const PermitReply &Reply) -> void;
   auto addStatement(TargetKey Target, const LimitStatement &Statement) -> bool;
+  auto addBrittleness(TargetKey Target, const LimitStatement &Statement) -> bool;
+
+  /// Whether requests to the target need a permit.
+  [[nodiscard]] auto needsPermit(TargetKey Target) const -> bool {
+    return m_Table.limitOf(Target) || isBrittle(Target) || isCold(Target);
+  }
+  auto decideRate(TargetKey Target) -> PermitDecision;
   auto decide(TargetKey Target) -> PermitDecision;
 
   /// Returns what a cold target tolerates, or nullptr if it is not cold.
@@ -88,7 +105,11 @@
   const base::IClock &m_Clock;
   base::IEventLog &m_Log;
   LimitTable m_Table;
+
+  /// What targets said of being brittle, in rejections a second.
+  LimitTable m_Brittle;
   PermitIssuer m_Issuer;
+  RejectionIssuer m_Rejections;
   PermitPool m_Pool;
   std::set<std::string> m_Routers;
   bool m_IsInContact = true;
--- a/src/ratelimits/limittypes.h
+++ b/src/ratelimits/limittypes.h
@@ -65,10 +65,24 @@
 /// ReportedLimit::m_PerThousandSeconds of a target without a limit.
 inline constexpr auto NoLimit = std::uint32_t{UINT32_MAX};
 
+/// What an answer of a target says of its needs.
+struct TargetNeeds {
+  /// Requests a second that it takes from all routers together, if it names a limit.
+  std::optional<double> m_PerSecond = std::nullopt;
+
+  /// Requests that it can turn away within a second without falling over, if it is brittle.
+  std::optional<double> m_MaxRejections = std::nullopt;
+};
+
 /// Tells other routers what targets said.
 struct LimitUpdate {
   std::string m_Router;
   std::vector<ReportedLimit> m_Limits;
+
+  /// Brittle targets; the number is that of rejections a second.
+  std::vector<ReportedLimit> m_Brittle = {};
+
+  [[nodiscard]] auto isEmpty() const -> bool { return m_Limits.empty() && m_Brittle.empty(); }
 };
 
 /// Asks the router that keeps a target's permits for one.
@@ -79,6 +93,7 @@
 
   /// What the asking router knows; the keeper may not have heard of it yet.
   ReportedCold m_Cold;
+  ReportedLimit m_Brittle = {};
 };
 
 /// The answer to a PermitRequest.
@@ -91,9 +106,18 @@
 
   /// What the keeper knows of the target.
   ReportedLimit m_Limit;
+  ReportedLimit m_Brittle = {};
+};
+
+/// Tells the router that keeps a brittle target's permits what became of one.
+struct OutcomeReport {
+  TargetKey m_Target = 0;
+
+  /// Whether the target turned the request away.
+  bool m_IsRejected = false;
 };
 
-using LimitMessage = std::variant<LimitUpdate, PermitRequest, PermitReply>;
+using LimitMessage = std::variant<LimitUpdate, PermitRequest, PermitReply, OutcomeReport>;
 
 /// Encodes a message in cereal's portable binary format, behind a byte that tells its kind.
 auto encodeMessage(const LimitMessage &Message) -> std::string;
--- a/src/ratelimits/tests/limitservice_test.cpp
+++ b/src/ratelimits/tests/limitservice_test.cpp
@@ -240,7 +240,7 @@
         Item.m_ToldAt.try_emplace(Target, m_Clock.steadyNow());
       }
       if (Item.m_IsRunning) {
-        Item.m_Service.onAnswer(Target, m_NamesLimit ? std::optional(m_Limit) : std::nullopt);
+        Item.m_Service.onAnswer(Target, {m_NamesLimit ? std::optional(m_Limit) : std::nullopt});
       }
     });
   }
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -565,9 +565,14 @@
   const auto Record = m_Dependencies.m_Documents.decodeTarget(Item.m_Key, Item.m_Value);
   m_Subscription.mirror().put(Item, Record.ok() ? meaningOf(*Record) : "unreadable");
   if (Record.ok()) {
+    const auto *Before = m_Targets.find(Record->m_Id);
+    const auto IsNew = Before == nullptr || Before->record().m_Incarnation != Record->m_Incarnation;
     m_TargetDirectory.put(*Record, Item.m_ModRevision, now());
     m_ColdTimes.put(*Record, Item.m_ModRevision, now());
     applyColdTime(*Record);
+    if (IsNew) {
+      inheritBrittleness(*Record);
+    }
     if (!m_StreamVersions.mayBegin(Record->m_Pool, Record->m_Version)) {
       advanceStreamVersions();
     }
@@ -590,6 +595,19 @@
                                              m_Settings.m_ColdSlack, *Until));
 }
 
+auto Router::inheritBrittleness(const forwarding::TargetRecord &Record) -> void {
+  if (m_Limits.brittleTargets() == 0) {
+    return;
+  }
+  const auto Key = ratelimits::targetKey(Record.m_Id, Record.m_Incarnation);
+  for (const auto *Other : m_Targets.targetsOf(Record.m_Pool)) {
+    if (Other->limitKey() != Key && m_Limits.isBrittle(Other->limitKey())) {
+      m_Limits.inheritBrittleness(Key, Other->limitKey());
+      return;
+    }
+  }
+}
+
 auto Router::applyRouter(const keyvalue::KeyValue &Item) -> void {
   m_Subscription.mirror().put(Item, Item.m_Value);
   if (Item.m_Key == ownKey()) {
--- a/src/router/internal/routermessages.cpp
+++ b/src/router/internal/routermessages.cpp
@@ -147,6 +147,8 @@
   m_Limits.advance();
   m_Dependencies.m_Metrics.gauge("geraniumlift_limited_targets", {},
                                  static_cast<double>(m_Limits.limitedTargets()));
+  m_Dependencies.m_Metrics.gauge("geraniumlift_brittle_targets", {},
+                                 static_cast<double>(m_Limits.brittleTargets()));
   m_Dependencies.m_Metrics.gauge("geraniumlift_cold_targets", {},
                                  static_cast<double>(m_Limits.coldTargets()));
 }
@@ -167,7 +169,7 @@
     return;
   }
   const auto New = m_Limits.onMessage(*Message);
-  if (m_Peers.role() != fleet::FleetRole::Direct && !New.m_Limits.empty()) {
+  if (m_Peers.role() != fleet::FleetRole::Direct && !New.isEmpty()) {
     m_PeerLink.sendToNeighbours(LimitByte + ratelimits::encodeMessage(New),
                                 std::get<ratelimits::LimitUpdate>(*Message).m_Router);
   }
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -90,6 +90,8 @@
   auto applyTarget(const keyvalue::KeyValue &Item) -> void;
 
   /// Passes on that a target is cold, if its pool says what cold targets tolerate.
+  /// Assumes that a process is brittle if others of its pool are.
+  auto inheritBrittleness(const forwarding::TargetRecord &Record) -> void;
   auto applyColdTime(const forwarding::TargetRecord &Record) -> void;
 
   /// Passes on and logs the data centres whose targets get no requests.
--- a/testing/standins/platform/targetstandin.cpp
+++ b/testing/standins/platform/targetstandin.cpp
@@ -12,6 +12,9 @@
 /// How long a crashed target is away.
 constexpr auto RestartTime = std::chrono::milliseconds(150);
 
+/// How long a brittle target is away that has fallen over.
+constexpr auto FallTime = std::chrono::milliseconds(600);
+
 auto chunk(const std::string &Data) -> std::string {
   return fmt::format("{:x}\r\n{}\r\n", Data.size(), Data);
 }
@@ -65,6 +68,9 @@
 auto TargetStandin::statementFields() const -> std::string {
   const auto Limit = m_NamedLimit.load();
   auto Fields = Limit > 0 ? fmt::format("Server-Limit: {}.0\r\n", Limit) : std::string();
+  if (const auto Rejections = m_MaxRejections.load(); Rejections >= 0) {
+    Fields += fmt::format("Server-Brittle: {}\r\n", Rejections);
+  }
   return m_SaysLeaving ? Fields + "Server-Leaving: 1\r\n" : Fields;
 }
 
@@ -92,6 +98,41 @@
   return {Breaks ? Text : Text + "0\r\n\r\n", Breaks};
 }
 
+auto TargetStandin::turnAway(const std::string &RequestId, std::optional<Reply> &Into) -> bool {
+  const auto Now = std::chrono::steady_clock::now();
+  for (auto *Times : {&m_Taken, &m_Rejected}) {
+    while (!Times->empty() && Times->front() <= Now - std::chrono::seconds(1)) {
+      Times->pop_front();
+    }
+  }
+  if (m_Room == 0 || m_Taken.size() < static_cast<std::size_t>(m_Room)) {
+    m_Taken.push_back(Now);
+    return false;
+  }
+  m_Rejected.push_back(Now);
+  const auto MaxRejections = m_MaxRejections.load();
+  if (MaxRejections >= 0 && m_Rejected.size() > static_cast<std::size_t>(MaxRejections)) {
+    ++m_Falls;
+    m_Taken.clear();
+    m_Rejected.clear();
+    crash(FallTime);
+    Into = std::nullopt;
+    return true;
+  }
+  Into = Reply{fmt::format("HTTP/1.1 503 x\r\nRequest-Id: {}\r\nNot-Executed: 1\r\n{}"
+                           "Content-Length: 0\r\n\r\n",
+                           RequestId, statementFields())};
+  return true;
+}
+
+auto TargetStandin::crash(std::chrono::milliseconds Pause) -> void {
+  m_Store.erase("servers/" + m_Id);
+  m_Server.crash(Pause, [this] {
+    m_Id += "+";
+    registerAs("ready");
+  });
+}
+
 auto TargetStandin::handle(const Received &Request) -> std::optional<Reply> {
   const auto Lock = std::lock_guard(m_Mutex);
   const auto &Fields = Request.m_Head.m_Fields;
@@ -110,16 +151,16 @@
     return Reply{fmt::format(
         "HTTP/1.1 503 x\r\nRequest-Id: {}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", Id)};
   }
+  auto Rejection = std::optional<Reply>();
+  if (turnAway(Id, Rejection)) {
+    return Rejection;
+  }
   m_Last = Request;
   ++m_Runs[Id];
   m_RunTimes.push_back(std::chrono::steady_clock::now());
   if (!m_DeadlyPart.empty() &&
       Fields.find("Prompt-Prefix").value_or("").find(m_DeadlyPart) != std::string_view::npos) {
-    m_Store.erase("servers/" + m_Id);
-    m_Server.crash(RestartTime, [this] {
-      m_Id += "+";
-      registerAs("ready");
-    });
+    crash(RestartTime);
     return std::nullopt;
   }
   if (Fault == TargetFault::Hangs) {
--- a/testing/standins/platform/targetstandin.h
+++ b/testing/standins/platform/targetstandin.h
@@ -2,6 +2,7 @@
 
 #include "standins/platform/storestandin.h"
 
+#include <deque>
 #include <map>
 #include <vector>
 
@@ -51,6 +52,16 @@
   /// Whether the target says in its answers that it leaves. Its registration stays as it is.
   std::atomic<bool> m_SaysLeaving{false};
 
+  /// Requests that the target takes within a second; it turns further ones away. 0 for no bound.
+  std::atomic<int> m_Room{0};
+
+  /// If not negative, the target says in its answers that it is brittle. It falls over if it turns
+  /// away more requests than this within a second, and is back a moment later under another ID.
+  std::atomic<int> m_MaxRejections{-1};
+
+  /// How often the target has fallen over.
+  std::atomic<int> m_Falls{0};
+
   /// While positive, the target refuses requests and asks for a pause of this length.
   std::atomic<int> m_PauseMs{0};
 
@@ -82,6 +93,13 @@
 private:
   auto handle(const Received &Request) -> std::optional<Reply>;
   [[nodiscard]] auto statementFields() const -> std::string;
+
+  /// Turns a request away if there is no room for it. Returns whether it did; without a reply the
+  /// target has fallen over.
+  auto turnAway(const std::string &RequestId, std::optional<Reply> &Into) -> bool;
+
+  /// Closes all connections and is back later under another ID.
+  auto crash(std::chrono::milliseconds Pause) -> void;
   auto streamReply(const std::string &Id, std::uint64_t After, bool Breaks) -> Reply;
 
   StoreStandin &m_Store;
@@ -92,6 +110,10 @@
   std::map<std::string, int> m_Runs;
   std::vector<std::chrono::steady_clock::time_point> m_RunTimes;
   std::vector<std::chrono::steady_clock::time_point> m_ArrivalTimes;
+
+  /// When requests were taken and turned away, of the last second.
+  std::deque<std::chrono::steady_clock::time_point> m_Taken;
+  std::deque<std::chrono::steady_clock::time_point> m_Rejected;
   Received m_Last;
   ByteServer m_Server;
 };
