A stream continues only at a process that the store still registers

It can happen here: a router that stood still takes up a stream at a target by the registration it had before, while a process with another version runs under that ID and address by now. Targets do not check the version, and Expect-Instance names the ID only.

Cause: the version that began the stream was looked up with care, in memory and in the store, but the version of the target at which it goes on was whatever this router had last heard; the steady clock does not count the time of a suspended VM, so that the age of knowledge does not show it.

While the store cannot be reached, what is known counts.

--- a/src/forwarding/forwardingcontext.h
+++ b/src/forwarding/forwardingcontext.h
@@ -88,6 +88,10 @@
   std::string m_Relay;
 };
 
+/// Finds out from the store whether a target's process is still the one that is registered. The
+/// callback runs once, within the call or later.
+using TargetCheck = std::function<void(const TargetRecord &, std::function<void(bool IsSame)>)>;
+
 /// State shared by all sessions of one router. Not thread-safe: everything runs on one thread.
 struct ForwardingContext {
   const base::IClock &m_Clock;
@@ -115,6 +119,12 @@
   /// Tells the origin of what is known, for the log.
   std::function<KnowledgeOrigin()> m_KnowledgeOrigin = [] { return KnowledgeOrigin(); };
 
+  /// Checks the target that a stream is to continue at. Its ID and address may be those of a new
+  /// process with another software version, of which this router has not heard.
+  TargetCheck m_TargetCheck = [](const TargetRecord &, const std::function<void(bool)> &Done) {
+    Done(true);
+  };
+
   /// Retry budgets by pool name.
   std::map<std::string, retry::RetryBudget> m_RetryBudgets = {};
 
--- a/src/forwarding/forwardsession.h
+++ b/src/forwarding/forwardsession.h
@@ -58,7 +58,13 @@
   [[nodiscard]] auto hasTargetOfVersion() const -> bool;
   auto reserve() -> void;
   auto onReserved(const budget::Reservation &Outcome) -> void;
+
+  /// Places the request and sends it to a target, or refuses it.
   auto sendToTarget() -> void;
+  auto sendTo(const PlacementChoice &Choice) -> void;
+
+  /// Sends a request that continues a stream, unless another process runs at the target by now.
+  auto checkAndSend(const PlacementChoice &Choice) -> void;
 
   /// Refuses the request if no target would answer in time. Returns whether it did.
   auto refuseWithoutRoom(const PlacementDecision &Decision) -> bool;
--- a/src/forwarding/internal/forwardsession.cpp
+++ b/src/forwarding/internal/forwardsession.cpp
@@ -331,19 +331,45 @@
   if (refuseWithoutRoom(Decision)) {
     return;
   }
-  const auto Target = m_Context.m_Targets.find(Choice->m_TargetId)->record();
+  if (m_StreamVersion) {
+    checkAndSend(*Choice);
+  } else {
+    sendTo(*Choice);
+  }
+}
+
+auto ForwardSession::checkAndSend(const PlacementChoice &Choice) -> void {
+  const auto Target = m_Context.m_Targets.find(Choice.m_TargetId)->record();
+  m_Context.m_TargetCheck(Target, [Self = shared_from_this(), Choice, Target](bool IsSame) {
+    if (Self->m_IsFinished) {
+      return;
+    }
+    const auto *Current = Self->m_Context.m_Targets.find(Target.m_Id);
+    if (IsSame && Current != nullptr && Current->record().m_Incarnation == Target.m_Incarnation &&
+        Current->record().m_Version == Target.m_Version) {
+      Self->sendTo(Choice);
+      return;
+    }
+    Self->m_TriedTargets.insert(Target.m_Id);
+    Self->sendToTarget();
+  });
+}
+
+auto ForwardSession::sendTo(const PlacementChoice &Choice) -> void {
+  const auto *Prompt = m_Fields.m_Prompt ? &*m_Fields.m_Prompt : nullptr;
+  const auto Target = m_Context.m_Targets.find(Choice.m_TargetId)->record();
   m_TargetId = Target.m_Id;
   m_TargetIncarnation = Target.m_Incarnation;
   m_TargetVersion = Target.m_Version;
-  m_ExpectedMs = Choice->m_ExpectedMs;
+  m_ExpectedMs = Choice.m_ExpectedMs;
   m_TriedTargets.insert(m_TargetId);
   m_ResponseHead.reset();
   m_IsAwaitingResponse = true;
   m_EventsBeforeAttempt = m_EventsSent;
   m_SentAt = now();
   m_AnsweredAt.reset();
-  m_Work = Choice->m_Work;
-  m_UncachedTokens = Prompt == nullptr ? 0 : Prompt->m_PromptTokens - Choice->m_CachedTokens;
+  m_Work = Choice.m_Work;
+  m_UncachedTokens = Prompt == nullptr ? 0 : Prompt->m_PromptTokens - Choice.m_CachedTokens;
   m_Context.m_Limits.onSend(m_Context.m_Targets.find(m_TargetId)->limitKey());
   m_Context.m_Targets.recordSent(m_TargetId, Prompt, m_UncachedTokens, now());
   const auto Knowledge = m_Context.m_KnowledgeOrigin();
@@ -358,8 +384,8 @@
        {"pool", m_Pool},
        {"target", m_TargetId},
        {"send", m_SendCount + 1},
-       {"expected_ms", static_cast<std::int64_t>(Choice->m_FirstEventMs)},
-       {"kept_tokens", Choice->m_CachedTokens},
+       {"expected_ms", static_cast<std::int64_t>(Choice.m_FirstEventMs)},
+       {"kept_tokens", Choice.m_CachedTokens},
        {"shared_parts", formatSharedParts(m_Fields.m_Prompt)},
        {"left_ms", timeLeft().count()}});
   m_IsConnecting = true;
--- a/src/forwarding/tests/forwardsession_test.cpp
+++ b/src/forwarding/tests/forwardsession_test.cpp
@@ -223,6 +223,34 @@
   }
 }
 
+// Guards against a stream that goes on at a process which has another version, at the ID of the one
+// that began it, while this router still has the old registration.
+Test(forwardsession, streamContinuesOnlyAtAProcessThatIsStillThere) {
+  auto Fixture = ForwardingFixture();
+  auto Checked = std::vector<std::string>();
+  auto Former = std::set<std::string>();
+  Fixture.m_Context.m_TargetCheck = [&](const TargetRecord &Record,
+                                        const std::function<void(bool)> &Done) {
+    Checked.push_back(Record.m_Id);
+    Done(!Former.contains(Record.m_Id));
+  };
+  Fixture.request("/resumable/1", true);
+  cr_expect(Checked.empty(), "a new stream may begin anywhere");
+  Fixture.connect();
+  Fixture.answerHead(200, {"signed"});
+  Fixture.body("id: 1\ndata: a\n\n");
+  const auto First = Fixture.attempts()[0]->m_TargetId;
+  for (const auto *Id : {"e1", "e2", "e3"}) {
+    if (Id != First && Former.empty()) {
+      Former.insert(Id);
+    }
+  }
+  Fixture.fail(Verdict::MayHaveRun);
+  cr_assert_eq(Fixture.attempts().size(), 2U);
+  cr_expect_not(Former.contains(Fixture.attempts()[1]->m_TargetId));
+  cr_expect_not(Checked.empty());
+}
+
 // Guards against texts joined over several requests of a caller.
 Test(forwardsession, streamIsTakenUpOnlyAtItsVersion) {
   for (const auto *Version : {"v1", "v2", "v3"}) {
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -302,6 +302,10 @@
     return forwarding::KnowledgeOrigin{m_Subscription.knowledgeAge(),
                                        m_Subscription.knowledgeRelay()};
   };
+  m_Context.m_TargetCheck = [this](const forwarding::TargetRecord &Record,
+                                   std::function<void(bool)> Done) {
+    checkTarget(Record, std::move(Done));
+  };
   m_Gate.setStreamVersions(m_StreamVersions);
   m_Gate.setPeerLoad([this](const forwarding::TargetRecord &Target) {
     return m_Peers.peerLoad(Target.m_Id, now());
@@ -595,6 +599,36 @@
                                              m_Settings.m_ColdSlack, *Until));
 }
 
+auto Router::checkTarget(const forwarding::TargetRecord &Record, std::function<void(bool)> Done)
+    -> void {
+  if (!m_IsStoreReachable) {
+    Done(true);
+    return;
+  }
+  const auto Key = m_Dependencies.m_Documents.targetPrefix() + Record.m_Id;
+  m_Dependencies.m_Store.list(Key, [this, Key, Record, Done = std::move(Done)](
+                                       const absl::StatusOr<keyvalue::ListResult> &Result) {
+    auto IsSame = !Result.ok();
+    if (Result.ok()) {
+      for (const auto &Item : Result->m_Items) {
+        const auto Current = m_Dependencies.m_Documents.decodeTarget(Item.m_Key, Item.m_Value);
+        if (Item.m_Key == Key && Current.ok()) {
+          applyTarget(Item);
+          IsSame = Current->m_Incarnation == Record.m_Incarnation &&
+                   Current->m_Version == Record.m_Version;
+        }
+      }
+    }
+    m_Dependencies.m_Log.record(base::LogLevel::Debug, "target_checked",
+                                {{"target", Record.m_Id},
+                                 {"incarnation", Record.m_Incarnation},
+                                 {"version", Record.m_Version},
+                                 {"store_answered", Result.ok()},
+                                 {"same", IsSame}});
+    Done(IsSame);
+  });
+}
+
 auto Router::inheritBrittleness(const forwarding::TargetRecord &Record) -> void {
   if (m_Limits.brittleTargets() == 0) {
     return;
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -90,6 +90,10 @@
   auto applyTarget(const keyvalue::KeyValue &Item) -> void;
 
   /// Passes on that a target is cold, if its pool says what cold targets tolerate.
+  /// Reads a target's registration from the store and finds out whether it is still that of the
+  /// process. If the store cannot be reached, nothing speaks against it.
+  auto checkTarget(const forwarding::TargetRecord &Record, std::function<void(bool)> Done) -> void;
+
   /// Assumes that a process is brittle if others of its pool are.
   auto inheritBrittleness(const forwarding::TargetRecord &Record) -> void;
   auto applyColdTime(const forwarding::TargetRecord &Record) -> void;
