Slow connects are a cut only where they are unusual

A connect is slow now if it takes four times the usual time of this router, 120 ms at least, and a timer that fires late shows a slow process instead.

--- a/src/forwarding/internal/targetreach.cpp
+++ b/src/forwarding/internal/targetreach.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/targetreach.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace geraniumlift::forwarding {
@@ -21,6 +22,17 @@
   return true;
 }
 
+auto TargetReach::recordConnectTime(std::chrono::milliseconds Time) -> void {
+  constexpr auto Smoothing = 0.2;
+  m_UsualTime += (static_cast<double>(Time.count()) - m_UsualTime) * Smoothing;
+}
+
+auto TargetReach::slowConnectTime() const -> std::chrono::milliseconds {
+  const auto Slow =
+      std::chrono::milliseconds(static_cast<std::int64_t>(m_UsualTime * m_Options.m_SlowFactor));
+  return std::max(m_Options.m_MinSlowTime, Slow);
+}
+
 auto TargetReach::startProbe(base::SteadyTime Now) -> bool {
   if (!m_CutOffSince || Now < m_NextProbe) {
     return false;
--- a/src/forwarding/targetreach.h
+++ b/src/forwarding/targetreach.h
@@ -16,6 +16,11 @@
   /// Time after which a failure no longer counts.
   std::chrono::milliseconds m_Memory{5000};
 
+  /// Least time after which connecting counts as failed, and by how many times the usual time it
+  /// must be exceeded: behind a full link all connects are slow.
+  std::chrono::milliseconds m_MinSlowTime{120};
+  double m_SlowFactor = 4.0;
+
   /// Interval at which it is tried whether targets can be reached again.
   std::chrono::milliseconds m_ProbeInterval{400};
 };
@@ -32,6 +37,12 @@
   auto onConnectEnded(const std::string &TargetId, bool IsReached, base::SteadyTime Now,
                       bool IsWholePool = false) -> bool;
 
+  /// Learns from the time that connecting to a target took.
+  auto recordConnectTime(std::chrono::milliseconds Time) -> void;
+
+  /// Time after which connecting counts as failed.
+  [[nodiscard]] auto slowConnectTime() const -> std::chrono::milliseconds;
+
   [[nodiscard]] auto isCutOff() const -> bool { return m_CutOffSince.has_value(); }
 
   /// Since when this router is cut off.
@@ -54,6 +65,9 @@
   std::map<std::string, base::SteadyTime> m_Failures;
   std::optional<base::SteadyTime> m_CutOffSince;
   base::SteadyTime m_NextProbe;
+
+  /// Moving average of the time that connecting takes, in milliseconds.
+  double m_UsualTime = 0.0;
 };
 
 } // namespace geraniumlift::forwarding
--- a/src/forwarding/tests/targetreach_test.cpp
+++ b/src/forwarding/tests/targetreach_test.cpp
@@ -50,3 +50,17 @@
   cr_expect_not(Reach.isCutOff());
   cr_expect(Reach.failedTargets().empty());
 }
+
+// Guards against a router whose link is full and takes that for a cut.
+Test(targetreach, slowIsMeasuredByTheUsualTime) {
+  auto Reach = TargetReach(TargetReachOptions());
+  cr_expect_eq(Reach.slowConnectTime().count(), 120);
+  for (auto Count = 0; Count < 30; ++Count) {
+    Reach.recordConnectTime(3ms);
+  }
+  cr_expect_eq(Reach.slowConnectTime().count(), 120);
+  for (auto Count = 0; Count < 30; ++Count) {
+    Reach.recordConnectTime(90ms);
+  }
+  cr_expect_geq(Reach.slowConnectTime().count(), 350);
+}
--- a/src/router/internal/router.cpp
+++ b/src/router/internal/router.cpp
@@ -270,7 +270,7 @@
             return findTunnelTarget(Id, Incarnation);
           },
           [this](const std::string &Id, bool IsConnected) {
-            m_TargetPath.onDirectConnect(Id, IsConnected);
+            m_TargetPath.onChecked(Id, IsConnected);
           }),
       m_Metrics(Dependencies.m_Metrics), m_Context{Dependencies.m_Clock,
                                                    Dependencies.m_Timers,
--- a/src/router/internal/targetpath.cpp
+++ b/src/router/internal/targetpath.cpp
@@ -28,7 +28,15 @@
   return transport::TunnelRouter{Chosen.m_Name, Chosen.m_PeerAddress, Chosen.m_PeerPort};
 }
 
-auto TargetPath::onDirectConnect(const std::string &TargetId, bool IsConnected) -> bool {
+auto TargetPath::onDirectConnect(const std::string &TargetId, bool IsConnected, milliseconds Time)
+    -> bool {
+  if (IsConnected) {
+    m_Reach.recordConnectTime(Time);
+  }
+  return onChecked(TargetId, IsConnected);
+}
+
+auto TargetPath::onChecked(const std::string &TargetId, bool IsConnected) -> bool {
   const auto Since = m_Reach.cutOffSince();
   const auto IsWholePool = !IsConnected && isLastOfPool(TargetId);
   if (!m_Reach.onConnectEnded(TargetId, IsConnected, now(), IsWholePool)) {
@@ -106,7 +114,7 @@
     const auto Index = m_Random() % Records.size();
     const auto &Record = *Records[Index];
     m_Check.checkListener(Record.m_Address, Record.m_Port,
-                          [this, Id = Record.m_Id](bool Listens) { onDirectConnect(Id, Listens); });
+                          [this, Id = Record.m_Id](bool Listens) { onChecked(Id, Listens); });
     Records.erase(Records.begin() + static_cast<std::ptrdiff_t>(Index));
   }
 }
--- a/src/router/internal/targetpath.h
+++ b/src/router/internal/targetpath.h
@@ -23,7 +23,14 @@
         m_Check(Check), m_Clock(Clock), m_Log(Log) {}
 
   auto chooseTunnel() -> std::optional<transport::TunnelRouter> override;
-  auto onDirectConnect(const std::string &TargetId, bool IsConnected) -> bool override;
+  auto onDirectConnect(const std::string &TargetId, bool IsConnected,
+                       std::chrono::milliseconds Time) -> bool override;
+  [[nodiscard]] auto slowConnectTime() const -> std::chrono::milliseconds override {
+    return m_Reach.slowConnectTime();
+  }
+
+  /// Records that a target was found to listen, or not to, in another way than by a request.
+  auto onChecked(const std::string &TargetId, bool IsReached) -> bool;
   [[nodiscard]] auto isCutOff() const -> bool override {
     return m_Reach.isCutOff() && !isLinkFull();
   }
--- a/src/transport/internal/targetconnector.cpp
+++ b/src/transport/internal/targetconnector.cpp
@@ -21,11 +21,12 @@
 /// Maximum header size of the answer to a request for a tunnel. The bytes of the target follow.
 constexpr auto TunnelLimits = http1::MessageLimits{4 * 1024, std::uint64_t{1} << 31U};
 
-/// Time after which connecting directly counts as slow; within the region it takes a few
-/// milliseconds. And how often it is then checked whether this router is cut off.
-constexpr auto SlowConnectTime = std::chrono::milliseconds(120);
+/// How often it is checked whether this router is cut off while connecting is slow.
 constexpr auto SlowCheckPeriod = std::chrono::milliseconds(40);
 
+/// A timer that is later than this shows that the process is slow, not the connection.
+constexpr auto MaxTimerDelay = std::chrono::milliseconds(25);
+
 constexpr auto StatusOk = 200;
 constexpr auto StatusBadGateway = 502;
 
@@ -33,14 +34,16 @@
 /// destroying the handle closes it.
 class Attempt final : public IResponseHandler, public std::enable_shared_from_this<Attempt> {
 public:
-  Attempt(asio::io_context &Loop, base::ITimers &Timers, ITargetPath *Path, std::string Head,
-          std::shared_ptr<const std::string> Body, bool IsHeadMethod,
-          forwarding::ITargetEventHandler &Events)
-      : m_Socket(Loop), m_Timers(Timers), m_Path(Path), m_Head(std::move(Head)),
+  Attempt(asio::io_context &Loop, base::ITimers &Timers, const base::IClock &Clock,
+          ITargetPath *Path, std::string Head, std::shared_ptr<const std::string> Body,
+          bool IsHeadMethod, forwarding::ITargetEventHandler &Events)
+      : m_Socket(Loop), m_Timers(Timers), m_Clock(Clock), m_Path(Path), m_Head(std::move(Head)),
         m_Body(std::move(Body)), m_IsHeadMethod(IsHeadMethod), m_Events(&Events) {}
 
-  auto start(const forwarding::TargetRecord &Target, base::SteadyTime Now,
-             base::SteadyTime ConnectBy, std::chrono::milliseconds TimeLeft) -> void {
+  auto start(const forwarding::TargetRecord &Target, std::chrono::milliseconds ConnectTimeout,
+             std::chrono::milliseconds TimeLeft) -> void {
+    m_Started = m_Clock.steadyNow();
+    m_ConnectBy = m_Started + ConnectTimeout;
     m_TargetId = Target.m_Id;
     auto Ip = Target.m_Address;
     auto Port = Target.m_Port;
@@ -62,12 +65,9 @@
                  [Self = shared_from_this()] { Self->fail(Verdict::DidNotRun, "no_socket"); });
       return;
     }
-    m_ConnectBy = ConnectBy;
-    if (m_Path != nullptr && !m_Via) {
-      startConnectTimer(std::min(ConnectBy, Now + SlowConnectTime));
-    } else {
-      startConnectTimer(ConnectBy);
-    }
+    startConnectTimer(m_Path != nullptr && !m_Via
+                          ? std::min(m_ConnectBy, m_Started + m_Path->slowConnectTime())
+                          : m_ConnectBy);
     m_Socket.async_connect({Address, Port}, [Self = shared_from_this()](const error_code &Failure) {
       Self->onSocketConnected(Failure);
     });
@@ -110,22 +110,29 @@
     });
   }
 
-  auto onConnectTimer(base::SteadyTime Now) -> void {
-    if (Now >= m_ConnectBy) {
+  auto onConnectTimer(base::SteadyTime When) -> void {
+    if (When >= m_ConnectBy) {
       failToConnect(forwarding::ConnectTimeoutReason);
       return;
     }
-    // A slow connect may still succeed, but not to wait for it if others are as slow.
-    const auto IsCutOff = std::exchange(m_IsSlow, true)
-                              ? m_Path->isCutOff()
-                              : m_Path->onDirectConnect(m_TargetId, false);
-    if (IsCutOff) {
+    const auto Now = m_Clock.steadyNow();
+    if (Now - When <= MaxTimerDelay && isHopeless()) {
       fail(Verdict::DidNotRun, forwarding::RouterCutOffReason);
       return;
     }
     startConnectTimer(std::min(m_ConnectBy, Now + SlowCheckPeriod));
   }
 
+  /// Whether connecting is slow because this router is cut off.
+  auto isHopeless() -> bool {
+    return std::exchange(m_IsSlow, true) ? m_Path->isCutOff()
+                                         : m_Path->onDirectConnect(m_TargetId, false, elapsed());
+  }
+
+  [[nodiscard]] auto elapsed() const -> std::chrono::milliseconds {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(m_Clock.steadyNow() - m_Started);
+  }
+
   /// Handles that the target was not reached. Nothing was sent to it.
   auto failToConnect(std::string_view Reason) -> void {
     if (m_Events == nullptr) {
@@ -138,7 +145,8 @@
       fail(Verdict::DidNotRun, forwarding::RouterCutOffReason);
       return;
     }
-    const auto IsCutOff = m_Path != nullptr && m_Path->onDirectConnect(m_TargetId, false);
+    const auto IsCutOff =
+        m_Path != nullptr && m_Path->onDirectConnect(m_TargetId, false, elapsed());
     fail(Verdict::DidNotRun, IsCutOff ? forwarding::RouterCutOffReason : Reason);
   }
 
@@ -157,7 +165,7 @@
       return;
     }
     if (m_Path != nullptr) {
-      m_Path->onDirectConnect(m_TargetId, true);
+      m_Path->onDirectConnect(m_TargetId, true, elapsed());
     }
     onConnected();
   }
@@ -233,8 +241,10 @@
 
   tcp::socket m_Socket;
   base::ITimers &m_Timers;
+  const base::IClock &m_Clock;
   ITargetPath *m_Path;
   std::string m_TargetId;
+  base::SteadyTime m_Started;
   base::SteadyTime m_ConnectBy;
 
   /// Whether connecting has taken longer than usual.
@@ -273,10 +283,9 @@
                            std::chrono::milliseconds TimeLeft,
                            forwarding::ITargetEventHandler &Events)
     -> std::unique_ptr<forwarding::ITargetAttempt> {
-  auto Started = std::make_shared<Attempt>(m_Loop, m_Timers, m_Path, std::move(Head),
+  auto Started = std::make_shared<Attempt>(m_Loop, m_Timers, m_Clock, m_Path, std::move(Head),
                                            std::move(Body), IsHeadMethod, Events);
-  const auto Now = m_Clock.steadyNow();
-  Started->start(Target, Now, Now + m_ConnectTimeout, TimeLeft);
+  Started->start(Target, m_ConnectTimeout, TimeLeft);
   return std::make_unique<AttemptHandle>(std::move(Started));
 }
 
--- a/src/transport/targetconnector.h
+++ b/src/transport/targetconnector.h
@@ -34,9 +34,13 @@
   /// Returns the router that is to carry the next connection; nothing for a direct one.
   virtual auto chooseTunnel() -> std::optional<TunnelRouter> = 0;
 
-  /// Records the result of connecting to a target directly. Returns whether this router reaches
-  /// hardly any target, so that a failure tells nothing of this one.
-  virtual auto onDirectConnect(const std::string &TargetId, bool IsConnected) -> bool = 0;
+  /// Records how connecting to a target directly ended, and after which time. Returns whether this
+  /// router reaches hardly any target, so that a failure tells nothing of this one.
+  virtual auto onDirectConnect(const std::string &TargetId, bool IsConnected,
+                               std::chrono::milliseconds Time) -> bool = 0;
+
+  /// Time after which connecting directly counts as failed, though it may still succeed.
+  [[nodiscard]] virtual auto slowConnectTime() const -> std::chrono::milliseconds = 0;
 
   /// Whether this router reaches hardly any target.
   [[nodiscard]] virtual auto isCutOff() const -> bool = 0;
--- a/src/transport/tests/tunnel_test.cpp
+++ b/src/transport/tests/tunnel_test.cpp
@@ -32,7 +32,10 @@
   auto chooseTunnel() -> std::optional<TunnelRouter> override {
     return TunnelRouter{"carrier", "127.0.0.1", m_Port};
   }
-  auto onDirectConnect(const std::string &, bool) -> bool override { return true; }
+  auto onDirectConnect(const std::string &, bool, std::chrono::milliseconds) -> bool override {
+    return true;
+  }
+  [[nodiscard]] auto slowConnectTime() const -> std::chrono::milliseconds override { return 120ms; }
   [[nodiscard]] auto isCutOff() const -> bool override { return true; }
   auto onTunnelEnded(const std::string &Router, TunnelResult Result) -> void override {
     if (Result != TunnelResult::Opened) {
