--- a/src/transport/httpclient.h
+++ b/src/transport/httpclient.h
@@ -15,6 +15,7 @@
 struct CallResponse {
   int m_Status = 0;
   std::string m_Body;
+  http1::HeaderFields m_Fields = {};
 };
 
 /// Why a call got no response.
--- a/src/transport/internal/httpclient.cpp
+++ b/src/transport/internal/httpclient.cpp
@@ -129,6 +129,7 @@
 
   auto onHead(http1::ResponseHead &Head) -> void override {
     m_Response->m_Status = Head.m_Status;
+    m_Response->m_Fields = Head.m_Fields;
     onProgress();
   }
 
--- a/testing/standins/platform/storestandin.cpp
+++ b/testing/standins/platform/storestandin.cpp
@@ -69,6 +69,24 @@
   m_OldestKnown = m_Store.revision();
 }
 
+auto StoreStandin::nameEra() -> void {
+  const auto Lock = std::lock_guard(m_Mutex);
+  m_Era = 1;
+}
+
+auto StoreStandin::copy() -> void {
+  const auto Lock = std::lock_guard(m_Mutex);
+  m_Copy = m_Store;
+}
+
+auto StoreStandin::returnFromCopy() -> void {
+  const auto Lock = std::lock_guard(m_Mutex);
+  m_Store = m_Copy;
+  m_Events.clear();
+  m_OldestKnown = m_Store.revision();
+  ++m_Era;
+}
+
 auto StoreStandin::itemText(const std::string &Key) -> std::string {
   const auto Found = m_Store.find(Key);
   return fmt::format(R"({{"key":"{}","value":"{}","revision":{},"created":{},"lease":0}})", Key,
@@ -87,7 +105,7 @@
 }
 
 auto StoreStandin::watch(const std::string &Prefix, std::int64_t After) -> Reply {
-  if (After < m_OldestKnown) {
+  if (After < m_OldestKnown || After > m_Store.revision()) {
     return jsonReply(410, "{}");
   }
   auto Events = std::string();
@@ -142,6 +160,15 @@
     return std::nullopt;
   }
   const auto Lock = std::lock_guard(m_Mutex);
+  auto Result = answer(Request);
+  if (Result && m_Era > 0) {
+    const auto EndOfLine = Result->m_Bytes.find("\r\n");
+    Result->m_Bytes.insert(EndOfLine + 2, fmt::format("Store-Era: {}\r\n", m_Era));
+  }
+  return Result;
+}
+
+auto StoreStandin::answer(const Received &Request) -> std::optional<Reply> {
   const auto &Target = Request.m_Head.m_Target;
   if (Target.starts_with("/kv-range")) {
     return range(queryValue(Target, "pathPrefix"));
--- a/testing/standins/platform/storestandin.h
+++ b/testing/standins/platform/storestandin.h
@@ -29,6 +29,16 @@
   /// Forgets the history, so that watches must list again.
   auto compact() -> void;
 
+  /// Names the era in all answers from now on; see returnFromCopy().
+  auto nameEra() -> void;
+
+  /// Takes a copy of all keys.
+  auto copy() -> void;
+
+  /// Comes back from the copy in a new era. Revisions after it are given out again, and the history
+  /// is gone.
+  auto returnFromCopy() -> void;
+
 private:
   struct Event {
     std::string m_Key;
@@ -37,6 +47,7 @@
   };
 
   auto handle(const Received &Request) -> std::optional<Reply>;
+  auto answer(const Received &Request) -> std::optional<Reply>;
   auto range(const std::string &Prefix) -> Reply;
   auto watch(const std::string &Prefix, std::int64_t After) -> Reply;
   auto transact(const std::string &Body) -> std::optional<Reply>;
@@ -49,6 +60,10 @@
   std::vector<Event> m_Events;
   std::int64_t m_OldestKnown = 0;
   std::int64_t m_LastLease = 0;
+  standin::RevisionStore m_Copy;
+
+  /// 0 if answers do not name an era.
+  std::int64_t m_Era = 0;
   ByteServer m_Server;
 };
 
