--- a/src/transport/internal/callerserver.cpp
+++ b/src/transport/internal/callerserver.cpp
@@ -1,6 +1,7 @@
 #include "transport/callerserver.h"
 
 #include "transport/internal/callerconnection.h"
+#include "transport/internal/listener.h"
 
 #include <fmt/format.h>
 #include <vector>
@@ -29,26 +30,11 @@
       : m_Acceptor(Loop), m_Shared(std::make_shared<SharedServerState>(Timers, Clock, Options)) {}
 
   auto open(const std::string &Address, std::uint16_t Port) -> absl::Status {
-    auto Error = error_code();
-    const auto Ip = asio::ip::make_address_v4(Address, Error);
-    if (!Error) {
-      m_Acceptor.open(tcp::v4(), Error);
+    auto Status = openListener(m_Acceptor, Address, Port, ListenBacklog);
+    if (Status.ok()) {
+      accept();
     }
-    if (!Error) {
-      m_Acceptor.set_option(tcp::acceptor::reuse_address(true), Error);
-    }
-    if (!Error) {
-      m_Acceptor.bind({Ip, Port}, Error);
-    }
-    if (!Error) {
-      m_Acceptor.listen(ListenBacklog, Error);
-    }
-    if (Error) {
-      return absl::UnavailableError(
-          fmt::format("cannot listen on {}:{}: {}", Address, Port, Error.message()));
-    }
-    accept();
-    return absl::OkStatus();
+    return Status;
   }
 
   auto accept() -> void {
--- a/src/transport/internal/tunnelserver.cpp
+++ b/src/transport/internal/tunnelserver.cpp
@@ -1,6 +1,7 @@
 #include "transport/tunnelserver.h"
 
 #include "http1/messageparser.h"
+#include "transport/internal/listener.h"
 #include "transport/internal/socketstate.h"
 
 #include <absl/strings/numbers.h>
@@ -328,26 +329,11 @@
 } // namespace
 
 auto TunnelServerState::open(const std::string &Address, std::uint16_t Port) -> absl::Status {
-  auto Error = error_code();
-  const auto Ip = asio::ip::make_address_v4(Address, Error);
-  if (!Error) {
-    m_Acceptor.open(tcp::v4(), Error);
-  }
-  if (!Error) {
-    m_Acceptor.set_option(tcp::acceptor::reuse_address(true), Error);
-  }
-  if (!Error) {
-    m_Acceptor.bind({Ip, Port}, Error);
+  auto Status = openListener(m_Acceptor, Address, Port, ListenBacklog);
+  if (Status.ok()) {
+    accept();
   }
-  if (!Error) {
-    m_Acceptor.listen(ListenBacklog, Error);
-  }
-  if (Error) {
-    return absl::UnavailableError(
-        fmt::format("cannot listen on {}:{}: {}", Address, Port, Error.message()));
-  }
-  accept();
-  return absl::OkStatus();
+  return Status;
 }
 
 auto TunnelServerState::accept() -> void {
